--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+GO_FILES = $(shell git ls-files '*.go' | grep -v -e '\.pb\.go$$' -e '\.connect\.go$$')
+MODULES = . cmd entry fleet operator platform standin steering
+# TEST_FLAGS adds flags to the test command; .ci/run sets -race and passes over the entries of KNOWN-RED.txt.
+TEST_FLAGS ?=
+
+.PHONY: build test lint format generate demo figures compare fuzz
+
+build:
+	mkdir -p bin
+	go build -o bin/ ./cmd/...
+
+test:
+	go vet work
+	go test $(TEST_FLAGS) work
+
+lint:
+	@unformatted=$$(gofumpt -l $(GO_FILES)); if [ -n "$$unformatted" ]; then echo "gofumpt would change:"; echo "$$unformatted"; exit 1; fi
+	@for module in $(MODULES); do (cd $$module && revive -config $(CURDIR)/revive.toml -set_exit_status ./...) || exit 1; done
+
+format:
+	gofumpt -w $(GO_FILES)
+
+# Writes the generated code, which is committed; .ci/run checks that it is in step.
+generate:
+	buf generate
+
+demo: build
+	bin/oleandervane-demo
+
+figures:
+	mkdir -p out
+	rm -f out/figures.txt
+	OLEANDERVANE_FIGURES=$(CURDIR)/out/figures.txt go test -count=1 -p 1 -run 'Figure' -bench 'Figure' -benchtime 200ms work > out/figures.log
+	sort -u out/figures.txt
+
+fuzz:
+	.ci/fuzz
--- /dev/null
+++ b/errors.go
@@ -0,0 +1,14 @@
+package oleandervane
+
+import "errors"
+
+// Errors that implementations of the interfaces of this package return, wrapped or as they are.
+var (
+	ErrNoBackendServer  = errors.New("no backend server may take the request")
+	ErrNoRegion         = errors.New("no region has room for the request")
+	ErrShed             = errors.New("request shed by admission")
+	ErrVersionConflict  = errors.New("the key has another version")
+	ErrStoreUnavailable = errors.New("the store is unavailable")
+	ErrLeaseHeld        = errors.New("the lease is held by another holder")
+	ErrValueTooLarge    = errors.New("the value is larger than the store allows")
+)
--- /dev/null
+++ b/platform.go
@@ -0,0 +1,46 @@
+package oleandervane
+
+import (
+	"context"
+	"time"
+)
+
+// StoreEntry is the value of a key in the platform's store at one version. Version 0 means that the key is absent.
+type StoreEntry struct {
+	Key     string
+	Value   []byte
+	Version uint64
+}
+
+// Lease is a lease on a name in the store. Its holder must not rely on it after ExpiresAt; writes are
+// fenced by compare-and-swap and never by the lease alone.
+type Lease struct {
+	Name      string
+	Holder    string
+	Token     uint64
+	ExpiresAt time.Time
+}
+
+// Store is the platform's key-value service. Each call counts against its rates, a waiting watch as one.
+type Store interface {
+	// Get returns the entry of a key; an absent key has version 0 and no error.
+	Get(ctx context.Context, key string) (StoreEntry, error)
+	// CompareAndSwap writes value if the key's version is the given one (0: absent) and returns the new entry.
+	CompareAndSwap(ctx context.Context, key string, version uint64, value []byte) (StoreEntry, error)
+	// Watch waits until the key's version differs from the given one, or ctx ends.
+	Watch(ctx context.Context, key string, version uint64) (StoreEntry, error)
+	// AcquireLease takes or renews a lease for the holder.
+	AcquireLease(ctx context.Context, name, holder string, duration time.Duration) (Lease, error)
+	// ReleaseLease gives a lease up.
+	ReleaseLease(ctx context.Context, lease Lease) error
+}
+
+// VMList is the platform's list of live and leaving VMs, which lags.
+type VMList interface {
+	Read(ctx context.Context) (VMListing, error)
+}
+
+// Prober asks a backend server for its load.
+type Prober interface {
+	Probe(ctx context.Context, backendServer BackendServer) (LoadReport, error)
+}
--- /dev/null
+++ b/policy.go
@@ -0,0 +1,68 @@
+package oleandervane
+
+import "context"
+
+// Membership tells which entry VMs exist. Snapshots are immutable and cheap to take.
+type Membership interface {
+	// EntryVMs returns all known VMs that are not dead, ordered by id.
+	EntryVMs() []EntryVM
+	// Self returns this VM.
+	Self() EntryVM
+}
+
+// ConfigurationSource gives the configuration in force on this VM.
+type ConfigurationSource interface {
+	// Configuration returns the newest accepted revision known here, or nil before the first.
+	Configuration() *Configuration
+}
+
+// LoadSource gives the newest load report of a backend server that is known on this VM.
+type LoadSource interface {
+	LoadReport(backendServerID BackendServerID) (LoadReport, bool)
+}
+
+// BackendChooser chooses a backend server in this VM's region and holds one of its slots.
+type BackendChooser interface {
+	// Choose returns a backend server of the service that is not in excluded. It fails with
+	// ErrNoBackendServer when none may take the request.
+	Choose(serviceName ServiceName, excluded []BackendServerID) (Reservation, error)
+}
+
+// AttemptResult tells a BackendChooser how an attempt ended.
+type AttemptResult uint8
+
+// The results of an attempt at a backend server.
+const (
+	AttemptAnswered AttemptResult = iota
+	AttemptShed
+	AttemptTimedOut
+	AttemptBroken
+	AttemptCancelled
+)
+
+// Reservation is a slot held at a backend server for one attempt.
+type Reservation interface {
+	BackendServer() BackendServer
+	// Release gives the slot back and reports how the attempt ended. Later calls have no effect.
+	Release(attemptResult AttemptResult)
+}
+
+// AdmissionController decides whether a request may start, and in what order.
+type AdmissionController interface {
+	// Admit waits for room. It returns a release function, or an error when the request is shed
+	// or ctx ends; a request that was not admitted was not run.
+	Admit(ctx context.Context, serviceName ServiceName, kind Kind) (release func(), err error)
+}
+
+// RegionChooser chooses the serving region of a request by the shares in force.
+type RegionChooser interface {
+	// ChooseRegion returns the region to serve a request whose caller's home is home. It fails with
+	// ErrNoRegion when the request does not fit anywhere. The point, in [0, 1), selects by share.
+	ChooseRegion(serviceName ServiceName, home Region, point float64) (Region, error)
+}
+
+// SteeringPolicy computes shares. It is a pure function of its input.
+type SteeringPolicy interface {
+	// Decide returns the shares that follow from the input.
+	Decide(input SteeringInput) SteeringDecision
+}
--- /dev/null
+++ b/timer/doc.go
@@ -0,0 +1,2 @@
+// Package timer has the implementations of oleandervane.TimerService: System for daemons and Manual for tests.
+package timer
--- /dev/null
+++ b/timer/system.go
@@ -0,0 +1,39 @@
+package timer
+
+import (
+	"sync"
+	"time"
+)
+
+// System is a timer service on the clock of the machine.
+type System struct{}
+
+// Now returns the current time.
+func (System) Now() time.Time {
+	return time.Now()
+}
+
+// Every calls tick from a goroutine of its own once each period. A tick that takes longer than the period
+// delays the next and is not queued.
+func (System) Every(period time.Duration, tick func(now time.Time)) (cancel func()) {
+	ticker := time.NewTicker(period)
+	done := make(chan struct{})
+	go func() {
+		defer ticker.Stop()
+		for {
+			select {
+			case now := <-ticker.C:
+				tick(now)
+			case <-done:
+				return
+			}
+		}
+	}()
+	return sync.OnceFunc(func() { close(done) })
+}
+
+// After calls fire from a goroutine of its own when delay has passed.
+func (System) After(delay time.Duration, fire func(now time.Time)) (cancel func()) {
+	timer := time.AfterFunc(delay, func() { fire(time.Now()) })
+	return func() { timer.Stop() }
+}
