Add backend server stand-in

Cause: entry VMs can only be shown to work against backend servers whose faults are under control.

Ruled out: httptest handlers in each test, because the demo and the load tool need the same faults in separate processes.

--- /dev/null
+++ b/cmd/oleandervane-standin/main.go
@@ -0,0 +1,33 @@
+// Program oleandervane-standin runs one stand-in of what surrounds the system: a backend server, the platform's
+// store or the platform's VM list. It is test support and not for production.
+package main
+
+import (
+	"errors"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+func main() {
+	parser := flags.NewNamedParser("oleandervane-standin", flags.Default)
+	parser.ShortDescription = "Runs a stand-in for a backend server, the store or the VM list."
+	addCommand(parser, "backend", "Run a backend server", "Serves requests on a few slots; POST /fault changes its faults.", &backendCommand{})
+	if _, err := parser.Parse(); err != nil {
+		os.Exit(exitCode(err))
+	}
+}
+
+func addCommand(parser *flags.Parser, name, short, long string, command any) {
+	if _, err := parser.AddCommand(name, short, long, command); err != nil {
+		panic(err)
+	}
+}
+
+func exitCode(err error) int {
+	var flagsError *flags.Error
+	if errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp {
+		return 0
+	}
+	return 1
+}
--- /dev/null
+++ b/standin/backendstandin/server.go
@@ -0,0 +1,357 @@
+package backendstandin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"oleandervane.example"
+)
+
+// HeaderFiling names the header by which a test caller marks a request, so that the journal can tell its runs.
+const HeaderFiling = "X-Filing-Id"
+
+// Settings describe one backend server. They are immutable.
+type Settings struct {
+	ID          oleandervane.BackendServerID
+	Slots       int
+	QueueLength int
+	ServiceTime time.Duration
+	ProbeTime   time.Duration
+	// MaxConnections closes further connections as soon as they are accepted; 0 allows any number.
+	MaxConnections int
+	Seed           uint64
+}
+
+// Server is a backend server stand-in. It serves HTTP through Handler, and ConnState and ConnContext
+// have to be set on the http.Server in front of it.
+type Server struct {
+	settings     Settings
+	timerService oleandervane.TimerService
+	slots        chan struct{}
+	queued       atomic.Int64
+	inFlight     atomic.Int64
+	faults       atomic.Pointer[Faults]
+	coldUntil    atomic.Int64
+	journal      *journal
+	crash        func()
+
+	mutex       sync.Mutex
+	random      *rand.Rand
+	connections map[net.Conn]*connection
+	peak        int
+	frozen      loadBody
+	frozenAt    time.Time
+}
+
+// connection is the state of one accepted connection.
+type connection struct {
+	silent atomic.Bool
+}
+
+type connectionKey struct{}
+
+// loadBody is the load report on the wire.
+type loadBody struct {
+	InFlight    int64 `json:"in_flight"`
+	Queued      int64 `json:"queued"`
+	Slots       int   `json:"slots"`
+	Leaving     bool  `json:"leaving"`
+	Cold        bool  `json:"cold"`
+	Connections int   `json:"connections"`
+}
+
+// New returns a backend server stand-in. It calls crash when a fault crashes the server.
+func New(settings Settings, timerService oleandervane.TimerService, crash func()) *Server {
+	server := &Server{
+		settings:     settings,
+		timerService: timerService,
+		slots:        make(chan struct{}, settings.Slots),
+		journal:      newJournal(),
+		crash:        crash,
+		random:       rand.New(rand.NewPCG(settings.Seed, 1)),
+		connections:  map[net.Conn]*connection{},
+	}
+	server.faults.Store(&Faults{})
+	return server
+}
+
+// SetFaults replaces the faults that the server shows.
+func (server *Server) SetFaults(faults Faults) {
+	if faults.SilenceConnections {
+		server.silenceConnections()
+	}
+	if faults.ColdFor > 0 {
+		server.coldUntil.Store(server.timerService.Now().Add(faults.ColdFor).UnixNano())
+	}
+	server.faults.Store(&faults)
+}
+
+// Runs returns how often each marked request ran, and the number of all runs.
+func (server *Server) Runs() (runs map[string]int, total int) {
+	return server.journal.snapshot()
+}
+
+// PeakConnections returns the largest number of connections that were open at a time.
+func (server *Server) PeakConnections() int {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.peak
+}
+
+// ConnState tracks connections; set it as the ConnState of the http.Server.
+func (server *Server) ConnState(conn net.Conn, state http.ConnState) {
+	if state != http.StateClosed && state != http.StateHijacked {
+		return
+	}
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	delete(server.connections, conn)
+}
+
+// ConnContext registers a connection; set it as the ConnContext of the http.Server.
+func (server *Server) ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	state := &connection{}
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.connections[conn] = state
+	server.peak = max(server.peak, len(server.connections))
+	if server.settings.MaxConnections > 0 && len(server.connections) > server.settings.MaxConnections {
+		_ = conn.Close()
+	}
+	return context.WithValue(ctx, connectionKey{}, state)
+}
+
+// Handler serves /load, /fault, /runs and, on every other path, work.
+func (server *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /load", server.serveLoad)
+	mux.HandleFunc("POST /fault", server.serveFault)
+	mux.HandleFunc("GET /runs", server.serveRuns)
+	mux.HandleFunc("/", server.serveWork)
+	return mux
+}
+
+func (server *Server) silenceConnections() {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	for _, state := range server.connections {
+		state.silent.Store(true)
+	}
+}
+
+func (server *Server) serveLoad(writer http.ResponseWriter, request *http.Request) {
+	if server.waitIfSilent(request) {
+		return
+	}
+	faults := server.faults.Load()
+	if faults.StopLoadReports {
+		http.Error(writer, "load reports are stopped", http.StatusServiceUnavailable)
+		return
+	}
+	if server.settings.ProbeTime > 0 && !server.holdSlot(request.Context(), server.settings.ProbeTime) {
+		return
+	}
+	writeJSON(writer, server.load(faults))
+}
+
+func (server *Server) load(faults *Faults) loadBody {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	now := server.timerService.Now()
+	if faults.LoadLag > 0 && now.Sub(server.frozenAt) < faults.LoadLag {
+		return server.frozen
+	}
+	body := loadBody{
+		InFlight:    server.inFlight.Load(),
+		Queued:      server.queued.Load(),
+		Slots:       server.settings.Slots,
+		Leaving:     faults.Drain,
+		Cold:        now.UnixNano() < server.coldUntil.Load(),
+		Connections: len(server.connections),
+	}
+	if faults.UnderstateLoad {
+		body.InFlight, body.Queued = 0, 0
+	}
+	server.frozen, server.frozenAt = body, now
+	return body
+}
+
+func (server *Server) serveFault(writer http.ResponseWriter, request *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(request.Body).Decode(&faults); err != nil {
+		http.Error(writer, "reading faults: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	server.SetFaults(faults)
+	writer.WriteHeader(http.StatusNoContent)
+}
+
+func (server *Server) serveRuns(writer http.ResponseWriter, _ *http.Request) {
+	runs, total := server.Runs()
+	writeJSON(writer, struct {
+		Runs  map[string]int `json:"runs"`
+		Total int            `json:"total"`
+		Peak  int            `json:"peak_connections"`
+	}{runs, total, server.PeakConnections()})
+}
+
+func (server *Server) serveWork(writer http.ResponseWriter, request *http.Request) {
+	if server.waitIfSilent(request) {
+		return
+	}
+	faults := server.faults.Load()
+	writer.Header().Set(oleandervane.HeaderRequestID, request.Header.Get(oleandervane.HeaderRequestID))
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return
+	}
+	if faults.Shed || !server.enterQueue() {
+		server.setLoadHeader(writer, faults)
+		writer.Header().Set(oleandervane.HeaderShed, "1")
+		http.Error(writer, "shed", http.StatusServiceUnavailable)
+		return
+	}
+	if faults.FailFast {
+		server.queued.Add(-1)
+		http.Error(writer, "internal error", http.StatusInternalServerError)
+		return
+	}
+	if !server.takeSlot(request.Context(), deadlineOf(request)) {
+		writer.Header().Set(oleandervane.HeaderShed, "1")
+		http.Error(writer, "deadline passed in queue", http.StatusServiceUnavailable)
+		return
+	}
+	defer server.releaseSlot()
+	server.journal.record(request.Header.Get(HeaderFiling))
+	if faults.CrashOn != "" && strings.Contains(request.URL.Path, faults.CrashOn) {
+		server.crash()
+		panic(http.ErrAbortHandler)
+	}
+	if !server.wait(request.Context(), server.serviceTime(faults)) {
+		return
+	}
+	server.setLoadHeader(writer, faults)
+	server.writeResponse(writer, request, body, faults)
+}
+
+func (server *Server) writeResponse(writer http.ResponseWriter, request *http.Request, body []byte, faults *Faults) {
+	answer := fmt.Sprintf("%s %s by %s: %s\n", request.Method, request.URL.Path, server.settings.ID, body)
+	if size, err := strconv.Atoi(request.URL.Query().Get("size")); err == nil && size > len(answer) {
+		answer += strings.Repeat(".", size-len(answer))
+	}
+	writer.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	writer.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	if faults.TruncateResponses {
+		_, _ = io.WriteString(writer, answer[:len(answer)/2])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(writer, answer)
+}
+
+func (server *Server) setLoadHeader(writer http.ResponseWriter, faults *Faults) {
+	load := server.load(faults)
+	value := fmt.Sprintf("in_flight=%d queued=%d", load.InFlight, load.Queued)
+	if load.Leaving {
+		value += " leaving=1"
+	}
+	writer.Header().Set(oleandervane.HeaderLoad, value)
+}
+
+// waitIfSilent blocks until the connection of the request closes, when that connection has gone silent.
+func (server *Server) waitIfSilent(request *http.Request) bool {
+	state, _ := request.Context().Value(connectionKey{}).(*connection)
+	if state == nil || !state.silent.Load() {
+		return false
+	}
+	<-request.Context().Done()
+	return true
+}
+
+func (server *Server) enterQueue() bool {
+	if server.queued.Add(1)+server.inFlight.Load() > int64(server.settings.Slots+server.settings.QueueLength) {
+		server.queued.Add(-1)
+		return false
+	}
+	return true
+}
+
+// takeSlot moves a queued request to a slot. It fails when the deadline passes or ctx ends before one is free.
+func (server *Server) takeSlot(ctx context.Context, deadline time.Duration) bool {
+	defer server.queued.Add(-1)
+	if deadline > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, deadline)
+		defer cancel()
+	}
+	select {
+	case server.slots <- struct{}{}:
+		server.inFlight.Add(1)
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (server *Server) releaseSlot() {
+	server.inFlight.Add(-1)
+	<-server.slots
+}
+
+func (server *Server) holdSlot(ctx context.Context, duration time.Duration) bool {
+	server.queued.Add(1)
+	if !server.takeSlot(ctx, 0) {
+		return false
+	}
+	defer server.releaseSlot()
+	return server.wait(ctx, duration)
+}
+
+// wait returns after the duration, or false when ctx ends first: the server accepts cancellation.
+func (server *Server) wait(ctx context.Context, duration time.Duration) bool {
+	done := make(chan struct{})
+	cancel := server.timerService.After(duration, func(time.Time) { close(done) })
+	defer cancel()
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// serviceTime draws an exponentially distributed service time.
+func (server *Server) serviceTime(faults *Faults) time.Duration {
+	server.mutex.Lock()
+	factor := server.random.ExpFloat64()
+	server.mutex.Unlock()
+	if faults.Slowdown > 1 {
+		factor *= faults.Slowdown
+	}
+	if server.timerService.Now().UnixNano() < server.coldUntil.Load() {
+		factor *= coldFactor
+	}
+	return time.Duration(factor * float64(server.settings.ServiceTime))
+}
+
+func deadlineOf(request *http.Request) time.Duration {
+	millis, err := strconv.ParseInt(request.Header.Get(oleandervane.HeaderDeadlineMillis), 10, 64)
+	if err != nil || millis <= 0 {
+		return 0
+	}
+	return time.Duration(millis) * time.Millisecond
+}
+
+func writeJSON(writer http.ResponseWriter, body any) {
+	writer.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(writer).Encode(body)
+}
