--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 GO_FILES = $(shell git ls-files '*.go' | grep -v -e '\.pb\.go$$' -e '\.connect\.go$$')
-MODULES = . cmd entry fleet operator platform standin steering
+MODULES = . cmd entry entryvm fleet operator platform standin steering
 # TEST_FLAGS adds flags to the test command; .ci/run sets -race and passes over the entries of KNOWN-RED.txt.
 TEST_FLAGS ?=
 
--- /dev/null
+++ b/entryvm/settings.go
@@ -0,0 +1,195 @@
+package entryvm
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"oleandervane.example"
+)
+
+// Settings are the settings of one entry VM. They are immutable after LoadSettings.
+type Settings struct {
+	ID            oleandervane.VMID          `toml:"id"`
+	Region        oleandervane.Region        `toml:"region"`
+	FailureDomain oleandervane.FailureDomain `toml:"failure_domain"`
+	// CallerAddress serves callers and relayed requests.
+	CallerAddress netip.AddrPort `toml:"caller_address"`
+	// PeerAddress serves other entry VMs.
+	PeerAddress netip.AddrPort `toml:"peer_address"`
+	// OperationsAddress serves health, metrics, status, explain and burn.
+	OperationsAddress netip.AddrPort `toml:"operations_address"`
+	StoreURL          string         `toml:"store_url"`
+	VMListURL         string         `toml:"vm_list_url"`
+	LogLevel          string         `toml:"log_level"`
+	LogFormat         string         `toml:"log_format"`
+	// TrustCallerAddressHeader takes the caller's address from X-Forwarded-For. It is for tests on one machine,
+	// where all callers share an address.
+	TrustCallerAddressHeader bool     `toml:"trust_caller_address_header"`
+	Queue                    Queue    `toml:"queue"`
+	Requests                 Requests `toml:"requests"`
+	Shutdown                 Shutdown `toml:"shutdown"`
+	PeerTLS                  PeerTLS  `toml:"peer_tls"`
+}
+
+// Queue bounds the requests that wait on this VM.
+type Queue struct {
+	// Length is the number of requests of one service that may wait.
+	Length int `toml:"length"`
+}
+
+// Requests bounds what one request may take.
+type Requests struct {
+	MaxBodyBytes   int64    `toml:"max_body_bytes"`
+	TicketLifetime Duration `toml:"ticket_lifetime"`
+}
+
+// Shutdown says how a planned stop goes.
+type Shutdown struct {
+	// LookupGrace is how long the VM still serves after it has announced that it leaves. It has to cover
+	// the lifetime of look-up answers that callers hold.
+	LookupGrace Duration `toml:"lookup_grace"`
+	// DrainLimit is how long requests in flight may take after that.
+	DrainLimit Duration `toml:"drain_limit"`
+}
+
+// PeerTLS names the files of the certificate that this VM shows its peers, its key, and the authorities that
+// it accepts. All are set, or none.
+type PeerTLS struct {
+	CertificateFile string `toml:"certificate_file"`
+	KeyFile         string `toml:"key_file"`
+	AuthorityFile   string `toml:"authority_file"`
+}
+
+// Duration is a time.Duration that settings write as text, such as "250ms" or "5s".
+type Duration time.Duration
+
+// UnmarshalText reads a duration such as "250ms".
+func (duration *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is not a duration such as \"250ms\" or \"5s\"", text)
+	}
+	*duration = Duration(parsed)
+	return nil
+}
+
+// ErrSettings is the error of settings that cannot be used. Its text names file, key and reason.
+var ErrSettings = errors.New("settings cannot be used")
+
+// maxBodyLimit bounds max_body_bytes: bodies of requests that may be retried are held in memory.
+const maxBodyLimit = 64 << 20
+
+// DefaultSettings returns the values of settings that a file leaves out.
+func DefaultSettings() Settings {
+	return Settings{
+		LogLevel:  "info",
+		LogFormat: "json",
+		Queue:     Queue{Length: 64},
+		Requests:  Requests{MaxBodyBytes: 1 << 20, TicketLifetime: Duration(10 * time.Minute)},
+		Shutdown:  Shutdown{LookupGrace: Duration(10 * time.Second), DrainLimit: Duration(30 * time.Second)},
+	}
+}
+
+// LoadSettings reads and checks the settings in a TOML file. All faults of the file are reported at once.
+func LoadSettings(path string) (Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, eris.Wrapf(ErrSettings, "reading settings: %v", err)
+	}
+	return ParseSettings(path, text)
+}
+
+// ParseSettings checks the settings in text; name stands for the file in errors.
+func ParseSettings(name string, text []byte) (Settings, error) {
+	settings := DefaultSettings()
+	decoder := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	if err := decoder.Decode(&settings); err != nil {
+		return Settings{}, eris.Wrap(ErrSettings, describeTOMLError(name, err))
+	}
+	if faults := settings.faults(); len(faults) > 0 {
+		return Settings{}, eris.Wrap(ErrSettings, name+": "+strings.Join(faults, "; "))
+	}
+	return settings, nil
+}
+
+func describeTOMLError(name string, err error) string {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
+		faults := make([]string, 0, len(strict.Errors))
+		for _, unknown := range strict.Errors {
+			line, _ := unknown.Position()
+			faults = append(faults, fmt.Sprintf("%s:%d: unknown key %q", name, line, strings.Join(unknown.Key(), ".")))
+		}
+		return strings.Join(faults, "; ")
+	}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		line, column := decode.Position()
+		return fmt.Sprintf("%s:%d:%d: key %q: %v", name, line, column, strings.Join(decode.Key(), "."), decode)
+	}
+	return name + ": " + err.Error()
+}
+
+func (settings Settings) faults() []string {
+	var faults []string
+	check := func(ok bool, key, reason string) {
+		if !ok {
+			faults = append(faults, key+": "+reason)
+		}
+	}
+	check(settings.ID != "", "id", "is missing")
+	check(settings.Region != "", "region", "is missing")
+	check(settings.FailureDomain != "", "failure_domain", "is missing")
+	check(settings.CallerAddress.IsValid(), "caller_address", "must be an IP address and port")
+	check(settings.PeerAddress.IsValid(), "peer_address", "must be an IP address and port")
+	check(settings.OperationsAddress.IsValid(), "operations_address", "must be an IP address and port")
+	check(isHTTPURL(settings.StoreURL), "store_url", "must be an http or https URL")
+	check(isHTTPURL(settings.VMListURL), "vm_list_url", "must be an http or https URL")
+	_, err := logrus.ParseLevel(settings.LogLevel)
+	check(err == nil, "log_level", "must be one of error, warn, info, debug")
+	check(settings.LogFormat == "json" || settings.LogFormat == "text", "log_format", `must be "json" or "text"`)
+	check(settings.Queue.Length > 0 && settings.Queue.Length <= 10_000, "queue.length", "must be from 1 to 10000")
+	check(settings.Requests.MaxBodyBytes > 0 && settings.Requests.MaxBodyBytes <= maxBodyLimit, "requests.max_body_bytes", "must be from 1 to 67108864")
+	check(settings.Requests.TicketLifetime >= Duration(time.Second), "requests.ticket_lifetime", "must be at least 1s")
+	check(settings.Shutdown.LookupGrace >= 0, "shutdown.lookup_grace", "must not be negative")
+	check(settings.Shutdown.DrainLimit > 0, "shutdown.drain_limit", "must be above 0s")
+	check(settings.PeerTLS.complete(), "peer_tls", "needs certificate_file, key_file and authority_file together")
+	return faults
+}
+
+func (peerTLS PeerTLS) complete() bool {
+	set := 0
+	for _, file := range []string{peerTLS.CertificateFile, peerTLS.KeyFile, peerTLS.AuthorityFile} {
+		if file != "" {
+			set++
+		}
+	}
+	return set == 0 || set == 3
+}
+
+func isHTTPURL(text string) bool {
+	parsed, err := url.Parse(text)
+	return err == nil && (parsed.Scheme == "http" || parsed.Scheme == "https") && parsed.Host != ""
+}
+
+// Self returns this VM as its peers see it.
+func (settings Settings) Self(incarnation oleandervane.Incarnation) oleandervane.EntryVM {
+	return oleandervane.EntryVM{
+		ID:            settings.ID,
+		Incarnation:   incarnation,
+		Region:        settings.Region,
+		FailureDomain: settings.FailureDomain,
+		CallerAddress: settings.CallerAddress,
+		PeerAddress:   settings.PeerAddress,
+	}
+}
