Add the ledger of single-use tickets

Ruled out: expiry as wall-clock time, because a clock that steps back would make an expired ticket valid after its mark was dropped; the expiry counts on a clock of the ledger that never goes back. Change: package entry/ticket with issue, begin, query, revoke, wait and finish; marks of two bits per sequence number.

--- /dev/null
+++ b/entry/ticket/ledger.go
@@ -0,0 +1,221 @@
+package ticket
+
+import (
+	"container/list"
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"errors"
+	"sync"
+	"time"
+
+	"oleandervane.example"
+)
+
+const (
+	// DefaultLifetime covers a caller that prepares its request and the longest deadline of a kind.
+	DefaultLifetime = 2 * time.Minute
+	// DefaultRetention is how long the mark of an expired ticket is kept, so that late queries are told more than unknown.
+	DefaultRetention = 10 * time.Minute
+	// DefaultMaxResponseBytes bounds all kept responses together.
+	DefaultMaxResponseBytes = 64 << 20
+	// DefaultMaxTickets bounds the sequence numbers whose marks are kept; at two bits each, 16 Mi take 4 MiB.
+	DefaultMaxTickets = 16 << 20
+	// responseOverheadBytes counts the record that holds a response against the bound as well.
+	responseOverheadBytes = 256
+)
+
+var (
+	// ErrTooManyTickets says that the ledger keeps as many marks as it may; no ticket is issued until some expire.
+	ErrTooManyTickets = errors.New("too many tickets have not expired")
+	// ErrTicketExpired says that a ticket expired after its request was admitted and before it was written.
+	ErrTicketExpired = errors.New("the ticket expired before the request was written")
+)
+
+// Settings are the settings of a Ledger. Zero values take the defaults.
+type Settings struct {
+	VM               oleandervane.VMID
+	Incarnation      oleandervane.Incarnation
+	Lifetime         time.Duration
+	Retention        time.Duration
+	MaxResponseBytes int
+	MaxTickets       uint64
+}
+
+func (settings Settings) withDefaults() Settings {
+	if settings.Lifetime == 0 {
+		settings.Lifetime = DefaultLifetime
+	}
+	if settings.Retention == 0 {
+		settings.Retention = DefaultRetention
+	}
+	if settings.MaxResponseBytes == 0 {
+		settings.MaxResponseBytes = DefaultMaxResponseBytes
+	}
+	if settings.MaxTickets == 0 {
+		settings.MaxTickets = DefaultMaxTickets
+	}
+	return settings
+}
+
+// Ledger issues the tickets of one incarnation and records the outcomes of their requests. Its key and its records
+// live in memory only and end with the process. All methods may be called from many goroutines at once.
+type Ledger struct {
+	settings Settings
+	key      []byte
+	clock    *clock
+
+	mutex         sync.Mutex
+	next          uint64
+	marks         markTable
+	records       map[uint64]*record
+	kept          *list.List // of *record, oldest response first
+	responseBytes int
+}
+
+// NewLedger returns a ledger with a new random key.
+func NewLedger(settings Settings, timerService oleandervane.TimerService) *Ledger {
+	return &Ledger{
+		settings: settings.withDefaults(),
+		key:      []byte(rand.Text()),
+		clock:    newClock(timerService),
+		marks:    newMarkTable(),
+		records:  map[uint64]*record{},
+		kept:     list.New(),
+	}
+}
+
+// Issue returns the text of a new ticket. It fails with ErrTooManyTickets or ErrNameTooLong.
+func (ledger *Ledger) Issue(serviceName oleandervane.ServiceName, kindName oleandervane.KindName) (string, error) {
+	if max(len(ledger.settings.VM), len(serviceName), len(kindName)) > maxNameBytes {
+		return "", ErrNameTooLong
+	}
+	sequence, expiresAfter, err := ledger.nextSequence()
+	if err != nil {
+		return "", err
+	}
+	ticket := Ticket{
+		VM:           ledger.settings.VM,
+		Incarnation:  ledger.settings.Incarnation,
+		Sequence:     sequence,
+		Service:      serviceName,
+		Kind:         kindName,
+		ExpiresAfter: expiresAfter,
+	}
+	return ticket.encode(ledger.key), nil
+}
+
+func (ledger *Ledger) nextSequence() (sequence uint64, expiresAfter time.Duration, err error) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	now := ledger.clock.now()
+	ledger.marks.dropExpired(now-ledger.settings.Retention, ledger.next)
+	if ledger.next-ledger.marks.floor >= ledger.settings.MaxTickets {
+		return 0, 0, ErrTooManyTickets
+	}
+	sequence = ledger.next
+	ledger.next++
+	expiresAfter = now + ledger.settings.Lifetime
+	ledger.marks.noteIssued(sequence, expiresAfter)
+	return sequence, expiresAfter, nil
+}
+
+// Begin asks to run the request of a ticket. For a Fresh answer it returns the run, and the sequence number is used
+// from then on; for every other answer the run is nil and the request must not be run.
+func (ledger *Ledger) Begin(text string, serviceName oleandervane.ServiceName, kindName oleandervane.KindName) (Answer, *Run) {
+	ticket, state := ledger.verify(text)
+	if state != Unused {
+		return Answer{State: state}, nil
+	}
+	if ticket.Service != serviceName || ticket.Kind != kindName {
+		return Answer{State: Foreign}, nil
+	}
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	answer := ledger.look(ticket)
+	if answer.State != Unused {
+		return answer, nil
+	}
+	ledger.marks.set(ticket.Sequence, markUsed)
+	record := &record{sequence: ticket.Sequence, done: make(chan struct{})}
+	ledger.records[ticket.Sequence] = record
+	return Answer{State: Fresh}, &Run{ledger: ledger, record: record, ticket: ticket}
+}
+
+// Query returns what is known of a ticket and changes nothing.
+func (ledger *Ledger) Query(text string) Answer {
+	ticket, state := ledger.verify(text)
+	if state != Unused {
+		return Answer{State: state}
+	}
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	return ledger.look(ticket)
+}
+
+// Revoke makes an unused ticket unusable; its recorded outcome is then NotRun. A ticket that was used before is
+// left as it is, and the answer tells its state.
+func (ledger *Ledger) Revoke(text string) Answer {
+	ticket, state := ledger.verify(text)
+	if state != Unused {
+		return Answer{State: state}
+	}
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	answer := ledger.look(ticket)
+	if answer.State != Unused {
+		return answer
+	}
+	ledger.marks.set(ticket.Sequence, markNotRun)
+	return Answer{State: Recorded, outcome: oleandervane.NotRun}
+}
+
+// Wait waits until the request of a Running answer has an outcome, or ctx ends, and returns what is known then.
+// Other answers are returned as they are.
+func (ledger *Ledger) Wait(ctx context.Context, answer Answer) Answer {
+	if answer.State != Running {
+		return answer
+	}
+	select {
+	case <-ctx.Done():
+		return answer
+	case <-answer.record.done:
+	}
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	return answer.record.answer()
+}
+
+// verify returns the ticket and Unused when this incarnation issued it. A ticket that names this incarnation but
+// has another MAC is Foreign, not Malformed: a predecessor with the same incarnation number may have issued and run it.
+func (ledger *Ledger) verify(text string) (Ticket, State) {
+	ticket, body, code, err := decode(text)
+	if err != nil {
+		return Ticket{}, Malformed
+	}
+	if ticket.VM != ledger.settings.VM || ticket.Incarnation != ledger.settings.Incarnation {
+		return Ticket{}, Foreign
+	}
+	if !hmac.Equal(code, authenticationCode(ledger.key, body)) {
+		return Ticket{}, Foreign
+	}
+	return ticket, Unused
+}
+
+// look returns the state of a verified ticket. The clock is read with the mutex held, so that no other goroutine
+// drops the mark between the reading and the look-up.
+func (ledger *Ledger) look(ticket Ticket) Answer {
+	if record := ledger.records[ticket.Sequence]; record != nil {
+		return record.answer()
+	}
+	if ticket.Sequence < ledger.marks.floor {
+		return Answer{State: Forgotten}
+	}
+	if mark := ledger.marks.get(ticket.Sequence); mark != markUnused {
+		return Answer{State: Recorded, outcome: mark.outcome()}
+	}
+	if ledger.clock.now() >= ticket.ExpiresAfter {
+		return Answer{State: Expired}
+	}
+	return Answer{State: Unused}
+}
