Add the forwarder of requests to backend servers and relays

Ruled out: httptrace as proof that nothing was written, because net/http's write goroutine may still write after RoundTrip has returned; http.Transport's pool, because its resend rule cannot be turned off for all cases.

--- /dev/null
+++ b/entry/forward/gate.go
@@ -0,0 +1,101 @@
+package forward
+
+import (
+	"errors"
+	"net"
+	"sync/atomic"
+)
+
+// The states of a gate.
+const (
+	gateIdle int32 = iota
+	gateArmed
+	gateChecking
+	gateWritten
+	gateSealed
+)
+
+var (
+	errSealed      = errors.New("the attempt has ended and may write no more")
+	errUnsolicited = errors.New("the peer sent bytes before the request was written")
+)
+
+// gate is a connection that knows whether any byte of the current attempt was handed to the operating system. Its
+// state is decided by compare-and-swap: once seal has found that nothing was written, nothing can be written any
+// more. httptrace cannot give this proof, because net/http's write goroutine may still write after RoundTrip has
+// returned an error.
+type gate struct {
+	net.Conn
+	state       atomic.Int32
+	beforeWrite atomic.Pointer[func() error]
+	refusal     atomic.Pointer[error]
+}
+
+// arm starts an attempt. beforeWrite is called immediately before its first byte is written.
+func (gate *gate) arm(beforeWrite func() error) {
+	gate.beforeWrite.Store(&beforeWrite)
+	gate.state.CompareAndSwap(gateIdle, gateArmed)
+}
+
+// rest ends an attempt whose response was read completely; the connection may carry another one.
+func (gate *gate) rest() {
+	gate.state.CompareAndSwap(gateWritten, gateIdle)
+}
+
+// seal ends an attempt that failed and returns whether a byte may have been written.
+func (gate *gate) seal() (written bool) {
+	for {
+		state := gate.state.Load()
+		if state == gateWritten {
+			return true
+		}
+		if gate.state.CompareAndSwap(state, gateSealed) {
+			return false
+		}
+	}
+}
+
+// Write lets the first byte pass only while the attempt is armed and beforeWrite agrees.
+func (gate *gate) Write(buffer []byte) (int, error) {
+	if gate.state.CompareAndSwap(gateArmed, gateChecking) {
+		return gate.writeFirst(buffer)
+	}
+	if gate.state.Load() != gateWritten {
+		return 0, errSealed
+	}
+	return gate.Conn.Write(buffer)
+}
+
+func (gate *gate) writeFirst(buffer []byte) (int, error) {
+	if err := (*gate.beforeWrite.Load())(); err != nil {
+		gate.refusal.Store(&err)
+		gate.state.CompareAndSwap(gateChecking, gateSealed)
+		return 0, err
+	}
+	if !gate.state.CompareAndSwap(gateChecking, gateWritten) {
+		return 0, errSealed
+	}
+	count, err := gate.Conn.Write(buffer)
+	if count == 0 && err != nil {
+		// The operating system took nothing, for example after a reset by the peer.
+		gate.state.CompareAndSwap(gateWritten, gateSealed)
+	}
+	return count, err
+}
+
+// Read fails when bytes arrive that no written request can have caused, such as the late rest of an earlier response.
+func (gate *gate) Read(buffer []byte) (int, error) {
+	count, err := gate.Conn.Read(buffer)
+	if count > 0 && gate.state.Load() != gateWritten {
+		return 0, errUnsolicited
+	}
+	return count, err
+}
+
+// refused returns the error with which beforeWrite refused the attempt, or nil.
+func (gate *gate) refused() error {
+	if refusal := gate.refusal.Load(); refusal != nil {
+		return *refusal
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/forward/header.go
@@ -0,0 +1,68 @@
+package forward
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"oleandervane.example"
+)
+
+// hopHeaders concern one connection only and are not sent on. Expect would make the target answer before the
+// request is written.
+var hopHeaders = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// ownHeaders are set by entry VMs; a backend server cannot set them in their place.
+var ownHeaders = []string{
+	oleandervane.HeaderOutcome, oleandervane.HeaderReason, oleandervane.HeaderServedBy, oleandervane.HeaderServedIn,
+}
+
+func withoutHopHeaders(header http.Header) http.Header {
+	result := header.Clone()
+	if result == nil {
+		result = http.Header{}
+	}
+	for _, value := range header.Values("Connection") {
+		for name := range strings.SplitSeq(value, ",") {
+			result.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		result.Del(name)
+	}
+	return result
+}
+
+func attemptHeader(request Request, attemptID string, left time.Duration) http.Header {
+	header := withoutHopHeaders(request.Header)
+	header.Del("Content-Length")
+	header.Set(oleandervane.HeaderRequestID, attemptID)
+	header.Set(oleandervane.HeaderDeadlineMillis, strconv.FormatInt(left.Milliseconds(), 10))
+	return header
+}
+
+func responseHeader(target Target, header http.Header) http.Header {
+	result := withoutHopHeaders(header)
+	result.Del(oleandervane.HeaderRequestID)
+	if target.Relay {
+		return result
+	}
+	for _, name := range ownHeaders {
+		result.Del(name)
+	}
+	return result
+}
+
+// belongsTo says whether the response is that of the attempt. A target that echoes no id is trusted.
+func belongsTo(response *http.Response, attemptID string) bool {
+	for _, echoed := range response.Header.Values(oleandervane.HeaderRequestID) {
+		if echoed != attemptID {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/entry/forward/response.go
@@ -0,0 +1,107 @@
+package forward
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+)
+
+// Response is the response of a target. A small one is held as a whole in Body; of a larger one Body is the
+// beginning and the rest is read from the connection as it is sent on.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// rest is nil when Body is the whole body.
+	rest   io.Reader
+	finish func(err error)
+}
+
+// Streamed says that Body is not the whole body.
+func (response *Response) Streamed() bool {
+	return response.rest != nil
+}
+
+// Send writes the response to a caller and closes it. When it fails with ErrTruncated, the handler records the
+// outcome as unknown and then panics with http.ErrAbortHandler, so that the caller sees a broken connection and
+// never a short response that looks complete.
+func (response *Response) Send(writer http.ResponseWriter) error {
+	defer response.Close()
+	header := writer.Header()
+	for name, values := range response.Header {
+		header[name] = values
+	}
+	writer.WriteHeader(response.Status)
+	_, err := io.Copy(writer, response.Reader())
+	if err != nil {
+		return fmt.Errorf("sending the response: %w", err)
+	}
+	return nil
+}
+
+// Reader returns the whole body. It fails with ErrTruncated when the target cuts it off.
+func (response *Response) Reader() io.Reader {
+	beginning := bytes.NewReader(response.Body)
+	if response.rest == nil {
+		return beginning
+	}
+	return io.MultiReader(beginning, response.rest)
+}
+
+// Close gives the connection and the reservation back. A streamed response that was not read to its end is
+// cancelled at the target. Later calls have no effect.
+func (response *Response) Close() {
+	if response.finish != nil {
+		response.finish(errClosedEarly)
+	}
+}
+
+var errClosedEarly = errors.New("the response was closed before its end")
+
+// stream reads the rest of a body and finishes the attempt at its end.
+type stream struct {
+	body   io.Reader
+	finish func(err error)
+}
+
+func (stream *stream) Read(buffer []byte) (int, error) {
+	count, err := stream.body.Read(buffer)
+	if err == io.EOF {
+		stream.finish(nil)
+		return count, io.EOF
+	}
+	if err != nil {
+		err = fmt.Errorf("%w: %w", ErrTruncated, err)
+		stream.finish(err)
+	}
+	return count, err
+}
+
+// readBeginning reads up to limit bytes and says whether that is the whole body.
+func readBeginning(body io.Reader, limit int) (beginning []byte, whole bool, err error) {
+	beginning, err = io.ReadAll(io.LimitReader(body, int64(limit)+1))
+	if err != nil {
+		return nil, false, fmt.Errorf("%w: %w", ErrTruncated, err)
+	}
+	return beginning, len(beginning) <= limit, nil
+}
+
+// framed says whether the end of the body is marked by a length or a last chunk. The end of a body that only the
+// end of the connection marks cannot be told from a cut-off.
+func framed(response *http.Response) bool {
+	if response.ContentLength >= 0 {
+		return true
+	}
+	return len(response.TransferEncoding) == 1 && response.TransferEncoding[0] == "chunked"
+}
+
+// onceWith returns a function that calls finish with the argument of its first call only.
+func onceWith(finish func(err error)) func(err error) {
+	var once sync.Once
+	return func(err error) {
+		once.Do(func() { finish(err) })
+	}
+}
--- /dev/null
+++ b/entry/forward/target.go
@@ -0,0 +1,126 @@
+package forward
+
+import (
+	"net/http"
+	"net/netip"
+	"slices"
+
+	"oleandervane.example"
+)
+
+// Target is where an attempt is sent: a backend server, or an entry VM of another region. It is immutable.
+type Target struct {
+	ID      string
+	Address netip.AddrPort
+	// PathPrefix goes before the path of the request.
+	PathPrefix string
+	// Relay says that the target is an entry VM, which states the outcome in header Oleandervane-Outcome.
+	Relay bool
+}
+
+// BackendTarget returns the target of a backend server.
+func BackendTarget(backendServer oleandervane.BackendServer) Target {
+	return Target{ID: string(backendServer.ID), Address: backendServer.Address}
+}
+
+// RelayTarget returns the target of an entry VM of another region, for example with path prefix
+// "/v1/relay/ledger/filing".
+func RelayTarget(entryVM oleandervane.EntryVM, pathPrefix string) Target {
+	return Target{ID: string(entryVM.ID), Address: entryVM.CallerAddress, PathPrefix: pathPrefix, Relay: true}
+}
+
+// classify returns the outcome that a complete response states. An entry VM that states none is not believed to
+// have refused the request.
+func (target Target) classify(response *http.Response) (oleandervane.Outcome, Reason) {
+	if !target.Relay {
+		return classifyBackend(response)
+	}
+	stated := response.Header.Values(oleandervane.HeaderOutcome)
+	if len(stated) != 1 {
+		return oleandervane.Unknown, ReasonNoOutcome
+	}
+	reason := Reason(response.Header.Get(oleandervane.HeaderReason))
+	switch outcome := oleandervane.Outcome(stated[0]); outcome {
+	case oleandervane.Answered, oleandervane.NotRun, oleandervane.Unknown:
+		return outcome, reason
+	}
+	return oleandervane.Unknown, ReasonNoOutcome
+}
+
+func classifyBackend(response *http.Response) (oleandervane.Outcome, Reason) {
+	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(oleandervane.HeaderShed) == "1" {
+		return oleandervane.NotRun, ReasonShed
+	}
+	return oleandervane.Answered, ""
+}
+
+// Reservation is a target held for one attempt.
+type Reservation interface {
+	Target() Target
+	// Release gives the target back and reports how the attempt ended. Later calls have no effect.
+	Release(attemptResult oleandervane.AttemptResult)
+}
+
+// TargetChooser chooses the target of an attempt.
+type TargetChooser interface {
+	// Choose returns a target whose id is not in excluded. It fails with oleandervane.ErrNoBackendServer when
+	// there is none.
+	Choose(excluded []string) (Reservation, error)
+}
+
+// BackendServers returns a chooser of the backend servers of one service.
+func BackendServers(backendChooser oleandervane.BackendChooser, serviceName oleandervane.ServiceName) TargetChooser {
+	return backendServers{backendChooser: backendChooser, serviceName: serviceName}
+}
+
+type backendServers struct {
+	backendChooser oleandervane.BackendChooser
+	serviceName    oleandervane.ServiceName
+}
+
+func (backendServers backendServers) Choose(excluded []string) (Reservation, error) {
+	ids := make([]oleandervane.BackendServerID, 0, len(excluded))
+	for _, id := range excluded {
+		ids = append(ids, oleandervane.BackendServerID(id))
+	}
+	reservation, err := backendServers.backendChooser.Choose(backendServers.serviceName, ids)
+	if err != nil {
+		return nil, err
+	}
+	return backendReservation{Reservation: reservation}, nil
+}
+
+type backendReservation struct {
+	oleandervane.Reservation
+}
+
+func (reservation backendReservation) Target() Target {
+	return BackendTarget(reservation.BackendServer())
+}
+
+// RelayVMs returns a chooser that tries entry VMs of another region in the given order.
+func RelayVMs(entryVMs []oleandervane.EntryVM, pathPrefix string) TargetChooser {
+	return relayVMs{entryVMs: entryVMs, pathPrefix: pathPrefix}
+}
+
+type relayVMs struct {
+	entryVMs   []oleandervane.EntryVM
+	pathPrefix string
+}
+
+func (relayVMs relayVMs) Choose(excluded []string) (Reservation, error) {
+	for _, entryVM := range relayVMs.entryVMs {
+		if !slices.Contains(excluded, string(entryVM.ID)) {
+			return relayReservation{target: RelayTarget(entryVM, relayVMs.pathPrefix)}, nil
+		}
+	}
+	return nil, oleandervane.ErrNoBackendServer
+}
+
+type relayReservation struct {
+	target Target
+}
+
+func (reservation relayReservation) Target() Target { return reservation.target }
+
+func (relayReservation) Release(oleandervane.AttemptResult) {}
