Add membership and dissemination of revisions over connect-go

Cause: entry VMs need to know one another and to get accepted revisions without a VM dedicated to control. Ruled out: full-mesh heartbeats and consensus; both grow with the fleet. Both state machines run on a timer service and a transport that never block.

--- /dev/null
+++ b/fleet/gossip/transfer.go
@@ -0,0 +1,193 @@
+package gossip
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"oleandervane.example"
+	"oleandervane.example/fleet/peer"
+)
+
+// storeReads is the number of chunks that are read from the store at the same time.
+const storeReads = 8
+
+// fetchNext does the next step towards the pending revision. The caller holds the lock.
+func (node *Node) fetchNext(now time.Time) []action {
+	pending := node.revisions.pending
+	if pending == nil || pending.busy || node.stopped {
+		return nil
+	}
+	if pending.head == nil {
+		return node.fetchHead(pending)
+	}
+	if len(node.revisions.missing()) == 0 {
+		return node.accept(now)
+	}
+	if len(pending.sources) > 0 {
+		return node.fetchChunks(pending, now)
+	}
+	if pending.fromStore {
+		return node.readChunks(pending, now)
+	}
+	return nil
+}
+
+func (node *Node) fetchHead(pending *candidate) []action {
+	if len(pending.sources) == 0 {
+		return nil
+	}
+	pending.busy = true
+	source := pending.sources[node.settings.Random.IntN(len(pending.sources))]
+	request := &peer.FetchRequest{Revision: uint64(pending.mark.revision), BaseHash: node.revisions.mark().hash}
+	return []action{func() {
+		node.settings.Transport.Fetch(source, request, fetchTimeout, func(response *peer.FetchResponse, err error) {
+			node.continueFetch(pending, func(now time.Time) bool {
+				if err != nil || response.Check() != nil {
+					return false
+				}
+				head, err := node.revisions.readHead(response)
+				if err != nil || len(head) == 0 {
+					return false
+				}
+				_, err = node.revisions.setHead(head, false, now)
+				return err == nil
+			}, source)
+		})
+	}}
+}
+
+func (node *Node) fetchChunks(pending *candidate, now time.Time) []action {
+	pending.busy = true
+	source := pending.sources[node.settings.Random.IntN(len(pending.sources))]
+	digests, size := node.revisions.nextFetch()
+	request := &peer.FetchRequest{Digests: digests}
+	fetch := func() {
+		node.settings.Transport.Fetch(source, request, fetchTimeout, func(response *peer.FetchResponse, err error) {
+			node.continueFetch(pending, func(time.Time) bool {
+				if err != nil || response.Check() != nil || len(response.Chunks) == 0 {
+					return false
+				}
+				return node.addChunks(response.Chunks)
+			}, source)
+		})
+	}
+	wait := node.revisions.pay(size, now)
+	if wait == 0 {
+		return []action{fetch}
+	}
+	return []action{func() {
+		node.settings.TimerService.After(wait, func(time.Time) { fetch() })
+	}}
+}
+
+func (node *Node) addChunks(chunks []*peer.Chunk) bool {
+	for _, chunk := range chunks {
+		if err := node.revisions.addChunk(chunk.Digest, chunk.Content); err != nil {
+			node.settings.Log.WithError(err).Warn("refused a chunk of a peer")
+			return false
+		}
+	}
+	return true
+}
+
+// continueFetch takes a result and goes on. A source that gave none is not asked again until it offers anew.
+func (node *Node) continueFetch(pending *candidate, take func(now time.Time) bool, source netip.AddrPort) {
+	now := node.settings.TimerService.Now()
+	node.mutex.Lock()
+	pending.busy = false
+	if !take(now) {
+		pending.sources = slices.DeleteFunc(pending.sources, func(other netip.AddrPort) bool { return other == source })
+	}
+	actions := node.fetchNext(now)
+	node.mutex.Unlock()
+	run(actions)
+	node.tell()
+}
+
+// readChunks reads missing chunks from the store.
+func (node *Node) readChunks(pending *candidate, now time.Time) []action {
+	pending.busy = true
+	missing := node.revisions.missing()
+	missing = missing[:min(storeReads, len(missing))]
+	size := 0
+	for _, reference := range missing {
+		size += reference.Bytes
+	}
+	left := len(missing)
+	failed := false
+	read := func() {
+		for _, reference := range missing {
+			node.settings.Store.Get(chunkKeyPrefix+reference.Digest, func(entry oleandervane.StoreEntry, err error) {
+				node.chunkRead(pending, reference.Digest, entry, err, &left, &failed)
+			})
+		}
+	}
+	wait := node.revisions.pay(size, now)
+	if wait == 0 {
+		return []action{read}
+	}
+	return []action{func() {
+		node.settings.TimerService.After(wait, func(time.Time) { read() })
+	}}
+}
+
+func (node *Node) chunkRead(pending *candidate, digest string, entry oleandervane.StoreEntry, err error, left *int, failed *bool) {
+	now := node.settings.TimerService.Now()
+	node.mutex.Lock()
+	if err == nil && node.revisions.pending == pending {
+		err = node.revisions.addChunk(digest, entry.Value)
+	}
+	if err != nil {
+		*failed = true
+	}
+	*left--
+	var actions []action
+	if *left == 0 {
+		pending.busy = false
+		if !*failed || len(pending.sources) > 0 {
+			actions = node.fetchNext(now)
+		}
+	}
+	node.mutex.Unlock()
+	run(actions)
+	node.tell()
+}
+
+// accept puts the pending revision in force and announces it.
+func (node *Node) accept(now time.Time) []action {
+	fresh, err := node.revisions.accept(now)
+	if err != nil {
+		node.settings.Log.WithError(err).Error("refused a revision")
+		return nil
+	}
+	if fresh == nil {
+		return nil
+	}
+	node.configuration.Store(fresh.configuration)
+	node.accepted = append(node.accepted, fresh.configuration)
+	packet := &peer.Packet{From: node.selfRecord(), Revision: fresh.mark.wire()}
+	everywhere := node.rank(watchPurpose, now) < watcherCount
+	return node.push(packet, packet, everywhere)
+}
+
+// tell calls the subscriber with accepted configurations, in order and without the lock.
+func (node *Node) tell() {
+	if node.settings.Accepted == nil {
+		return
+	}
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	if node.telling {
+		return
+	}
+	node.telling = true
+	for len(node.accepted) > 0 {
+		next := node.accepted[0]
+		node.accepted = node.accepted[1:]
+		node.mutex.Unlock()
+		node.settings.Accepted(next)
+		node.mutex.Lock()
+	}
+	node.telling = false
+}
--- a/fleet/peer/peerconnect/peer.connect.go
+++ b/fleet/peer/peerconnect/peer.connect.go
@@ -35,12 +35,29 @@
 const (
 	// PeerServiceExchangeProcedure is the fully-qualified name of the PeerService's Exchange RPC.
 	PeerServiceExchangeProcedure = "/oleandervane.peer.v1.PeerService/Exchange"
+	// PeerServicePushProcedure is the fully-qualified name of the PeerService's Push RPC.
+	PeerServicePushProcedure = "/oleandervane.peer.v1.PeerService/Push"
+	// PeerServiceIndirectProbeProcedure is the fully-qualified name of the PeerService's IndirectProbe
+	// RPC.
+	PeerServiceIndirectProbeProcedure = "/oleandervane.peer.v1.PeerService/IndirectProbe"
+	// PeerServiceCompareProcedure is the fully-qualified name of the PeerService's Compare RPC.
+	PeerServiceCompareProcedure = "/oleandervane.peer.v1.PeerService/Compare"
+	// PeerServiceFetchProcedure is the fully-qualified name of the PeerService's Fetch RPC.
+	PeerServiceFetchProcedure = "/oleandervane.peer.v1.PeerService/Fetch"
 )
 
 // PeerServiceClient is a client for the oleandervane.peer.v1.PeerService service.
 type PeerServiceClient interface {
-	// Exchange is a probe that carries membership updates and digests both ways.
-	Exchange(context.Context, *peer.ExchangeRequest) (*peer.ExchangeResponse, error)
+	// Exchange is a probe that carries membership updates, digests and values both ways.
+	Exchange(context.Context, *peer.Packet) (*peer.Packet, error)
+	// Push spreads urgent news; the receiver passes on what is new to it.
+	Push(context.Context, *peer.Packet) (*peer.PushResponse, error)
+	// IndirectProbe asks a peer to probe a third VM.
+	IndirectProbe(context.Context, *peer.IndirectProbeRequest) (*peer.IndirectProbeResponse, error)
+	// Compare repairs differences between two views of the VMs of one region.
+	Compare(context.Context, *peer.CompareRequest) (*peer.CompareResponse, error)
+	// Fetch reads the head and chunks of a revision.
+	Fetch(context.Context, *peer.FetchRequest) (*peer.FetchResponse, error)
 }
 
 // NewPeerServiceClient constructs a client for the oleandervane.peer.v1.PeerService service. By
@@ -54,22 +71,50 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	peerServiceMethods := peer.File_peer_proto.Services().ByName("PeerService").Methods()
 	return &peerServiceClient{
-		exchange: connect.NewClient[peer.ExchangeRequest, peer.ExchangeResponse](
+		exchange: connect.NewClient[peer.Packet, peer.Packet](
 			httpClient,
 			baseURL+PeerServiceExchangeProcedure,
 			connect.WithSchema(peerServiceMethods.ByName("Exchange")),
 			connect.WithClientOptions(opts...),
 		),
+		push: connect.NewClient[peer.Packet, peer.PushResponse](
+			httpClient,
+			baseURL+PeerServicePushProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Push")),
+			connect.WithClientOptions(opts...),
+		),
+		indirectProbe: connect.NewClient[peer.IndirectProbeRequest, peer.IndirectProbeResponse](
+			httpClient,
+			baseURL+PeerServiceIndirectProbeProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("IndirectProbe")),
+			connect.WithClientOptions(opts...),
+		),
+		compare: connect.NewClient[peer.CompareRequest, peer.CompareResponse](
+			httpClient,
+			baseURL+PeerServiceCompareProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Compare")),
+			connect.WithClientOptions(opts...),
+		),
+		fetch: connect.NewClient[peer.FetchRequest, peer.FetchResponse](
+			httpClient,
+			baseURL+PeerServiceFetchProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Fetch")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	exchange *connect.Client[peer.ExchangeRequest, peer.ExchangeResponse]
+	exchange      *connect.Client[peer.Packet, peer.Packet]
+	push          *connect.Client[peer.Packet, peer.PushResponse]
+	indirectProbe *connect.Client[peer.IndirectProbeRequest, peer.IndirectProbeResponse]
+	compare       *connect.Client[peer.CompareRequest, peer.CompareResponse]
+	fetch         *connect.Client[peer.FetchRequest, peer.FetchResponse]
 }
 
 // Exchange calls oleandervane.peer.v1.PeerService.Exchange.
-func (c *peerServiceClient) Exchange(ctx context.Context, req *peer.ExchangeRequest) (*peer.ExchangeResponse, error) {
+func (c *peerServiceClient) Exchange(ctx context.Context, req *peer.Packet) (*peer.Packet, error) {
 	response, err := c.exchange.CallUnary(ctx, connect.NewRequest(req))
 	if response != nil {
 		return response.Msg, err
@@ -77,10 +122,54 @@
 	return nil, err
 }
 
+// Push calls oleandervane.peer.v1.PeerService.Push.
+func (c *peerServiceClient) Push(ctx context.Context, req *peer.Packet) (*peer.PushResponse, error) {
+	response, err := c.push.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// IndirectProbe calls oleandervane.peer.v1.PeerService.IndirectProbe.
+func (c *peerServiceClient) IndirectProbe(ctx context.Context, req *peer.IndirectProbeRequest) (*peer.IndirectProbeResponse, error) {
+	response, err := c.indirectProbe.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// Compare calls oleandervane.peer.v1.PeerService.Compare.
+func (c *peerServiceClient) Compare(ctx context.Context, req *peer.CompareRequest) (*peer.CompareResponse, error) {
+	response, err := c.compare.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// Fetch calls oleandervane.peer.v1.PeerService.Fetch.
+func (c *peerServiceClient) Fetch(ctx context.Context, req *peer.FetchRequest) (*peer.FetchResponse, error) {
+	response, err := c.fetch.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // PeerServiceHandler is an implementation of the oleandervane.peer.v1.PeerService service.
 type PeerServiceHandler interface {
-	// Exchange is a probe that carries membership updates and digests both ways.
-	Exchange(context.Context, *peer.ExchangeRequest) (*peer.ExchangeResponse, error)
+	// Exchange is a probe that carries membership updates, digests and values both ways.
+	Exchange(context.Context, *peer.Packet) (*peer.Packet, error)
+	// Push spreads urgent news; the receiver passes on what is new to it.
+	Push(context.Context, *peer.Packet) (*peer.PushResponse, error)
+	// IndirectProbe asks a peer to probe a third VM.
+	IndirectProbe(context.Context, *peer.IndirectProbeRequest) (*peer.IndirectProbeResponse, error)
+	// Compare repairs differences between two views of the VMs of one region.
+	Compare(context.Context, *peer.CompareRequest) (*peer.CompareResponse, error)
+	// Fetch reads the head and chunks of a revision.
+	Fetch(context.Context, *peer.FetchRequest) (*peer.FetchResponse, error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -96,10 +185,42 @@
 		connect.WithSchema(peerServiceMethods.ByName("Exchange")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServicePushHandler := connect.NewUnaryHandlerSimple(
+		PeerServicePushProcedure,
+		svc.Push,
+		connect.WithSchema(peerServiceMethods.ByName("Push")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerServiceIndirectProbeHandler := connect.NewUnaryHandlerSimple(
+		PeerServiceIndirectProbeProcedure,
+		svc.IndirectProbe,
+		connect.WithSchema(peerServiceMethods.ByName("IndirectProbe")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerServiceCompareHandler := connect.NewUnaryHandlerSimple(
+		PeerServiceCompareProcedure,
+		svc.Compare,
+		connect.WithSchema(peerServiceMethods.ByName("Compare")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerServiceFetchHandler := connect.NewUnaryHandlerSimple(
+		PeerServiceFetchProcedure,
+		svc.Fetch,
+		connect.WithSchema(peerServiceMethods.ByName("Fetch")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/oleandervane.peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceExchangeProcedure:
 			peerServiceExchangeHandler.ServeHTTP(w, r)
+		case PeerServicePushProcedure:
+			peerServicePushHandler.ServeHTTP(w, r)
+		case PeerServiceIndirectProbeProcedure:
+			peerServiceIndirectProbeHandler.ServeHTTP(w, r)
+		case PeerServiceCompareProcedure:
+			peerServiceCompareHandler.ServeHTTP(w, r)
+		case PeerServiceFetchProcedure:
+			peerServiceFetchHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -109,6 +230,22 @@
 // UnimplementedPeerServiceHandler returns CodeUnimplemented from all methods.
 type UnimplementedPeerServiceHandler struct{}
 
-func (UnimplementedPeerServiceHandler) Exchange(context.Context, *peer.ExchangeRequest) (*peer.ExchangeResponse, error) {
+func (UnimplementedPeerServiceHandler) Exchange(context.Context, *peer.Packet) (*peer.Packet, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("oleandervane.peer.v1.PeerService.Exchange is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) Push(context.Context, *peer.Packet) (*peer.PushResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("oleandervane.peer.v1.PeerService.Push is not implemented"))
+}
+
+func (UnimplementedPeerServiceHandler) IndirectProbe(context.Context, *peer.IndirectProbeRequest) (*peer.IndirectProbeResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("oleandervane.peer.v1.PeerService.IndirectProbe is not implemented"))
+}
+
+func (UnimplementedPeerServiceHandler) Compare(context.Context, *peer.CompareRequest) (*peer.CompareResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("oleandervane.peer.v1.PeerService.Compare is not implemented"))
+}
+
+func (UnimplementedPeerServiceHandler) Fetch(context.Context, *peer.FetchRequest) (*peer.FetchResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("oleandervane.peer.v1.PeerService.Fetch is not implemented"))
+}
--- /dev/null
+++ b/fleet/transport/daemon.go
@@ -0,0 +1,45 @@
+package transport
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"net/http"
+
+	"oleandervane.example/fleet/gossip"
+)
+
+// Daemon is a node that serves its peers over the network.
+type Daemon struct {
+	Node   *gossip.Node
+	client *Client
+	server *http.Server
+	served chan error
+}
+
+// Start listens on the peer address of the settings and starts a node there. It sets the settings' Transport.
+// The TLS configurations are nil for connections without TLS.
+func Start(settings gossip.Settings, serverTLS, clientTLS *tls.Config) (*Daemon, error) {
+	listener, err := net.Listen("tcp", settings.Self.PeerAddress.String())
+	if err != nil {
+		return nil, fmt.Errorf("listening for peers: %w", err)
+	}
+	client := NewClient(clientTLS)
+	settings.Transport = client
+	node := gossip.New(settings)
+	daemon := &Daemon{Node: node, client: client, server: NewServer(node, serverTLS), served: make(chan error, 1)}
+	go func() { daemon.served <- Serve(daemon.server, listener) }()
+	node.Start()
+	return daemon, nil
+}
+
+// Stop tells peers that this VM is gone and ends the server when open calls are done or ctx ends.
+func (daemon *Daemon) Stop(ctx context.Context) error {
+	daemon.Node.Stop()
+	if err := daemon.server.Shutdown(ctx); err != nil {
+		return fmt.Errorf("shutting down the server for peers: %w", err)
+	}
+	daemon.client.Close()
+	return <-daemon.served
+}
--- /dev/null
+++ b/fleet/transport/server.go
@@ -0,0 +1,128 @@
+package transport
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"oleandervane.example/fleet/gossip"
+	"oleandervane.example/fleet/peer"
+	"oleandervane.example/fleet/peer/peerconnect"
+)
+
+// Limits of a server.
+const (
+	// readHeaderTimeout and readTimeout free what a silent peer holds.
+	readHeaderTimeout = 2 * time.Second
+	readTimeout       = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 8 << 10
+	// maxStreams bounds the calls that one peer may have open on a connection.
+	maxStreams = 64
+	// handleTimeout bounds a call; a probe for a peer takes longest.
+	handleTimeout = 2 * time.Second
+)
+
+// Handler serves a node's peers.
+type Handler struct {
+	node *gossip.Node
+}
+
+var _ peerconnect.PeerServiceHandler = (*Handler)(nil)
+
+// NewHandler returns the path prefix and the HTTP handler of a node.
+func NewHandler(node *gossip.Node) (string, http.Handler) {
+	return peerconnect.NewPeerServiceHandler(&Handler{node: node}, connect.WithReadMaxBytes(peer.MaxPacketBytes), connect.WithCompression("gzip", nil, nil))
+}
+
+// NewServer returns an HTTP server for a node, which speaks HTTP/2 without TLS, or with TLS if tlsConfig is given.
+func NewServer(node *gossip.Node, tlsConfig *tls.Config) *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle(NewHandler(node))
+	return &http.Server{
+		Handler:           http.MaxBytesHandler(mux, peer.MaxPacketBytes),
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		TLSConfig:         tlsConfig,
+		Protocols:         protocols(tlsConfig),
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+	}
+}
+
+// Serve runs a server on a listener until it is shut down.
+func Serve(server *http.Server, listener net.Listener) error {
+	err := serve(server, listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func serve(server *http.Server, listener net.Listener) error {
+	if server.TLSConfig != nil {
+		return server.ServeTLS(listener, "", "")
+	}
+	return server.Serve(listener)
+}
+
+func protocols(tlsConfig *tls.Config) *http.Protocols {
+	result := &http.Protocols{}
+	if tlsConfig != nil {
+		result.SetHTTP2(true)
+		return result
+	}
+	result.SetUnencryptedHTTP2(true)
+	return result
+}
+
+// Exchange answers a probe.
+func (handler *Handler) Exchange(_ context.Context, request *peer.Packet) (*peer.Packet, error) {
+	response, err := handler.node.HandleExchange(request)
+	return response, refusal(err)
+}
+
+// Push takes urgent news.
+func (handler *Handler) Push(_ context.Context, request *peer.Packet) (*peer.PushResponse, error) {
+	return &peer.PushResponse{}, refusal(handler.node.HandlePush(request))
+}
+
+// IndirectProbe probes a third VM.
+func (handler *Handler) IndirectProbe(ctx context.Context, request *peer.IndirectProbeRequest) (*peer.IndirectProbeResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, handleTimeout)
+	defer cancel()
+	result := make(chan *peer.IndirectProbeResponse, 1)
+	handler.node.HandleIndirectProbe(request, func(response *peer.IndirectProbeResponse) { result <- response })
+	select {
+	case response := <-result:
+		return response, nil
+	case <-ctx.Done():
+		return nil, connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
+	}
+}
+
+// Compare answers with records that the caller lacks.
+func (handler *Handler) Compare(_ context.Context, request *peer.CompareRequest) (*peer.CompareResponse, error) {
+	response, err := handler.node.HandleCompare(request)
+	return response, refusal(err)
+}
+
+// Fetch answers with the head or chunks of a revision.
+func (handler *Handler) Fetch(_ context.Context, request *peer.FetchRequest) (*peer.FetchResponse, error) {
+	response, err := handler.node.HandleFetch(request)
+	return response, refusal(err)
+}
+
+// refusal translates an error about the content of a message.
+func refusal(err error) error {
+	if err == nil {
+		return nil
+	}
+	return connect.NewError(connect.CodeInvalidArgument, err)
+}
