Add steering policy with shift cap, home room, grants and link limits

Cause: nothing decided how much of a flow goes to which serving region.

Ruled out: a limit per VM that depends on what other VMs do; VMs that disagree would together pass the cap. The parts of the cap that receiving regions have depend on the configuration alone.

Change: package steering/share with a pure policy. Limits (grants, home capacity less headroom, links, lost regions) act at once and shed; the way to the target is bounded by a gain that falls with the age of figures and by the cap over every vector of the shift window.

--- /dev/null
+++ b/steering/share/policy.go
@@ -0,0 +1,395 @@
+package share
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"oleandervane.example"
+)
+
+// FactorFunc gives the share of a region's capacity for a service that planned drains leave at a time, in [0, 1].
+type FactorFunc func(now time.Time, region oleandervane.Region, serviceName oleandervane.ServiceName) float64
+
+// Policy implements oleandervane.SteeringPolicy. It serves at home up to capacity less headroom, then overflows to
+// the nearest regions that granted room. It is immutable and safe for concurrent use.
+type Policy struct {
+	factor FactorFunc
+	// without switches guards off. Only tests set it.
+	without guards
+}
+
+// guards names the rules that the mutation check switches off one at a time.
+type guards struct {
+	cap, grants, homeRoom, lostRegions, damping, link bool
+}
+
+var _ oleandervane.SteeringPolicy = Policy{}
+
+// NewPolicy returns a policy. The factor, which may be nil, says what planned drains leave.
+func NewPolicy(factor FactorFunc) Policy {
+	return Policy{factor: factor}
+}
+
+const (
+	// gainAge is the age of a measurement at which a decision covers half of the distance to its target. At an age
+	// of 20 s a decision covers 9%, so that several decisions on the same late figures do not add up to an overshoot.
+	gainAge = 2 * time.Second
+	// settledDistance is the largest difference between a share and its target that is closed in one step.
+	settledDistance = 0.002
+	// coldCost is the room that a request takes in a region whose caches are cold for its flow, in warm requests.
+	coldCost = 1.5
+	// linkUse is the share of a link that one direction's flows may use. The other half carries the answers of the
+	// flows in the other direction, which the home region there decides on without asking.
+	linkUse = 0.5
+	// tolerance absorbs rounding when a vector is compared with the cap.
+	tolerance = 1e-9
+)
+
+// Decide returns the shares that follow from the input. Flows of services without a region keep nothing.
+func (policy Policy) Decide(input oleandervane.SteeringInput) oleandervane.SteeringDecision {
+	decision := oleandervane.SteeringDecision{
+		Shares:  map[oleandervane.Flow]oleandervane.ShareVector{},
+		Reasons: map[oleandervane.Flow]string{},
+	}
+	if input.Configuration == nil {
+		decision.Shares = input.Shares
+		return decision
+	}
+	scene := newScene(input)
+	names := slices.Sorted(maps.Keys(input.Configuration.Services))
+	rooms := scene.rooms(names, policy.factor)
+	for home := range scene.regions {
+		plans := policy.planHome(scene, rooms, home)
+		for i, plan := range plans {
+			flow := oleandervane.Flow{Service: names[i], Home: scene.regions[home]}
+			decision.Shares[flow] = scene.vector(plan.next)
+			decision.Reasons[flow] = plan.reason
+		}
+	}
+	return decision
+}
+
+// plan is the decision for one flow, with a share for each region.
+type plan struct {
+	room    *room
+	home    int
+	current []float64
+	// past has the vectors of the shift window, oldest first.
+	past   [][]float64
+	limit  []float64
+	target []float64
+	next   []float64
+	cap    float64
+	gain   float64
+	reason string
+}
+
+// planHome decides on all flows of a home region together, because they share its links.
+func (policy Policy) planHome(scene *scene, rooms []*room, home int) []*plan {
+	plans := make([]*plan, len(rooms))
+	for i, room := range rooms {
+		plans[i] = policy.newPlan(scene, room, home)
+	}
+	if !policy.without.link {
+		scene.limitLinks(plans, home)
+	}
+	for _, plan := range plans {
+		policy.decide(scene, plan)
+	}
+	return plans
+}
+
+func (policy Policy) newPlan(scene *scene, room *room, home int) *plan {
+	flow := oleandervane.Flow{Service: room.service.Name, Home: scene.regions[home]}
+	plan := &plan{room: room, home: home, gain: gain(room.age[home])}
+	if policy.without.damping {
+		plan.gain = undampedGain
+	}
+	plan.current = scene.current(flow, home)
+	plan.past = scene.past(flow, home, room.service.ShiftWindow)
+	plan.limit = policy.limits(scene, plan)
+	plan.cap = scene.capOf(plan)
+	policy.aim(scene, plan)
+	return plan
+}
+
+// undampedGain takes the place of the gain when the mutation check removes damping.
+const undampedGain = 3
+
+// gain returns the share of the distance to its target that a decision covers, for figures of the given age.
+func gain(age time.Duration) float64 {
+	return float64(gainAge) / float64(gainAge+age)
+}
+
+// current returns the flow's shares in force; a flow without any is served at home.
+func (scene *scene) current(flow oleandervane.Flow, home int) []float64 {
+	vector, found := scene.input.Shares[flow]
+	if found {
+		return scene.dense(vector)
+	}
+	shares := make([]float64, len(scene.regions))
+	if !scene.lost[home] {
+		shares[home] = 1
+	}
+	return shares
+}
+
+func (scene *scene) dense(vector oleandervane.ShareVector) []float64 {
+	shares := make([]float64, len(scene.regions))
+	for region, share := range vector {
+		if i, known := scene.index[region]; known {
+			shares[i] = share
+		}
+	}
+	return shares
+}
+
+func (scene *scene) vector(shares []float64) oleandervane.ShareVector {
+	vector := make(oleandervane.ShareVector, 2)
+	for i, share := range shares {
+		if share > 0 {
+			vector[scene.regions[i]] = share
+		}
+	}
+	return vector
+}
+
+// past returns the vectors in force at some time of the shift window, without repetitions. The newest entry that
+// is older than the window was still in force when the window began.
+func (scene *scene) past(flow oleandervane.Flow, home int, window time.Duration) [][]float64 {
+	var past [][]float64
+	began := scene.input.Now.Add(-window)
+	var last oleandervane.ShareVector
+	for i, earlier := range scene.input.History {
+		next := i + 1
+		if next < len(scene.input.History) && !scene.input.History[next].From.After(began) {
+			continue
+		}
+		vector, found := earlier.Shares[flow]
+		if !found || (last != nil && maps.Equal(last, vector)) {
+			continue
+		}
+		last = vector
+		past = append(past, scene.dense(vector))
+	}
+	if len(past) == 0 {
+		past = append(past, scene.current(flow, home))
+	}
+	return past
+}
+
+// limits returns the largest share that each region may have, whatever the cap says. A share above its limit is
+// taken away at once and shed.
+func (policy Policy) limits(scene *scene, plan *plan) []float64 {
+	limit := make([]float64, len(scene.regions))
+	room, home := plan.room, plan.home
+	for region := range limit {
+		switch {
+		case scene.lost[region] && !policy.without.lostRegions:
+			limit[region] = 0
+		case region == home:
+			limit[region] = homeLimit(room, home, policy.without.homeRoom)
+		case policy.without.grants:
+			limit[region] = 1
+		case room.demand[home] > 0:
+			limit[region] = room.granted[home][region] / room.demand[home]
+		case room.granted[home][region] > 0:
+			// The flow's demand is not known, or nil. The last share stands while the region grants room.
+			limit[region] = plan.current[region]
+		}
+		limit[region] = min(limit[region], 1)
+	}
+	if room.demand[home] > 0 && !policy.without.grants {
+		chargeColdCaches(plan, limit)
+	}
+	return limit
+}
+
+// homeLimit returns the share of its own demand that the home region has room for. A home region that has
+// no figures keeps all of it, because missing figures say nothing about room.
+func homeLimit(room *room, home int, unbounded bool) float64 {
+	if unbounded || !room.heard[home] || room.demand[home] == 0 {
+		return 1
+	}
+	return room.usable[home] / room.demand[home]
+}
+
+// chargeColdCaches lowers the limits of regions that received part of the flow within the window: what is newly
+// received takes more room until caches are warm.
+func chargeColdCaches(plan *plan, limit []float64) {
+	oldest := plan.past[0]
+	for region := range limit {
+		if region == plan.home {
+			continue
+		}
+		warm := min(oldest[region], plan.current[region])
+		if limit[region] > warm {
+			limit[region] = max(warm+(limit[region]-warm)/coldCost, min(plan.current[region], limit[region]))
+		}
+	}
+}
+
+// capOf returns the cap in force: the failover cap while a lost region serves, or served, part of the flow.
+func (scene *scene) capOf(plan *plan) float64 {
+	service := plan.room.service
+	for region, lost := range scene.lost {
+		if !lost {
+			continue
+		}
+		if region == plan.home || plan.past[0][region] > 0 || plan.current[region] > 0 {
+			return max(service.FailoverCap, service.ShiftCap)
+		}
+	}
+	return service.ShiftCap
+}
+
+// aim sets the target: home up to its room, then the nearest regions up to their limits. Regions at the same
+// delay keep what they have and split the rest by free room.
+func (policy Policy) aim(scene *scene, plan *plan) {
+	room, home := plan.room, plan.home
+	plan.target = make([]float64, len(scene.regions))
+	ceiling := make([]float64, len(scene.regions))
+	for region := range ceiling {
+		ceiling[region] = plan.limit[region] * room.factor[region]
+	}
+	if room.heard[home] && room.demand[home] > 0 {
+		ceiling[home] = min(1, plan.limit[home], room.usable[home]*room.factor[home]/room.demand[home])
+	}
+	plan.target[home] = min(1, ceiling[home])
+	left := 1 - plan.target[home]
+	for _, group := range scene.groups(home) {
+		left = spread(plan, group, ceiling, left)
+	}
+	if left > tolerance {
+		plan.reason = "no region has room for the rest of the flow, which is shed"
+	}
+}
+
+// groups returns the regions other than home that are linked to it, in groups of the same delay, nearest first.
+func (scene *scene) groups(home int) [][]int {
+	var order []int
+	for region := range scene.regions {
+		if region != home && scene.part[home][region] > 0 {
+			order = append(order, region)
+		}
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(scene.delay[home][a], scene.delay[home][b]) })
+	var groups [][]int
+	for i, region := range order {
+		if i == 0 || scene.delay[home][order[i-1]] != scene.delay[home][region] {
+			groups = append(groups, nil)
+		}
+		groups[len(groups)-1] = append(groups[len(groups)-1], region)
+	}
+	return groups
+}
+
+// spread places up to left in a group of regions and returns what remains.
+func spread(plan *plan, group []int, ceiling []float64, left float64) float64 {
+	kept, free := 0.0, 0.0
+	for _, region := range group {
+		plan.target[region] = min(plan.current[region], ceiling[region])
+		kept += plan.target[region]
+		free += ceiling[region] - plan.target[region]
+	}
+	if kept > left {
+		for _, region := range group {
+			plan.target[region] *= left / kept
+		}
+		return 0
+	}
+	if free <= 0 {
+		return left - kept
+	}
+	extra := min(left-kept, free)
+	for _, region := range group {
+		plan.target[region] += (ceiling[region] - plan.target[region]) * extra / free
+	}
+	return left - kept - extra
+}
+
+// limitLinks lowers limits and targets so that all flows of the home region together fit each link.
+func (scene *scene) limitLinks(plans []*plan, home int) {
+	for region := range scene.regions {
+		used, wanted := 0.0, 0.0
+		for _, plan := range plans {
+			bytes := plan.room.demand[home] * float64(plan.room.service.RequestBytes)
+			used += min(plan.current[region], plan.limit[region]) * bytes
+			wanted += plan.target[region] * bytes
+		}
+		capacity := scene.linkBytes[home][region] * linkUse
+		for _, plan := range plans {
+			if region == home || capacity <= 0 {
+				continue
+			}
+			if used > capacity {
+				plan.limit[region] = min(plan.limit[region], plan.current[region]) * capacity / used
+			}
+			if wanted > capacity {
+				plan.target[region] *= capacity / wanted
+				plan.reason = "the link to " + string(scene.regions[region]) + " is full"
+			}
+		}
+	}
+}
+
+// decide sets the next vector: limits act at once, and the way to the target is bounded by the gain and the cap.
+func (policy Policy) decide(scene *scene, plan *plan) {
+	base := make([]float64, len(plan.current))
+	distance := 0.0
+	for region := range base {
+		base[region] = min(plan.current[region], plan.limit[region])
+		plan.target[region] = min(plan.target[region], plan.limit[region])
+		distance = max(distance, math.Abs(plan.target[region]-base[region]))
+	}
+	step := plan.gain
+	if distance <= settledDistance && !policy.without.damping {
+		step = 1
+	}
+	if !policy.without.cap {
+		step = policy.boundStep(scene, plan, base, step)
+	}
+	plan.next = base
+	for region := range base {
+		plan.next[region] = max(0, base[region]+step*(plan.target[region]-base[region]))
+	}
+}
+
+// boundStep returns the largest step of at most the given one that keeps the shift from every vector of the window
+// within the cap, and the shift to each receiving region within its part of the cap.
+func (policy Policy) boundStep(scene *scene, plan *plan, base []float64, step float64) float64 {
+	if plan.keepsCap(scene, base, step) {
+		return step
+	}
+	plan.reason = "the shift cap bounds the way to the target"
+	low, high := 0.0, step
+	for range 20 {
+		middle := (low + high) / 2
+		if plan.keepsCap(scene, base, middle) {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return low
+}
+
+func (plan *plan) keepsCap(scene *scene, base []float64, step float64) bool {
+	for _, earlier := range plan.past {
+		shift := 0.0
+		for region := range base {
+			growth := base[region] + step*(plan.target[region]-base[region]) - earlier[region]
+			if region != plan.home && growth > plan.cap*scene.part[plan.home][region]+tolerance {
+				return false
+			}
+			shift += max(0, growth)
+		}
+		if shift > plan.cap+tolerance {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/steering/share/scene.go
@@ -0,0 +1,159 @@
+package share
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"oleandervane.example"
+)
+
+// scene is a steering input with regions as indices, which keeps a decision cheap at 132 flows.
+type scene struct {
+	input   oleandervane.SteeringInput
+	regions []oleandervane.Region
+	index   map[oleandervane.Region]int
+	lost    []bool
+	// part, delay and linkBytes have one row for each home region.
+	part      [][]float64
+	delay     [][]time.Duration
+	linkBytes [][]float64
+}
+
+// room is what is known of one service in all regions.
+type room struct {
+	service oleandervane.Service
+	heard   []bool
+	// usable is the capacity less the headroom, in requests per second.
+	usable []float64
+	// factor is the share of usable that drains leave.
+	factor []float64
+	demand []float64
+	age    []time.Duration
+	// granted has one row for each home region, in requests per second.
+	granted [][]float64
+}
+
+func newScene(input oleandervane.SteeringInput) *scene {
+	configuration := input.Configuration
+	regions := slices.Sorted(maps.Keys(configuration.Regions))
+	size := len(regions)
+	scene := &scene{
+		input:     input,
+		regions:   regions,
+		index:     make(map[oleandervane.Region]int, size),
+		lost:      make([]bool, size),
+		part:      matrix[float64](size),
+		delay:     matrix[time.Duration](size),
+		linkBytes: matrix[float64](size),
+	}
+	for i, region := range regions {
+		scene.index[region] = i
+		scene.lost[i] = input.LostRegions[region]
+	}
+	scene.readLinks(configuration.Links)
+	return scene
+}
+
+func (scene *scene) readLinks(links []oleandervane.Link) {
+	for _, link := range links {
+		from, knownFrom := scene.index[link.From]
+		to, knownTo := scene.index[link.To]
+		if !knownFrom || !knownTo || from == to {
+			continue
+		}
+		seconds := max(link.Delay, shortestDelay).Seconds()
+		scene.part[from][to] = 1 / (seconds * seconds)
+		scene.delay[from][to] = link.Delay
+		scene.linkBytes[from][to] = float64(link.BytesPerSecond)
+	}
+	for home := range scene.part {
+		total := 0.0
+		for _, weight := range scene.part[home] {
+			total += weight
+		}
+		for to := range scene.part[home] {
+			if total > 0 {
+				scene.part[home][to] /= total
+			}
+		}
+	}
+}
+
+// rooms sorts the summaries and grants of the input by service.
+func (scene *scene) rooms(names []oleandervane.ServiceName, factor FactorFunc) []*room {
+	rooms := make([]*room, len(names))
+	byName := make(map[oleandervane.ServiceName]*room, len(names))
+	for i, name := range names {
+		rooms[i] = scene.newRoom(scene.input.Configuration.Services[name], factor)
+		byName[name] = rooms[i]
+	}
+	for _, summary := range scene.input.Summaries {
+		scene.addSummary(byName[summary.Service], summary)
+	}
+	for _, grant := range scene.input.Grants {
+		scene.addGrant(byName[grant.Service], grant)
+	}
+	return rooms
+}
+
+func (scene *scene) newRoom(service oleandervane.Service, factor FactorFunc) *room {
+	size := len(scene.regions)
+	room := &room{
+		service: service,
+		heard:   make([]bool, size),
+		usable:  make([]float64, size),
+		factor:  make([]float64, size),
+		demand:  make([]float64, size),
+		age:     make([]time.Duration, size),
+		granted: matrix[float64](size),
+	}
+	for i, region := range scene.regions {
+		room.factor[i] = 1
+		if factor != nil {
+			room.factor[i] = factor(scene.input.Now, region, service.Name)
+		}
+	}
+	return room
+}
+
+func (scene *scene) addSummary(room *room, summary oleandervane.RegionSummary) {
+	region, known := scene.index[summary.Region]
+	if room == nil || !known {
+		return
+	}
+	age := max(0, scene.input.Now.Sub(summary.MeasuredAt))
+	if room.heard[region] && room.age[region] <= age {
+		return
+	}
+	room.heard[region] = true
+	room.age[region] = age
+	room.usable[region] = positive(summary.CapacityPerSecond) * (1 - room.service.Headroom)
+	room.demand[region] = positive(summary.DemandPerSecond)
+}
+
+func (scene *scene) addGrant(room *room, grant oleandervane.Grant) {
+	from, knownFrom := scene.index[grant.From]
+	to, knownTo := scene.index[grant.To]
+	if room == nil || !knownFrom || !knownTo || !grant.ExpiresAt.After(scene.input.Now) {
+		return
+	}
+	room.granted[from][to] += positive(grant.PerSecond)
+}
+
+func matrix[Value any](size int) [][]Value {
+	cells := make([]Value, size*size)
+	rows := make([][]Value, size)
+	for i := range rows {
+		rows[i] = cells[i*size : (i+1)*size]
+	}
+	return rows
+}
+
+// positive takes a reported figure that is negative or not a number as 0.
+func positive(value float64) float64 {
+	if value > 0 {
+		return value
+	}
+	return 0
+}
