--- /dev/null
+++ b/operator/check/drain.go
@@ -0,0 +1,94 @@
+package check
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"oleandervane.example"
+)
+
+// DrainPlan is when and how far a drain moves the flows of one service. It is immutable.
+type DrainPlan struct {
+	Drain   oleandervane.Drain
+	Service oleandervane.ServiceName
+	// Home is the region whose flow moves.
+	Home oleandervane.Region
+	// Share is how much of the flow moves, with the failure domains of a region taken as equal.
+	Share float64
+	// Windows is the number of shift windows that the move takes at the cap, each way.
+	Windows int
+	// Start is the latest start of the move away; End is the end of the return.
+	Start time.Time
+	End   time.Time
+}
+
+// Takes is how long the move takes each way.
+func (drainPlan DrainPlan) Takes() time.Duration {
+	return drainPlan.Drain.EmptyFrom.Sub(drainPlan.Start)
+}
+
+// Windows returns how many shift windows it takes to move a share of a flow at a cap per window.
+func Windows(share, shiftCap float64) int {
+	if share <= 0 || shiftCap <= 0 {
+		return 0
+	}
+	// The tolerance keeps a share that is a whole multiple of the cap from taking one window more.
+	return int(math.Ceil(share/shiftCap - 1e-9))
+}
+
+// DrainPlans returns the plans of all drains, ordered by start, then name, service and home. A drain of entry VMs moves
+// no flow to another region and has one plan without a service, which takes the look-up lifetime.
+func DrainPlans(configuration oleandervane.Configuration) []DrainPlan {
+	var plans []DrainPlan
+	homes := Homes(configuration)
+	for _, drain := range configuration.Drains {
+		if drain.Target == oleandervane.DrainEntryVMs {
+			plans = append(plans, DrainPlan{
+				Drain: drain, Start: drain.EmptyFrom.Add(-configuration.LookupLifetime), End: drain.ReturnAt,
+			})
+			continue
+		}
+		home, share := drain.Region, 1.0
+		if drain.FailureDomain != "" {
+			home = homes[drain.FailureDomain]
+			share = 1 / float64(max(1, len(configuration.Regions[home].FailureDomains)))
+		}
+		for _, name := range slices.Sorted(maps.Keys(configuration.Services)) {
+			if drain.Service == "" || drain.Service == name {
+				plans = append(plans, drainPlan(drain, configuration.Services[name], home, share))
+			}
+		}
+	}
+	slices.SortStableFunc(plans, func(a, b DrainPlan) int { return a.Start.Compare(b.Start) })
+	return plans
+}
+
+func drainPlan(drain oleandervane.Drain, service oleandervane.Service, home oleandervane.Region, share float64) DrainPlan {
+	windows := Windows(share, service.ShiftCap)
+	takes := time.Duration(windows) * service.ShiftWindow
+	return DrainPlan{
+		Drain: drain, Service: service.Name, Home: home, Share: share, Windows: windows,
+		Start: drain.EmptyFrom.Add(-takes), End: drain.ReturnAt.Add(takes),
+	}
+}
+
+// Homes returns the region of each failure domain.
+func Homes(configuration oleandervane.Configuration) map[oleandervane.FailureDomain]oleandervane.Region {
+	homes := map[oleandervane.FailureDomain]oleandervane.Region{}
+	for name, region := range configuration.Regions {
+		for _, domain := range region.FailureDomains {
+			homes[domain] = name
+		}
+	}
+	return homes
+}
+
+// drained returns the failure domains that a plan empties.
+func drained(configuration oleandervane.Configuration, drain oleandervane.Drain) []oleandervane.FailureDomain {
+	if drain.FailureDomain != "" {
+		return []oleandervane.FailureDomain{drain.FailureDomain}
+	}
+	return configuration.Regions[drain.Region].FailureDomains
+}
