Add grants: parts of capacity, allotments and enforcement on arrival

Cause: the sum over a fleet has to stay within capacity less headroom and within the shift cap whatever source VMs believe, so the receiving side must enforce both.

Change: package steering/grant with Roster (parts that never sum to more than 1), Allot (own demand first, then what is used, then overflow), token accounts on arrival and Keeper, which runs them.

--- /dev/null
+++ b/steering/grant/allot.go
@@ -0,0 +1,188 @@
+package grant
+
+import (
+	"time"
+
+	"oleandervane.example"
+)
+
+const (
+	// Lifetime is how long a grant is in force. A source VM that hears nothing more stops sending by then.
+	Lifetime = 5 * time.Second
+	// freshAge is the age up to which figures count in full. Probes of 5 s are usual.
+	freshAge = 5 * time.Second
+	// staleAge is the age at which figures no longer give room to other regions. At 20 s, 75% of the room is left.
+	staleAge = 65 * time.Second
+)
+
+// Source is what a receiving VM knows of one source region for one service. It is immutable.
+type Source struct {
+	Region oleandervane.Region
+	// DemandPerSecond is the demand that the source region last reported.
+	DemandPerSecond float64
+	// OverflowPerSecond is the demand for which the source region has no room itself.
+	OverflowPerSecond float64
+	// ShiftPart is the largest increase of the source's admitted rate here within a window, as a share of its demand: the
+	// shift cap times this region's part of it.
+	ShiftPart float64
+	// AdmittedPerSecond is what this VM admitted from the source lately.
+	AdmittedPerSecond float64
+	// LowestShare is the smallest share of the source's demand that this VM admitted at any time of the window.
+	LowestShare float64
+}
+
+// AllotmentInput is all that an allotment depends on. It is immutable.
+type AllotmentInput struct {
+	Service oleandervane.Service
+	Region  oleandervane.Region
+	// Part is the share of the region's capacity that this VM owns.
+	Part              float64
+	CapacityPerSecond float64
+	// DemandPerSecond is the demand of the region's own callers.
+	DemandPerSecond float64
+	// OwnPerSecond is what the region's own callers asked of this VM lately.
+	OwnPerSecond float64
+	// Age is the age of the region's capacity and demand.
+	Age time.Duration
+	// Factor is the share of capacity that planned drains leave.
+	Factor  float64
+	Sources []Source
+	without allotmentGuards
+}
+
+// allotmentGuards names the rules that the mutation check switches off.
+type allotmentGuards struct {
+	capacity, shift, ownFirst bool
+}
+
+// Allotment says how much of a service one VM admits, in requests per second. It is immutable.
+type Allotment struct {
+	// TotalPerSecond bounds all that the VM admits: its part of the region's capacity less headroom.
+	TotalPerSecond float64
+	// LimitPerSecond bounds what it admits from each source region.
+	LimitPerSecond map[oleandervane.Region]float64
+}
+
+// Allot splits a VM's part of its region's capacity less headroom: the region's own demand first, the rest between
+// source regions by their overflow. It is a pure function.
+func Allot(input AllotmentInput) Allotment {
+	total := input.Part * input.CapacityPerSecond * (1 - input.Service.Headroom)
+	allotment := Allotment{
+		TotalPerSecond: total,
+		LimitPerSecond: make(map[oleandervane.Region]float64, len(input.Sources)),
+	}
+	if input.without.capacity {
+		allotment.TotalPerSecond = 1e12
+	}
+	own := max(input.Part*input.DemandPerSecond, input.OwnPerSecond)
+	if input.without.ownFirst {
+		own = 0
+	}
+	room := max(0, total-own) * freshness(input.Age)
+	limits := fill(input, room)
+	for i, source := range input.Sources {
+		limit := limits[i]
+		if input.without.capacity {
+			limit = 1e12
+		}
+		allotment.LimitPerSecond[source.Region] = min(limit, shiftLimit(input, source))
+	}
+	return allotment
+}
+
+// freshness returns the share of room that figures of an age still give to other regions.
+func freshness(age time.Duration) float64 {
+	if age <= freshAge {
+		return 1
+	}
+	return max(0, 1-float64(age-freshAge)/float64(staleAge-freshAge))
+}
+
+// shiftLimit returns the largest rate from a source that keeps its increase within the window to ShiftPart.
+func shiftLimit(input AllotmentInput, source Source) float64 {
+	if input.without.shift {
+		return 1e12
+	}
+	return (source.LowestShare + source.ShiftPart*input.Part) * source.DemandPerSecond
+}
+
+// fill splits room between sources. What sources use now comes first, so that a drain or another source's overflow
+// takes nothing from them; then overflow; then the rest by demand, so that a sudden overflow finds a grant in force.
+func fill(input AllotmentInput, room float64) []float64 {
+	limits := make([]float64, len(input.Sources))
+	wants := make([]float64, len(input.Sources))
+	for i, source := range input.Sources {
+		wants[i] = source.AdmittedPerSecond
+	}
+	room = pour(limits, wants, room)
+	room *= input.Factor
+	for i, source := range input.Sources {
+		wants[i] = max(0, source.OverflowPerSecond*input.Part-limits[i])
+	}
+	room = pour(limits, wants, room)
+	demand := 0.0
+	for _, source := range input.Sources {
+		demand += source.DemandPerSecond
+	}
+	if demand <= 0 {
+		return limits
+	}
+	for i, source := range input.Sources {
+		limits[i] += room * source.DemandPerSecond / demand
+	}
+	return limits
+}
+
+// pour adds wants to limits, scaled down to the room if they do not fit, and returns the room left.
+func pour(limits, wants []float64, room float64) float64 {
+	total := 0.0
+	for _, want := range wants {
+		total += want
+	}
+	if total <= 0 {
+		return room
+	}
+	scale := min(1, room/total)
+	for i, want := range wants {
+		limits[i] += want * scale
+	}
+	return room - total*scale
+}
+
+// Grants returns the allotment's grants to source regions.
+func (allotment Allotment) Grants(serviceName oleandervane.ServiceName, region oleandervane.Region, now time.Time) []oleandervane.Grant {
+	grants := make([]oleandervane.Grant, 0, len(allotment.LimitPerSecond))
+	for source, limit := range allotment.LimitPerSecond {
+		if limit <= 0 {
+			continue
+		}
+		grants = append(grants, oleandervane.Grant{
+			Service: serviceName, From: source, To: region, PerSecond: limit, ExpiresAt: now.Add(Lifetime),
+		})
+	}
+	return grants
+}
+
+// Admit returns what is admitted of offered rates by home region: the region's own callers first, then each source
+// up to its limit, scaled down to what is left. The sum is never above TotalPerSecond.
+func (allotment Allotment) Admit(region oleandervane.Region, offered map[oleandervane.Region]float64) map[oleandervane.Region]float64 {
+	admitted := make(map[oleandervane.Region]float64, len(offered))
+	admitted[region] = min(offered[region], allotment.TotalPerSecond)
+	left := allotment.TotalPerSecond - admitted[region]
+	guests := 0.0
+	for home, rate := range offered {
+		if home != region {
+			admitted[home] = min(rate, allotment.LimitPerSecond[home])
+			guests += admitted[home]
+		}
+	}
+	if guests <= left {
+		return admitted
+	}
+	for home := range admitted {
+		if home != region {
+			admitted[home] *= left / guests
+		}
+	}
+	return admitted
+}
--- /dev/null
+++ b/steering/grant/keeper.go
@@ -0,0 +1,332 @@
+package grant
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"oleandervane.example"
+	"oleandervane.example/steering/share"
+)
+
+// Period is the time between two allotments.
+const Period = time.Second
+
+// Sight gives a keeper what it needs to know. Its methods return immutable values and are called once a period.
+type Sight interface {
+	oleandervane.ConfigurationSource
+	// Summaries are the newest known summaries of all regions.
+	Summaries() []oleandervane.RegionSummary
+	// Roster is this VM's view of its region's entry VMs.
+	Roster() RosterView
+	// LostRegions are regions known to be lost.
+	LostRegions() map[oleandervane.Region]bool
+}
+
+// Keeper owns one VM's part of its region's capacity. Take is safe for concurrent use with everything else.
+type Keeper struct {
+	self   oleandervane.EntryVM
+	sight  Sight
+	factor share.FactorFunc
+	mutex  sync.Mutex
+	roster Roster
+	// arrivals has the admitted rates of each service, oldest first, for the longest shift window.
+	arrivals []arrivalsAt
+	lastTick time.Time
+	state    atomic.Pointer[state]
+	guards   allotmentGuards
+}
+
+// arrivalsAt is what was admitted between two ticks.
+type arrivalsAt struct {
+	until time.Time
+	// share is the admitted rate as a share of the source's demand; rate is in requests per second.
+	share, rate map[oleandervane.Flow]float64
+}
+
+// state is what a keeper publishes. Its maps are immutable; accounts and counters are carried over between states.
+type state struct {
+	part     float64
+	count    PeerCount
+	services map[oleandervane.ServiceName]*serviceGate
+	grants   []oleandervane.Grant
+}
+
+type serviceGate struct {
+	allotment Allotment
+	total     *account
+	sources   map[oleandervane.Region]*sourceState
+}
+
+type sourceState struct {
+	account  account
+	admitted counter
+	offered  counter
+}
+
+// counter adds up requests, or rates in simulations.
+type counter struct{ bits atomic.Uint64 }
+
+func (counter *counter) add(amount float64) {
+	for {
+		before := counter.bits.Load()
+		after := math.Float64bits(math.Float64frombits(before) + amount)
+		if counter.bits.CompareAndSwap(before, after) {
+			return
+		}
+	}
+}
+
+func (counter *counter) reset() float64 {
+	return math.Float64frombits(counter.bits.Swap(0))
+}
+
+// NewKeeper returns a keeper without a part. The factor, which may be nil, says what planned drains leave.
+func NewKeeper(self oleandervane.EntryVM, sight Sight, factor share.FactorFunc) *Keeper {
+	keeper := &Keeper{self: self, sight: sight, factor: factor, roster: NewRoster(self.ID)}
+	keeper.state.Store(&state{})
+	return keeper
+}
+
+// Run allots once each Period until the returned function is called.
+func (keeper *Keeper) Run(timerService oleandervane.TimerService) (cancel func()) {
+	return timerService.Every(Period, keeper.Tick)
+}
+
+// Grants returns this VM's grants to other regions.
+func (keeper *Keeper) Grants() []oleandervane.Grant {
+	return keeper.state.Load().grants
+}
+
+// Part returns the share of the region's capacity that this VM owns.
+func (keeper *Keeper) Part() float64 {
+	return keeper.state.Load().part
+}
+
+// Count returns whom this VM counts, for its peers.
+func (keeper *Keeper) Count() PeerCount {
+	return keeper.state.Load().count
+}
+
+// Take admits one request of a caller whose home is the given region, or returns false: it was then not run.
+func (keeper *Keeper) Take(now time.Time, serviceName oleandervane.ServiceName, home oleandervane.Region) bool {
+	service := keeper.state.Load().services[serviceName]
+	if service == nil {
+		return false
+	}
+	source := service.sources[home]
+	if source == nil {
+		return false
+	}
+	source.offered.add(1)
+	limit, limited := service.allotment.LimitPerSecond[home]
+	if limited && !source.account.take(now, limit) {
+		return false
+	}
+	if !service.total.take(now, service.allotment.TotalPerSecond) {
+		if limited {
+			source.account.giveBack(limit)
+		}
+		return false
+	}
+	source.admitted.add(1)
+	return true
+}
+
+// AdmitRates is Take for offered rates, by home region, that last until the next tick. It returns the admitted
+// rates.
+func (keeper *Keeper) AdmitRates(serviceName oleandervane.ServiceName, offered map[oleandervane.Region]float64) map[oleandervane.Region]float64 {
+	service := keeper.state.Load().services[serviceName]
+	if service == nil {
+		return nil
+	}
+	admitted := service.allotment.Admit(keeper.self.Region, offered)
+	for home, rate := range offered {
+		source := service.sources[home]
+		if source == nil {
+			delete(admitted, home)
+			continue
+		}
+		source.offered.add(rate * Period.Seconds())
+		source.admitted.add(admitted[home] * Period.Seconds())
+	}
+	return admitted
+}
+
+// Tick allots for the next period.
+func (keeper *Keeper) Tick(now time.Time) {
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	configuration := keeper.sight.Configuration()
+	if configuration == nil {
+		return
+	}
+	keeper.roster = keeper.roster.Observe(keeper.sight.Roster())
+	figures := newFigures(configuration, keeper.sight.Summaries())
+	offered := keeper.count(now, configuration, figures)
+	before := keeper.state.Load()
+	next := &state{
+		part:     keeper.roster.Part(),
+		count:    PeerCount{VM: keeper.self.ID, Counted: keeper.roster.Counted(), Borrowed: keeper.roster.Borrowed(), Holds: keeper.roster.Holds(), HeardAt: now},
+		services: make(map[oleandervane.ServiceName]*serviceGate, len(configuration.Services)),
+	}
+	for _, name := range slices.Sorted(maps.Keys(configuration.Services)) {
+		input := keeper.input(now, configuration, figures, name, offered)
+		allotment := Allot(input)
+		next.services[name] = before.services[name].follow(configuration, allotment)
+		next.grants = append(next.grants, allotment.Grants(name, keeper.self.Region, now)...)
+	}
+	keeper.state.Store(next)
+}
+
+// follow returns the next state of a service, with the accounts of the one before.
+func (earlier *serviceGate) follow(configuration *oleandervane.Configuration, allotment Allotment) *serviceGate {
+	next := &serviceGate{
+		allotment: allotment,
+		total:     &account{},
+		sources:   make(map[oleandervane.Region]*sourceState, len(configuration.Regions)),
+	}
+	if earlier != nil {
+		next.total = earlier.total
+	}
+	for region := range configuration.Regions {
+		if earlier != nil && earlier.sources[region] != nil {
+			next.sources[region] = earlier.sources[region]
+			continue
+		}
+		next.sources[region] = &sourceState{}
+	}
+	return next
+}
+
+// count closes the period: it records what was admitted and returns what was offered, in requests per second.
+func (keeper *Keeper) count(now time.Time, configuration *oleandervane.Configuration, figures figures) map[oleandervane.Flow]float64 {
+	seconds := now.Sub(keeper.lastTick).Seconds()
+	if keeper.lastTick.IsZero() || seconds <= 0 {
+		seconds = Period.Seconds()
+	}
+	keeper.lastTick = now
+	arrivals := arrivalsAt{until: now, share: map[oleandervane.Flow]float64{}, rate: map[oleandervane.Flow]float64{}}
+	offered := map[oleandervane.Flow]float64{}
+	for name, service := range keeper.state.Load().services {
+		for home, source := range service.sources {
+			flow := oleandervane.Flow{Service: name, Home: home}
+			offered[flow] = source.offered.reset() / seconds
+			rate := source.admitted.reset() / seconds
+			arrivals.rate[flow] = rate
+			if demand := figures[flow].DemandPerSecond; demand > 0 {
+				arrivals.share[flow] = rate / demand
+			}
+		}
+	}
+	keeper.arrivals = append(keeper.arrivals, arrivals)
+	keeper.forget(now, configuration)
+	return offered
+}
+
+func (keeper *Keeper) forget(now time.Time, configuration *oleandervane.Configuration) {
+	longest := time.Duration(0)
+	for _, service := range configuration.Services {
+		longest = max(longest, service.ShiftWindow)
+	}
+	for len(keeper.arrivals) > 0 && now.Sub(keeper.arrivals[0].until) > longest {
+		keeper.arrivals = keeper.arrivals[1:]
+	}
+}
+
+// lowestShare returns the smallest share admitted within the window. A VM that has not run for a whole window has
+// admitted nothing at its beginning.
+func (keeper *Keeper) lowestShare(now time.Time, flow oleandervane.Flow, window time.Duration) float64 {
+	lowest := math.Inf(1)
+	covered := false
+	for _, arrivals := range keeper.arrivals {
+		age := now.Sub(arrivals.until)
+		if age > window {
+			continue
+		}
+		covered = covered || age >= window-Period
+		lowest = min(lowest, arrivals.share[flow])
+	}
+	if !covered || math.IsInf(lowest, 1) {
+		return 0
+	}
+	return lowest
+}
+
+func (keeper *Keeper) input(now time.Time, configuration *oleandervane.Configuration, figures figures, name oleandervane.ServiceName, offered map[oleandervane.Flow]float64) AllotmentInput {
+	service := configuration.Services[name]
+	own := oleandervane.Flow{Service: name, Home: keeper.self.Region}
+	input := AllotmentInput{
+		Service:           service,
+		Region:            keeper.self.Region,
+		Part:              keeper.roster.Part(),
+		CapacityPerSecond: figures[own].CapacityPerSecond,
+		DemandPerSecond:   figures[own].DemandPerSecond,
+		OwnPerSecond:      offered[own],
+		Age:               max(0, now.Sub(figures[own].MeasuredAt)),
+		Factor:            1,
+		without:           keeper.guards,
+	}
+	if keeper.factor != nil {
+		input.Factor = keeper.factor(now, keeper.self.Region, name)
+	}
+	lost := keeper.sight.LostRegions()
+	for _, region := range slices.Sorted(maps.Keys(configuration.Regions)) {
+		if region == keeper.self.Region {
+			continue
+		}
+		flow := oleandervane.Flow{Service: name, Home: region}
+		input.Sources = append(input.Sources, keeper.source(now, configuration, service, figures[flow], flow, lost))
+	}
+	return input
+}
+
+func (keeper *Keeper) source(now time.Time, configuration *oleandervane.Configuration, service oleandervane.Service, summary oleandervane.RegionSummary, flow oleandervane.Flow, lost map[oleandervane.Region]bool) Source {
+	usable := summary.CapacityPerSecond * (1 - service.Headroom)
+	if keeper.factor != nil {
+		usable *= keeper.factor(now, flow.Home, service.Name)
+	}
+	shiftCap := service.ShiftCap
+	if lost[flow.Home] {
+		usable = 0
+	}
+	for region, isLost := range lost {
+		if isLost && region != keeper.self.Region {
+			shiftCap = max(shiftCap, service.FailoverCap)
+		}
+	}
+	source := Source{
+		Region:            flow.Home,
+		DemandPerSecond:   summary.DemandPerSecond,
+		OverflowPerSecond: max(0, summary.DemandPerSecond-usable),
+		ShiftPart:         shiftCap * share.ReceiverPart(configuration, flow.Home, keeper.self.Region),
+		LowestShare:       keeper.lowestShare(now, flow, service.ShiftWindow),
+	}
+	if len(keeper.arrivals) > 0 {
+		source.AdmittedPerSecond = keeper.arrivals[len(keeper.arrivals)-1].rate[flow]
+	}
+	return source
+}
+
+// figures has the newest summary of each region and service.
+type figures map[oleandervane.Flow]oleandervane.RegionSummary
+
+func newFigures(configuration *oleandervane.Configuration, summaries []oleandervane.RegionSummary) figures {
+	result := make(figures, len(summaries))
+	for _, summary := range summaries {
+		if _, known := configuration.Services[summary.Service]; !known {
+			continue
+		}
+		flow := oleandervane.Flow{Service: summary.Service, Home: summary.Region}
+		if known, found := result[flow]; found && !summary.MeasuredAt.After(known.MeasuredAt) {
+			continue
+		}
+		summary.CapacityPerSecond = max(0, summary.CapacityPerSecond)
+		summary.DemandPerSecond = max(0, summary.DemandPerSecond)
+		result[flow] = summary
+	}
+	return result
+}
