--- a/steering/grant/allot.go
+++ b/steering/grant/allot.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"oleandervane.example"
+	"oleandervane.example/steering/internal/guard"
 )
 
 const (
@@ -47,12 +48,7 @@
 	// Factor is the share of capacity that planned drains leave.
 	Factor  float64
 	Sources []Source
-	without allotmentGuards
-}
-
-// allotmentGuards names the rules that the mutation check switches off.
-type allotmentGuards struct {
-	capacity, shift, ownFirst bool
+	without guard.Set
 }
 
 // Allotment says how much of a service one VM admits, in requests per second. It is immutable.
@@ -71,18 +67,18 @@
 		TotalPerSecond: total,
 		LimitPerSecond: make(map[oleandervane.Region]float64, len(input.Sources)),
 	}
-	if input.without.capacity {
+	if input.without.Capacity {
 		allotment.TotalPerSecond = 1e12
 	}
 	own := max(input.Part*input.DemandPerSecond, input.OwnPerSecond)
-	if input.without.ownFirst {
+	if input.without.OwnFirst {
 		own = 0
 	}
 	room := max(0, total-own) * freshness(input.Age)
 	limits := fill(input, room)
 	for i, source := range input.Sources {
 		limit := limits[i]
-		if input.without.capacity {
+		if input.without.Capacity {
 			limit = 1e12
 		}
 		allotment.LimitPerSecond[source.Region] = min(limit, shiftLimit(input, source))
@@ -100,7 +96,7 @@
 
 // shiftLimit returns the largest rate from a source that keeps its increase within the window to ShiftPart.
 func shiftLimit(input AllotmentInput, source Source) float64 {
-	if input.without.shift {
+	if input.without.ArrivalCap {
 		return 1e12
 	}
 	return (source.LowestShare + source.ShiftPart*input.Part) * source.DemandPerSecond
--- a/steering/grant/keeper.go
+++ b/steering/grant/keeper.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"oleandervane.example"
+	"oleandervane.example/steering/internal/guard"
 	"oleandervane.example/steering/share"
 )
 
@@ -37,7 +38,7 @@
 	arrivals []arrivalsAt
 	lastTick time.Time
 	state    atomic.Pointer[state]
-	guards   allotmentGuards
+	without  guard.Set
 }
 
 // arrivalsAt is what was admitted between two ticks.
@@ -91,6 +92,12 @@
 	return keeper
 }
 
+// WithoutGuards makes the keeper work without some of its guards, for the mutation check. Call it before Run.
+func (keeper *Keeper) WithoutGuards(without guard.Set) {
+	keeper.without = without
+	keeper.roster = keeper.roster.Without(without)
+}
+
 // Run allots once each Period until the returned function is called.
 func (keeper *Keeper) Run(timerService oleandervane.TimerService) (cancel func()) {
 	return timerService.Every(Period, keeper.Tick)
@@ -268,7 +275,7 @@
 		OwnPerSecond:      offered[own],
 		Age:               max(0, now.Sub(figures[own].MeasuredAt)),
 		Factor:            1,
-		without:           keeper.guards,
+		without:           keeper.without,
 	}
 	if keeper.factor != nil {
 		input.Factor = keeper.factor(now, keeper.self.Region, name)
--- a/steering/grant/roster.go
+++ b/steering/grant/roster.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"oleandervane.example"
+	"oleandervane.example/steering/internal/guard"
 )
 
 const (
@@ -65,12 +66,13 @@
 	// dropped are borrowed VMs that a peer that counted them dropped.
 	dropped map[oleandervane.VMID]bool
 	holds   bool
-	without rosterGuards
+	without guard.Set
 }
 
-// rosterGuards names the rules that the mutation check switches off.
-type rosterGuards struct {
-	joinWait, raiseDelay bool
+// Without returns a roster without some of its guards, for the mutation check.
+func (roster Roster) Without(without guard.Set) Roster {
+	roster.without = without
+	return roster
 }
 
 // NewRoster returns the roster of a VM that has just started and holds no part.
@@ -183,7 +185,7 @@
 		listIsNewer := roster.everListed[vm] || roster.listChangedAt.Sub(seenAt) > ViewLag
 		confirmedGone := !roster.listedNow[vm] && listIsNewer && now.Sub(seenAt) > RaiseDelay
 		confirmedGone = confirmedGone || roster.dropped[vm] && !roster.knownToPeer(vm)
-		if roster.without.raiseDelay {
+		if roster.without.RaiseDelay {
 			confirmedGone = now.Sub(seenAt) > 0 && !roster.listedNow[vm]
 		}
 		if vm == roster.self || !confirmedGone {
@@ -213,7 +215,7 @@
 }
 
 func (roster *Roster) mayHold(now time.Time) bool {
-	if roster.without.joinWait {
+	if roster.without.JoinWait {
 		return true
 	}
 	if roster.holds {
--- a/steering/grant/roster_test.go
+++ b/steering/grant/roster_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"oleandervane.example"
+	"oleandervane.example/steering/internal/guard"
 )
 
 var start = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
@@ -28,11 +29,11 @@
 	// lists has what the platform's list named at each second.
 	lists   [][]oleandervane.VMID
 	frozen  bool
-	without rosterGuards
+	without guard.Set
 	next    int
 }
 
-func newRosterFleet(seed uint64, without rosterGuards) *rosterFleet {
+func newRosterFleet(seed uint64, without guard.Set) *rosterFleet {
 	fleet := &rosterFleet{
 		random: rand.New(rand.NewPCG(seed, 0)), now: start, without: without,
 		rosters: map[oleandervane.VMID]Roster{}, side: map[oleandervane.VMID]int{}, lag: map[oleandervane.VMID]int{}, heard: map[[2]oleandervane.VMID]PeerCount{},
@@ -151,7 +152,7 @@
 // after views agree again.
 func TestPartsNeverSumToMoreThanOne(t *testing.T) {
 	for seed := range uint64(300) {
-		largest, last := newRosterFleet(seed, rosterGuards{}).run()
+		largest, last := newRosterFleet(seed, guard.Set{}).run()
 		assert.Assert(t, largest <= 1+1e-9, "seed %d: parts sum to %v", seed, largest)
 		assert.Assert(t, last > 1-1e-9, "seed %d: parts sum to %v after views agree", seed, last)
 	}
@@ -159,7 +160,7 @@
 
 // Guards against a guard of the roster that no test needs.
 func TestRosterGuardsAreNeeded(t *testing.T) {
-	for name, without := range map[string]rosterGuards{"join wait": {joinWait: true}, "raise delay": {raiseDelay: true}} {
+	for name, without := range map[string]guard.Set{"join wait": {JoinWait: true}, "raise delay": {RaiseDelay: true}} {
 		caught := false
 		for seed := uint64(0); seed < 50 && !caught; seed++ {
 			largest, _ := newRosterFleet(seed, without).run()
--- a/steering/share/policy.go
+++ b/steering/share/policy.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"oleandervane.example"
+	"oleandervane.example/steering/internal/guard"
 )
 
 // FactorFunc gives the share of a region's capacity for a service that planned drains leave at a time, in [0, 1].
@@ -17,13 +18,8 @@
 // the nearest regions that granted room. It is immutable and safe for concurrent use.
 type Policy struct {
 	factor FactorFunc
-	// without switches guards off. Only tests set it.
-	without guards
-}
-
-// guards names the rules that the mutation check switches off one at a time.
-type guards struct {
-	cap, grants, homeRoom, lostRegions, damping, link bool
+	// without has the guards that tests switch off.
+	without guard.Set
 }
 
 var _ oleandervane.SteeringPolicy = Policy{}
@@ -33,10 +29,19 @@
 	return Policy{factor: factor}
 }
 
+// Without returns a policy without some of its guards, for the mutation check.
+func (policy Policy) Without(without guard.Set) Policy {
+	policy.without = without
+	return policy
+}
+
 const (
 	// gainAge is the age of a measurement at which a decision covers half of the distance to its target. At an age
 	// of 20 s a decision covers 9%, so that several decisions on the same late figures do not add up to an overshoot.
 	gainAge = 2 * time.Second
+	// smallestGain keeps shares moving when the figures of a region stop. Demand does not depend on shares, so a
+	// late figure cannot keep an oscillation going.
+	smallestGain = 0.05
 	// settledDistance is the largest difference between a share and its target that is closed in one step.
 	settledDistance = 0.002
 	// coldCost is the room that a request takes in a region whose caches are cold for its flow, in warm requests.
@@ -93,7 +98,7 @@
 	for i, room := range rooms {
 		plans[i] = policy.newPlan(scene, room, home)
 	}
-	if !policy.without.link {
+	if !policy.without.Link {
 		scene.limitLinks(plans, home)
 	}
 	for _, plan := range plans {
@@ -105,7 +110,11 @@
 func (policy Policy) newPlan(scene *scene, room *room, home int) *plan {
 	flow := oleandervane.Flow{Service: room.service.Name, Home: scene.regions[home]}
 	plan := &plan{room: room, home: home, gain: gain(room.age[home])}
-	if policy.without.damping {
+	if scene.lost[home] {
+		// The figures of a lost region stay old. The failover cap bounds the way alone.
+		plan.gain = 1
+	}
+	if policy.without.Damping {
 		plan.gain = undampedGain
 	}
 	plan.current = scene.current(flow, home)
@@ -121,7 +130,7 @@
 
 // gain returns the share of the distance to its target that a decision covers, for figures of the given age.
 func gain(age time.Duration) float64 {
-	return float64(gainAge) / float64(gainAge+age)
+	return max(smallestGain, float64(gainAge)/float64(gainAge+age))
 }
 
 // current returns the flow's shares in force; a flow without any is served at home.
@@ -188,11 +197,11 @@
 	room, home := plan.room, plan.home
 	for region := range limit {
 		switch {
-		case scene.lost[region] && !policy.without.lostRegions:
+		case scene.lost[region] && !policy.without.LostRegions:
 			limit[region] = 0
 		case region == home:
-			limit[region] = homeLimit(room, home, policy.without.homeRoom)
-		case policy.without.grants:
+			limit[region] = homeLimit(room, home, policy.without.HomeRoom)
+		case policy.without.Grants:
 			limit[region] = 1
 		case room.demand[home] > 0:
 			limit[region] = room.granted[home][region] / room.demand[home]
@@ -202,7 +211,7 @@
 		}
 		limit[region] = min(limit[region], 1)
 	}
-	if room.demand[home] > 0 && !policy.without.grants {
+	if room.demand[home] > 0 && !policy.without.Grants {
 		chargeColdCaches(plan, limit)
 	}
 	return limit
@@ -346,10 +355,10 @@
 		distance = max(distance, math.Abs(plan.target[region]-base[region]))
 	}
 	step := plan.gain
-	if distance <= settledDistance && !policy.without.damping {
+	if distance <= settledDistance && !policy.without.Damping {
 		step = 1
 	}
-	if !policy.without.cap {
+	if !policy.without.ShiftCap {
 		step = policy.boundStep(scene, plan, base, step)
 	}
 	plan.next = base
--- /dev/null
+++ b/steering/share/steerer.go
@@ -0,0 +1,276 @@
+package share
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"oleandervane.example"
+)
+
+const (
+	// Period is the time between two decisions.
+	Period = time.Second
+	// peerAge is the age up to which a peer's shares are taken over. A peer publishes each second.
+	peerAge = 10 * time.Second
+	// peerWait is how long a VM without memory waits for a peer's shares before it takes the snapshot.
+	peerWait = 3 * time.Second
+	// snapshotWait is how long it waits for either before it starts with all traffic at home.
+	snapshotWait = 8 * time.Second
+	// snapshotAge is the age up to which a snapshot is taken over. It is written about every 10 s, and an outage of
+	// the store keeps it from being written for long stretches.
+	snapshotAge = 2 * time.Hour
+)
+
+// PeerShares is what an entry VM tells the VMs of its region of its shares. It is immutable.
+type PeerShares struct {
+	VM     oleandervane.VMID
+	Region oleandervane.Region
+	At     time.Time
+	Shares map[oleandervane.Flow]oleandervane.ShareVector
+	// Floors has the smallest share of each region within the shift window. A shift from the floor is at least as
+	// large as the shift from any vector of the window.
+	Floors map[oleandervane.Flow]oleandervane.ShareVector
+}
+
+// Sight gives a steerer what it needs to know. Its methods return immutable values and are called once a period.
+type Sight interface {
+	oleandervane.ConfigurationSource
+	// Summaries are the newest known summaries of all regions.
+	Summaries() []oleandervane.RegionSummary
+	// Grants are the known grants to and from all regions, expired ones too.
+	Grants() []oleandervane.Grant
+	// LostRegions are regions known to be lost.
+	LostRegions() map[oleandervane.Region]bool
+	// Peers are the newest shares heard from VMs of this VM's region.
+	Peers() []PeerShares
+	// Snapshot is the region's snapshot in the store, and whether it could be read.
+	Snapshot() (Snapshot, bool)
+}
+
+// Steerer runs a policy on one entry VM and implements oleandervane.RegionChooser. ChooseRegion and PeerShares are
+// safe for concurrent use with everything else.
+type Steerer struct {
+	self   oleandervane.EntryVM
+	sight  Sight
+	policy oleandervane.SteeringPolicy
+	mutex  sync.Mutex
+	// startedAt is the time of the first tick.
+	startedAt time.Time
+	recalled  bool
+	history   []oleandervane.SharesAt
+	table     atomic.Pointer[table]
+}
+
+var _ oleandervane.RegionChooser = (*Steerer)(nil)
+
+// NewSteerer returns a steerer without memory. Until it has taken shares over, all traffic stays at home.
+func NewSteerer(self oleandervane.EntryVM, sight Sight, policy oleandervane.SteeringPolicy) *Steerer {
+	steerer := &Steerer{self: self, sight: sight, policy: policy}
+	steerer.table.Store(&table{})
+	return steerer
+}
+
+// Run decides once each Period until the returned function is called.
+func (steerer *Steerer) Run(timerService oleandervane.TimerService) (cancel func()) {
+	return timerService.Every(Period, steerer.Tick)
+}
+
+// Recalled says whether the steerer has taken shares over, or has waited long enough to start without.
+func (steerer *Steerer) Recalled() bool {
+	return steerer.table.Load().recalled
+}
+
+// PeerShares returns the shares in force, for peers and for the snapshot.
+func (steerer *Steerer) PeerShares() PeerShares {
+	return steerer.table.Load().published
+}
+
+// Explain returns for each flow what bounded its shares in the last decision.
+func (steerer *Steerer) Explain() map[oleandervane.Flow]string {
+	return steerer.table.Load().reasons
+}
+
+// Tick decides on the shares of the next period.
+func (steerer *Steerer) Tick(now time.Time) {
+	steerer.mutex.Lock()
+	defer steerer.mutex.Unlock()
+	configuration := steerer.sight.Configuration()
+	if configuration == nil {
+		return
+	}
+	if steerer.startedAt.IsZero() {
+		steerer.startedAt = now
+	}
+	if !steerer.recalled {
+		steerer.recall(now)
+	}
+	if !steerer.recalled {
+		return
+	}
+	steerer.forget(now, configuration)
+	input := oleandervane.SteeringInput{
+		Now:           now,
+		Configuration: configuration,
+		Summaries:     steerer.sight.Summaries(),
+		Grants:        steerer.sight.Grants(),
+		Shares:        steerer.table.Load().published.Shares,
+		History:       steerer.history,
+		LostRegions:   steerer.sight.LostRegions(),
+	}
+	decision := steerer.policy.Decide(input)
+	steerer.history = append(steerer.history, oleandervane.SharesAt{From: now, Shares: decision.Shares})
+	steerer.publish(now, configuration, decision)
+}
+
+// recall takes shares from a peer, then from the snapshot. What a VM takes over counts as in force since the beginning
+// of the window at its floor, so that a restart gives no second use of the shift cap.
+func (steerer *Steerer) recall(now time.Time) {
+	if peer, found := newest(steerer.sight.Peers(), steerer.self, now); found {
+		steerer.takeOver(now, peer.Shares, peer.Floors)
+		return
+	}
+	waited := now.Sub(steerer.startedAt)
+	if waited < peerWait {
+		return
+	}
+	snapshot, found := steerer.sight.Snapshot()
+	if found && now.Sub(snapshot.At) <= snapshotAge {
+		steerer.takeOver(now, snapshot.Shares, snapshot.Floors)
+		return
+	}
+	if waited >= snapshotWait {
+		steerer.takeOver(now, nil, nil)
+	}
+}
+
+func (steerer *Steerer) takeOver(now time.Time, shares, floors map[oleandervane.Flow]oleandervane.ShareVector) {
+	steerer.recalled = true
+	steerer.history = []oleandervane.SharesAt{{From: now, Shares: floors}, {From: now, Shares: shares}}
+	steerer.table.Store(&table{recalled: true, published: PeerShares{Shares: shares}})
+}
+
+func newest(peers []PeerShares, self oleandervane.EntryVM, now time.Time) (PeerShares, bool) {
+	var result PeerShares
+	for _, peer := range peers {
+		usable := peer.Region == self.Region && peer.VM != self.ID && now.Sub(peer.At) <= peerAge
+		if usable && peer.At.After(result.At) {
+			result = peer
+		}
+	}
+	return result, !result.At.IsZero()
+}
+
+// forget drops history that is older than the longest shift window, but for the shares in force when it began.
+func (steerer *Steerer) forget(now time.Time, configuration *oleandervane.Configuration) {
+	began := now
+	for _, service := range configuration.Services {
+		began = minTime(began, now.Add(-service.ShiftWindow))
+	}
+	for len(steerer.history) > 1 && !steerer.history[1].From.After(began) {
+		steerer.history = steerer.history[1:]
+	}
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func (steerer *Steerer) publish(now time.Time, configuration *oleandervane.Configuration, decision oleandervane.SteeringDecision) {
+	next := &table{
+		recalled: true,
+		ladders:  make(map[oleandervane.Flow]ladder, len(decision.Shares)),
+		reasons:  decision.Reasons,
+		published: PeerShares{
+			VM: steerer.self.ID, Region: steerer.self.Region, At: now,
+			Shares: decision.Shares, Floors: floors(steerer.history),
+		},
+	}
+	for flow, vector := range decision.Shares {
+		next.ladders[flow] = newLadder(configuration, flow.Home, vector)
+	}
+	steerer.table.Store(next)
+}
+
+func floors(history []oleandervane.SharesAt) map[oleandervane.Flow]oleandervane.ShareVector {
+	latest := history[len(history)-1].Shares
+	result := make(map[oleandervane.Flow]oleandervane.ShareVector, len(latest))
+	for flow, vector := range latest {
+		floor := maps.Clone(vector)
+		for _, earlier := range history {
+			past, found := earlier.Shares[flow]
+			if !found {
+				continue
+			}
+			for region, share := range floor {
+				floor[region] = min(share, past[region])
+			}
+		}
+		result[flow] = floor
+	}
+	return result
+}
+
+// table is what a steerer publishes. It is immutable.
+type table struct {
+	recalled  bool
+	published PeerShares
+	reasons   map[oleandervane.Flow]string
+	ladders   map[oleandervane.Flow]ladder
+}
+
+// ladder maps a point in [0, 1) to a region: home first, then the others by distance, then shed.
+type ladder struct {
+	regions []oleandervane.Region
+	// upTo has for each region the sum of the shares up to and with it.
+	upTo []float64
+}
+
+func newLadder(configuration *oleandervane.Configuration, home oleandervane.Region, vector oleandervane.ShareVector) ladder {
+	regions := slices.Sorted(maps.Keys(vector))
+	delay := make(map[oleandervane.Region]time.Duration, len(regions))
+	for _, region := range regions {
+		delay[region], _ = configuration.Delay(home, region)
+		if region == home {
+			delay[region] = -1
+		}
+	}
+	slices.SortStableFunc(regions, func(a, b oleandervane.Region) int { return int(delay[a] - delay[b]) })
+	result := ladder{regions: regions, upTo: make([]float64, len(regions))}
+	sum := 0.0
+	for i, region := range regions {
+		sum += vector[region]
+		result.upTo[i] = sum
+	}
+	if sum > 1-tolerance && len(regions) > 0 {
+		// Rounding must not shed the last requests of a vector that sums to 1.
+		result.upTo[len(regions)-1] = 1
+	}
+	return result
+}
+
+// ChooseRegion returns the region that serves the point of a flow. Points are taken by home first and by shed work
+// last, so PointByWeight keeps the heaviest kinds at home. It fails with oleandervane.ErrNoRegion, wrapped.
+func (steerer *Steerer) ChooseRegion(serviceName oleandervane.ServiceName, home oleandervane.Region, point float64) (oleandervane.Region, error) {
+	ladder, found := steerer.table.Load().ladders[oleandervane.Flow{Service: serviceName, Home: home}]
+	if !found {
+		return home, nil
+	}
+	for i, upTo := range ladder.upTo {
+		if point < upTo {
+			return ladder.regions[i], nil
+		}
+	}
+	return "", noRegion(serviceName, home)
+}
+
+func noRegion(serviceName oleandervane.ServiceName, home oleandervane.Region) error {
+	return eris.Wrapf(oleandervane.ErrNoRegion, "choosing a region for %s of %s", serviceName, home)
+}
