--- a/fleet/membership/compare.go
+++ b/fleet/membership/compare.go
@@ -97,7 +97,7 @@
 			}
 		}
 	}
-	return append(membership.rebuildAndTell(now), membership.afterChange(changed, now)...)
+	return append(membership.rebuildAndTell(), membership.afterChange(changed, now)...)
 }
 
 // wantedRecords returns the records that the peer asked for, and those of which it sent an older version.
--- a/fleet/membership/membership.go
+++ b/fleet/membership/membership.go
@@ -133,7 +133,7 @@
 		silence:    map[oleandervane.Region]oleandervane.VMState{},
 	}
 	membership.table.merge(membership.self, now)
-	membership.rebuild(now)
+	membership.rebuild()
 	return membership
 }
 
@@ -284,7 +284,7 @@
 	membership.rounds++
 	var actions []action
 	if membership.updateSilence(now) {
-		actions = append(actions, membership.rebuildAndTell(now)...)
+		actions = append(actions, membership.rebuildAndTell()...)
 	}
 	if membership.rounds%60 == 0 {
 		membership.table.forget(now, deadKept)
--- a/fleet/membership/spread.go
+++ b/fleet/membership/spread.go
@@ -22,7 +22,7 @@
 			membership.table.suspect(held, now.Add(membership.suspicionTimeout(now)))
 		}
 	}
-	return append(membership.rebuildAndTell(now), membership.schedulePush()...)
+	return append(membership.rebuildAndTell(), membership.schedulePush()...)
 }
 
 func (membership *Membership) schedulePush() []action {
--- a/fleet/membership/view.go
+++ b/fleet/membership/view.go
@@ -46,7 +46,7 @@
 }
 
 // rebuild publishes a new view. The caller holds the lock.
-func (membership *Membership) rebuild(now time.Time) {
+func (membership *Membership) rebuild() {
 	view := &View{
 		Self:     membership.self.VM,
 		byRegion: map[oleandervane.Region][]oleandervane.EntryVM{},
@@ -72,8 +72,8 @@
 }
 
 // rebuildAndTell publishes a new view and returns the call of the subscriber.
-func (membership *Membership) rebuildAndTell(now time.Time) []action {
-	membership.rebuild(now)
+func (membership *Membership) rebuildAndTell() []action {
+	membership.rebuild()
 	if membership.settings.Changed == nil {
 		return nil
 	}
