Add choice of a backend server within a region

Cause: entry VMs need to choose among instances with few slots that other VMs use as well.

Ruled out so far: nothing; the five policies stand side by side until the comparison is complete.

--- a/entry/admission/driver_test.go
+++ b/entry/admission/driver_test.go
@@ -47,7 +47,7 @@
 		waiter   *waiter
 	}
 	var queue []pending
-	run := func(now time.Time, kind oleandervane.Kind, deadline time.Time, end func(now time.Time)) {
+	run := func(_ time.Time, kind oleandervane.Kind, deadline time.Time, end func(now time.Time)) {
 		manual.After(time.Duration(random.ExpFloat64()*float64(driverMean)), func(now time.Time) {
 			if now.After(deadline) {
 				tallies[kind.Name].late++
--- /dev/null
+++ b/entry/balance/chooser.go
@@ -0,0 +1,148 @@
+package balance
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"oleandervane.example"
+)
+
+// Chooser is an oleandervane.BackendChooser for the backend servers of this VM's region. All methods may be called
+// from any goroutine.
+type Chooser struct {
+	settings Settings
+	// groups is replaced as a whole, under mutex, when a service is added.
+	groups atomic.Pointer[map[oleandervane.ServiceName]*group]
+	mutex  sync.Mutex
+	users  userCount
+	// firstUpdate is when the first list arrived. Instances listed until returnGap later are not new: this VM is.
+	firstUpdate time.Time
+	cancel      func()
+}
+
+// New returns a chooser that knows no instances until Update is called. Close ends its timer.
+func New(settings Settings) *Chooser {
+	chooser := &Chooser{settings: settings}
+	chooser.groups.Store(&map[oleandervane.ServiceName]*group{})
+	chooser.cancel = settings.TimerService.Every(refreshPeriod, chooser.refresh)
+	return chooser
+}
+
+// Close ends the chooser's timer.
+func (chooser *Chooser) Close() {
+	chooser.cancel()
+}
+
+// Update replaces the list of backend servers; those of other regions are ignored.
+func (chooser *Chooser) Update(backendServers []oleandervane.BackendServer) {
+	now := chooser.settings.TimerService.Now()
+	region := chooser.settings.Membership.Self().Region
+	byService := map[oleandervane.ServiceName][]oleandervane.BackendServer{}
+	for _, server := range backendServers {
+		if server.Region == region {
+			byService[server.Service] = append(byService[server.Service], server)
+		}
+	}
+	chooser.mutex.Lock()
+	if chooser.firstUpdate.IsZero() && len(byService) > 0 {
+		chooser.firstUpdate = now
+	}
+	warm := now.Sub(chooser.firstUpdate) < returnGap
+	groups := maps.Clone(*chooser.groups.Load())
+	for serviceName := range byService {
+		if groups[serviceName] == nil {
+			groups[serviceName] = chooser.newGroup(len(groups))
+		}
+	}
+	chooser.groups.Store(&groups)
+	chooser.mutex.Unlock()
+	for serviceName, group := range groups {
+		group.update(now, byService[serviceName], warm)
+	}
+	chooser.refresh(now)
+}
+
+// Observe takes in the load that a response or a probe of this VM showed.
+func (chooser *Chooser) Observe(serviceName oleandervane.ServiceName, report oleandervane.LoadReport) {
+	group, known := (*chooser.groups.Load())[serviceName]
+	if !known {
+		return
+	}
+	now := chooser.settings.TimerService.Now()
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	for _, instance := range group.instances {
+		if instance.server.ID == report.BackendServer {
+			instance.observe(now, report)
+		}
+	}
+}
+
+// Choose returns a backend server of the service that is not in excluded and holds one of its slots. It fails with
+// an error that wraps oleandervane.ErrNoBackendServer.
+func (chooser *Chooser) Choose(serviceName oleandervane.ServiceName, excluded []oleandervane.BackendServerID) (oleandervane.Reservation, error) {
+	group, known := (*chooser.groups.Load())[serviceName]
+	if !known {
+		return nil, ErrUnknownService
+	}
+	now := chooser.settings.TimerService.Now()
+	instance, server, err := group.choose(now, chooser.settings.LoadSource, excluded)
+	if err != nil {
+		return nil, err
+	}
+	return &reservation{chooser: chooser, group: group, instance: instance, server: server, started: now}, nil
+}
+
+func (chooser *Chooser) newGroup(number int) *group {
+	created := &group{unguarded: chooser.settings.unguarded}
+	random := rand.New(rand.NewPCG(chooser.settings.Seed, uint64(number)))
+	created.picker = newPicker(chooser.settings.Policy, created, random)
+	return created
+}
+
+func (chooser *Chooser) refresh(now time.Time) {
+	entryVMs := regionVMs(chooser.settings.Membership)
+	self := chooser.settings.Membership.Self()
+	seeds := make([]uint64, len(entryVMs))
+	for index, entryVM := range entryVMs {
+		seeds[index] = vmSeed(entryVM.ID)
+	}
+	selfIndex := slices.IndexFunc(entryVMs, func(entryVM oleandervane.EntryVM) bool { return entryVM.ID == self.ID })
+	chooser.mutex.Lock()
+	users := chooser.users.observe(now, len(entryVMs))
+	chooser.mutex.Unlock()
+	for _, group := range *chooser.groups.Load() {
+		group.refresh(seeds, selfIndex, users)
+	}
+}
+
+// reservation is one held slot.
+type reservation struct {
+	chooser  *Chooser
+	group    *group
+	instance *instance
+	server   oleandervane.BackendServer
+	started  time.Time
+	released atomic.Bool
+}
+
+// BackendServer returns the chosen instance.
+func (reservation *reservation) BackendServer() oleandervane.BackendServer {
+	return reservation.server
+}
+
+// Release gives the slot back and reports how the attempt ended.
+func (reservation *reservation) Release(attemptResult oleandervane.AttemptResult) {
+	if reservation.released.Swap(true) {
+		return
+	}
+	now := reservation.chooser.settings.TimerService.Now()
+	closedFor := reservation.group.release(now, reservation.instance, attemptResult, reservation.started)
+	if closedFor > 0 {
+		reservation.chooser.settings.TimerService.After(closedFor, func(time.Time) { reservation.group.reopen(reservation.instance) })
+	}
+}
