Guard the forwarder against resends, silence and stray responses

Cause: the classification of the basic forwarder was tested on single connections only. Ruled out: trusting a response on a reused connection that carries no request id, because the rest of an earlier exchange that was read in the same segment is indistinguishable from it; such connections are no longer reused.

--- a/entry/forward/attempt.go
+++ b/entry/forward/attempt.go
@@ -25,7 +25,9 @@
 	stopTimers  []func()
 	connection  *connection
 	reused      bool
-	startedAt   time.Time
+	// echoed says that the target echoes request ids. Only then is the connection used again.
+	echoed    bool
+	startedAt time.Time
 }
 
 // attemptOutcome is what became of an attempt.
@@ -93,12 +95,12 @@
 		return ErrDeadline
 	}
 	if attempt.request.BeforeWrite == nil {
-		return nil
+		return context.Cause(attempt.ctx)
 	}
 	if err := attempt.request.BeforeWrite(); err != nil {
 		return refusalError{err}
 	}
-	return nil
+	return context.Cause(attempt.ctx)
 }
 
 // refusalError is an error of Request.BeforeWrite.
@@ -191,10 +193,11 @@
 
 // receive checks a response and reads its body, or the beginning of a large one.
 func (attempt *attempt) receive(response *http.Response) attemptOutcome {
-	if !belongsTo(response, attempt.id) {
+	if !belongsTo(response, attempt.id, attempt.reused) {
 		attempt.forwarder.pool.distrust(attempt.target.Address)
 		return attempt.failAfterTake(ErrMismatch)
 	}
+	attempt.echoed = response.Header.Get(oleandervane.HeaderRequestID) != ""
 	outcome, reason := attempt.target.classify(response)
 	if outcome != oleandervane.Answered {
 		return attempt.refuse(response, outcome, reason)
@@ -229,7 +232,7 @@
 		attemptResult = oleandervane.AttemptShed
 	}
 	if _, whole, err := readBeginning(response.Body, attempt.forwarder.settings.MaxBufferedBytes); whole && err == nil && framed(response) {
-		attempt.forwarder.pool.put(attempt.connection)
+		attempt.giveBack()
 	} else {
 		attempt.connection.close()
 	}
@@ -254,6 +257,14 @@
 	if !attempt.target.Relay {
 		attempt.forwarder.quarantine.noteAnswered(attempt.fingerprint)
 	}
-	attempt.forwarder.pool.put(attempt.connection)
+	attempt.giveBack()
 	attempt.end(oleandervane.AttemptAnswered)
 }
+
+func (attempt *attempt) giveBack() {
+	if !attempt.echoed {
+		attempt.connection.close()
+		return
+	}
+	attempt.forwarder.pool.put(attempt.connection)
+}
--- a/entry/forward/gate.go
+++ b/entry/forward/gate.go
@@ -22,8 +22,8 @@
 
 // gate is a connection that knows whether any byte of the current attempt was handed to the operating system. Its
 // state is decided by compare-and-swap: once seal has found that nothing was written, nothing can be written any
-// more. httptrace cannot give this proof, because net/http's write goroutine may still write after RoundTrip has
-// returned an error.
+// more. The proof does not depend on what net/http does after an error: httptrace's WroteRequest reports a failed
+// flush whether or not a part of it left.
 type gate struct {
 	net.Conn
 	state       atomic.Int32
--- a/entry/forward/harness_test.go
+++ b/entry/forward/harness_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -101,6 +102,7 @@
 // targets is a chooser over fixed targets that records how attempts end.
 type targets struct {
 	list     []Target
+	mutex    sync.Mutex
 	released []oleandervane.AttemptResult
 }
 
@@ -121,6 +123,8 @@
 func (reservation *testReservation) Target() Target { return reservation.target }
 
 func (reservation *testReservation) Release(result oleandervane.AttemptResult) {
+	reservation.targets.mutex.Lock()
+	defer reservation.targets.mutex.Unlock()
 	reservation.targets.released = append(reservation.targets.released, result)
 }
 
--- a/entry/forward/header.go
+++ b/entry/forward/header.go
@@ -57,12 +57,15 @@
 	return result
 }
 
-// belongsTo says whether the response is that of the attempt. A target that echoes no id is trusted.
-func belongsTo(response *http.Response, attemptID string) bool {
-	for _, echoed := range response.Header.Values(oleandervane.HeaderRequestID) {
-		if echoed != attemptID {
+// belongsTo says whether the response is that of the attempt. On a new connection a target that echoes no id is
+// trusted, because nothing else can have been asked there. On a reused one the id must be echoed: the rest of an
+// earlier exchange could otherwise pass for the response.
+func belongsTo(response *http.Response, attemptID string, reused bool) bool {
+	echoed := response.Header.Values(oleandervane.HeaderRequestID)
+	for _, id := range echoed {
+		if id != attemptID {
 			return false
 		}
 	}
-	return true
+	return len(echoed) > 0 || !reused
 }
--- /dev/null
+++ b/entry/forward/silence_test.go
@@ -0,0 +1,141 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"oleandervane.example"
+	"oleandervane.example/figure"
+)
+
+// silencedServer answers the first request of the first connections and nothing after it on them. Later connections work.
+func silencedServer(t testing.TB, id string, silenced int64) *server {
+	return newServer(t, id, func(server *server, conn net.Conn, number int64) {
+		reader := bufio.NewReader(conn)
+		server.follow(conn, reader, number, "read; "+okAction)
+		if number <= silenced {
+			server.follow(conn, reader, number, "read; hang")
+			return
+		}
+		for server.follow(conn, reader, number, "read; "+okAction) {
+		}
+	})
+}
+
+func forwardInBackground(forwarder *Forwarder, request Request, chooser TargetChooser) chan Result {
+	results := make(chan Result, 1)
+	go func() { results <- forwarder.Forward(context.Background(), request, chooser) }()
+	return results
+}
+
+// Guards against requests that fail on a pooled connection that went silent although a new one would serve them,
+// and against detection that takes longer than stated.
+func TestFigureSilentDetection(t *testing.T) {
+	server := silencedServer(t, "b1", 1)
+	other := scripted(t, "b2", "read; "+okAction)
+	forwarder, manual := newTestForwarder(t)
+	allowRetries(forwarder)
+	chooser := &targets{list: []Target{server.target, other.target}}
+	request := testRequest(true, "GET", "")
+	assert.Equal(t, forwarder.Forward(context.Background(), request, chooser).Outcome, oleandervane.Answered)
+	<-server.read
+	start := manual.Now()
+	results := forwardInBackground(forwarder, request, chooser)
+	assert.Equal(t, <-server.read, int64(1), "the pooled connection was not used")
+	manual.Advance(MaxSilence - 1)
+	assert.Equal(t, len(results), 0)
+	manual.Advance(1)
+	result := <-results
+	assert.Equal(t, result.Outcome, oleandervane.Answered)
+	assert.Equal(t, result.Target.ID, "b2")
+	detection := manual.Now().Sub(start).Seconds()
+	figure.Require(t, figure.Figure{Name: "request_silent_detection", Value: detection, Unit: "s", Bound: MaxSilence.Seconds()})
+}
+
+// Guards against a non-idempotent request on a pooled connection: when that is silent, the request would be unknown.
+func TestNonIdempotentTakesNewConnection(t *testing.T) {
+	server := silencedServer(t, "b1", 1)
+	forwarder, _ := newTestForwarder(t)
+	chooser := &targets{list: []Target{server.target}}
+	for _, idempotent := range []bool{true, false} {
+		result := forwarder.Forward(context.Background(), testRequest(idempotent, "POST", "x"), chooser)
+		assert.Equal(t, result.Outcome, oleandervane.Answered)
+	}
+	assert.Equal(t, server.requests.Load(), int64(2))
+}
+
+// Guards against each silent connection of a pool costing a request: the first one found retires the others.
+func TestOneSilentConnectionRetiresAll(t *testing.T) {
+	const connections = 3
+	server := silencedServer(t, "b1", connections)
+	forwarder, manual := newTestForwarder(t)
+	allowRetries(forwarder)
+	chooser := &targets{list: []Target{server.target}}
+	for range connections {
+		// A non-idempotent request opens a connection and leaves it in the pool.
+		forwarder.Forward(context.Background(), testRequest(false, "POST", "x"), chooser)
+		<-server.read
+	}
+	results := forwardInBackground(forwarder, testRequest(true, "GET", ""), chooser)
+	<-server.read
+	manual.Advance(MaxSilence)
+	result := <-results
+	assert.Equal(t, result.Outcome, oleandervane.Unknown)
+	assert.Equal(t, result.Reason, ReasonSilent)
+	for range connections {
+		result = forwarder.Forward(context.Background(), testRequest(true, "GET", ""), chooser)
+		assert.Equal(t, result.Outcome, oleandervane.Answered)
+	}
+}
+
+// Guards against idle connections that live longer than the limit, by use and by the periodic sweep.
+func TestIdleConnectionsAreRetired(t *testing.T) {
+	server := scripted(t, "b1", "read; "+okAction)
+	forwarder, manual := newTestForwarder(t)
+	chooser := &targets{list: []Target{server.target}}
+	request := testRequest(true, "GET", "")
+	request.Deadline = manual.Now().Add(time.Hour)
+	for _, pause := range []time.Duration{0, DefaultIdleLimit / 2, DefaultIdleLimit, 3 * DefaultIdleLimit} {
+		manual.Advance(pause)
+		assert.Equal(t, forwarder.Forward(context.Background(), request, chooser).Outcome, oleandervane.Answered)
+	}
+	assert.Equal(t, server.connections.Load(), int64(3))
+	manual.Advance(3 * DefaultIdleLimit)
+	assert.Equal(t, len(forwarder.pool.targets), 0)
+}
+
+// Guards against kinds that are slow by nature being taken for silent: they use new connections, which have no limit.
+func TestSlowKindIsNotTakenForSilent(t *testing.T) {
+	server := scripted(t, "b1", "read; "+okAction)
+	forwarder, _ := newTestForwarder(t)
+	chooser := &targets{list: []Target{server.target}}
+	request := testRequest(true, "GET", "")
+	forwarder.firstBytes.note(request, time.Second)
+	forwarder.Forward(context.Background(), request, chooser)
+	forwarder.Forward(context.Background(), request, chooser)
+	assert.Equal(t, server.connections.Load(), int64(2))
+}
+
+// Guards against a request that waits for ever on a path that has gone dead: the peer takes no more bytes. The
+// time is real, so it is reported and not judged; without the socket option this test does not end.
+func TestFigureDeadPathIsDetected(t *testing.T) {
+	server := newServer(t, "b1", func(_ *server, conn net.Conn, _ int64) {
+		_ = conn.(*net.TCPConn).SetReadBuffer(4096)
+	})
+	forwarder, _ := newTestForwarder(t)
+	request := testRequest(false, "POST", strings.Repeat("x", 32<<20))
+	start := time.Now()
+	result := forwarder.Forward(context.Background(), request, &targets{list: []Target{server.target}})
+	assert.Equal(t, result.Outcome, oleandervane.Unknown)
+	assert.Equal(t, result.Reason, ReasonBroken)
+	assert.ErrorIs(t, result.Err, syscall.ETIMEDOUT)
+	bound := (keepaliveIdle + unacknowledgedLimit).Seconds()
+	figure.Report(t, figure.Figure{Name: "request_dead_path_detection", Value: time.Since(start).Seconds(), Unit: "s", Bound: bound})
+}
