Check at most once with a protocol model and measure the alternatives

Cause: the promise of at most once must hold in any order of resends, kills, pauses, cuts, replacements and clock steps. Conclusion: tickets bound to one incarnation keep the promise without the store.

--- a/entry/ticket/ledger.go
+++ b/entry/ticket/ledger.go
@@ -63,7 +63,7 @@
 type Ledger struct {
 	settings Settings
 	key      []byte
-	clock    *clock
+	clock    interface{ now() time.Duration }
 
 	mutex         sync.Mutex
 	next          uint64
--- /dev/null
+++ b/entry/ticket/model_test.go
@@ -0,0 +1,205 @@
+package ticket
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"oleandervane.example"
+	"oleandervane.example/entry/ticket/model"
+	"oleandervane.example/figure"
+)
+
+const (
+	modelSeed      = 20261204
+	modelHistories = 4000
+)
+
+// ticketProcess lets the model play a Ledger. Each field that is set takes one guard away.
+type ticketProcess struct {
+	world               *model.World
+	vm                  int
+	ledger              *Ledger
+	withoutMark         bool
+	withoutRevokeMark   bool
+	withoutFloor        bool
+	foreignIsNotRun     bool
+	unusedIsNotRun      bool
+	runningIsNotRun     bool
+	unknownIsNotRun     bool
+	markedAfterTheWrite bool
+	withoutOwnKey       bool
+	clockGoesBack       bool
+}
+
+// started returns a protocol in which a VM that is replaced often gets the incarnation number of its predecessor,
+// so that only the key tells them apart.
+func (process ticketProcess) started(world *model.World, vm int) model.Process {
+	process.world, process.vm = world, vm
+	process.ledger = NewLedger(Settings{
+		VM:          oleandervane.VMID(rune('a' + vm)),
+		Incarnation: oleandervane.Incarnation(world.Choose(2)),
+		Lifetime:    time.Minute,
+		Retention:   time.Minute,
+		// Only the newest response is kept, so that most resends are answered from the mark.
+		MaxResponseBytes: responseOverheadBytes,
+	}, world.Clock(vm))
+	// Whole segments of sequence numbers are dropped; the model issues few tickets, so most begin a segment.
+	process.ledger.next = segmentMarks - 1
+	if process.withoutOwnKey {
+		process.ledger.key = []byte("key")
+	}
+	if process.clockGoesBack {
+		process.ledger.clock = plainClock{start: world.Clock(vm).Now(), clock: world.Clock(vm)}
+	}
+	return &process
+}
+
+// plainClock is the ledger's clock without the guard against steps back.
+type plainClock struct {
+	start time.Time
+	clock model.Clock
+}
+
+func (plainClock plainClock) now() time.Duration { return plainClock.clock.Now().Sub(plainClock.start) }
+
+func (process *ticketProcess) Issue() (string, bool) {
+	process.ledger.next += uint64(process.world.Choose(2)) * segmentMarks / 2
+	text, err := process.ledger.Issue("ledger", "filing")
+	return text, err == nil
+}
+
+func (process *ticketProcess) Receive(key string) model.Decision {
+	process.weaken()
+	answer, run := process.ledger.Begin(key, "ledger", "filing")
+	if run == nil {
+		return model.Decision{Outcome: process.outcome(answer)}
+	}
+	if process.withoutMark || process.markedAfterTheWrite {
+		delete(process.ledger.records, run.record.sequence)
+		process.ledger.marks.set(run.record.sequence, markUnused)
+	}
+	return model.Decision{Run: ticketRun{run: run, process: process}}
+}
+
+func (process *ticketProcess) Query(key string) oleandervane.Outcome {
+	process.weaken()
+	return process.outcome(process.ledger.Query(key))
+}
+
+func (process *ticketProcess) Revoke(key string) oleandervane.Outcome {
+	process.weaken()
+	answer := process.ledger.Query(key)
+	if answer.State == Unused && process.withoutRevokeMark {
+		return oleandervane.NotRun
+	}
+	return process.outcome(process.ledger.Revoke(key))
+}
+
+func (process *ticketProcess) weaken() {
+	if process.withoutFloor {
+		process.ledger.marks.floor = 0
+	}
+}
+
+func (process *ticketProcess) outcome(answer Answer) oleandervane.Outcome {
+	untrue := answer.State == Foreign && process.foreignIsNotRun ||
+		answer.State == Unused && process.unusedIsNotRun ||
+		answer.State == Running && process.runningIsNotRun ||
+		answer.State == Recorded && answer.outcome == oleandervane.Unknown && process.unknownIsNotRun
+	if untrue {
+		return oleandervane.NotRun
+	}
+	return answer.Outcome()
+}
+
+type ticketRun struct {
+	run     *Run
+	process *ticketProcess
+}
+
+func (run ticketRun) CheckBeforeWrite() error { return run.run.CheckExpiry() }
+
+func (run ticketRun) Finish(outcome oleandervane.Outcome) {
+	if !run.process.withoutMark {
+		run.run.Finish(outcome, Response{})
+	}
+}
+
+func playSeeded(protocol model.Protocol) model.Report {
+	total := model.Report{}
+	for number := range modelHistories {
+		total = total.Plus(playOne(protocol, number))
+	}
+	return total
+}
+
+func playOne(protocol model.Protocol, number int) model.Report {
+	random := rand.New(rand.NewPCG(modelSeed, uint64(number)))
+	return model.Play(random.IntN, protocol)
+}
+
+// Guards against double runs and false "not run" in any order of resends, kills, pauses, cuts, splits, replacements
+// and clock steps.
+func TestFigureAtMostOnce(t *testing.T) {
+	t.Logf("seed %d, %d histories", modelSeed, modelHistories)
+	report := playSeeded(ticketProcess{}.started)
+	t.Logf("%+v", report)
+	assert.Assert(t, report.Runs > modelHistories, "the histories run too little to show anything")
+	figure.Require(t, figure.Figure{Name: "request_double_runs", Value: float64(report.DoubleRuns), Unit: "requests", Bound: 0})
+	figure.Require(t, figure.Figure{Name: "request_false_not_run", Value: float64(report.FalseNotRun), Unit: "requests", Bound: 0})
+}
+
+// Does the same with rapid, which shrinks a history that breaks the promise to a short one.
+func TestAtMostOnceShrinks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		choose := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") }
+		report := model.Play(choose, ticketProcess{}.started)
+		assert.Equal(t, report.DoubleRuns+report.FalseNotRun, 0)
+	})
+}
+
+// Guards against a model that cannot find faults: without any one of the guards the promise must be broken.
+func TestWithoutGuardsPromiseBreaks(t *testing.T) {
+	for name, guards := range map[string]ticketProcess{
+		"mark of use":                     {withoutMark: true},
+		"mark before the write":           {markedAfterTheWrite: true},
+		"mark of revocation":              {withoutRevokeMark: true},
+		"floor of forgotten tickets":      {withoutFloor: true},
+		"key of one incarnation":          {withoutOwnKey: true},
+		"clock that never goes back":      {clockGoesBack: true},
+		"unknown for foreign tickets":     {foreignIsNotRun: true},
+		"unknown for unused tickets":      {unusedIsNotRun: true},
+		"unknown for running requests":    {runningIsNotRun: true},
+		"unknown after broken connection": {unknownIsNotRun: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for number := range modelHistories {
+				report := playOne(guards.started, number)
+				if report.DoubleRuns+report.FalseNotRun > 0 {
+					t.Logf("history %d: double runs %d, false not run %d", number, report.DoubleRuns, report.FalseNotRun)
+					return
+				}
+			}
+			t.Fatalf("%d histories did not find that the guard is missing", modelHistories)
+		})
+	}
+}
+
+// Measures the alternatives of decision 0001 on the same histories. The home VM runs requests twice; if it does not,
+// the histories are too tame to tell the alternatives apart.
+func TestFigureAlternatives(t *testing.T) {
+	home := playSeeded(model.HomeVM)
+	store := playSeeded(model.StoreRecord)
+	ticket := playSeeded(ticketProcess{}.started)
+	for name, report := range map[string]model.Report{"home VM": home, "store record": store, "ticket": ticket} {
+		writes := float64(report.StoreWrites) / float64(report.Filings)
+		t.Logf("%s: %+v, %.2f store writes per filing", name, report, writes)
+	}
+	assert.Assert(t, home.DoubleRuns > 0)
+	assert.Equal(t, store.DoubleRuns+store.FalseNotRun, 0)
+	figure.Require(t, figure.Figure{Name: "request_store_writes", Value: float64(ticket.StoreWrites), Unit: "writes", Bound: 0})
+}
