Add drain plans and a comparison that steps a fleet of real decision code

Cause: fleet-wide invariants and the choice between alternatives need figures from many instances of the decision code.

Ruled out: a capacity factor for drains; it moves nothing while there is room and then more than the cap allows, so plans state progress instead.

--- /dev/null
+++ b/steering/comparison/checker.go
@@ -0,0 +1,305 @@
+package comparison
+
+import (
+	"fmt"
+	"time"
+
+	"oleandervane.example"
+)
+
+// Violation is a broken invariant.
+type Violation struct {
+	// Rule is the invariant's name, such as "I1 fleet".
+	Rule   string
+	Second int
+	Detail string
+}
+
+// String returns the violation for a test's failure.
+func (violation Violation) String() string {
+	return fmt.Sprintf("%s at %d s: %s", violation.Rule, violation.Second, violation.Detail)
+}
+
+const (
+	// maxViolations bounds how many violations a run keeps.
+	maxViolations = 20
+	// shareTolerance is what rounding may add to a share, and rateTolerance to a rate as a part of it.
+	shareTolerance = 1e-6
+	rateTolerance  = 1e-6
+	// demandLag is the age of the demand that a receiving VM may still go by, in seconds, beyond the measurement age.
+	demandLag = 3
+)
+
+// checker checks the invariants after every second.
+type checker struct {
+	fleet *Fleet
+	// enabled is false for baselines, which keep none of the invariants.
+	enabled bool
+	// past has the traffic since one window and the age of figures before.
+	past []*traffic
+	// caps has the largest cap in force in each second, by service.
+	caps [][]float64
+}
+
+func newChecker(fleet *Fleet) *checker {
+	return &checker{fleet: fleet, enabled: fleet.strategy == Grants}
+}
+
+func (checker *checker) violate(rule, format string, arguments ...any) {
+	violations := &checker.fleet.result.Violations
+	if len(*violations) < maxViolations {
+		*violations = append(*violations, Violation{Rule: rule, Second: checker.fleet.second - warmUp, Detail: fmt.Sprintf(format, arguments...)})
+	}
+}
+
+func (checker *checker) check(traffic *traffic) {
+	checker.past = append(checker.past, traffic)
+	checker.caps = append(checker.caps, checker.capsNow())
+	if !checker.enabled {
+		return
+	}
+	for s, name := range checker.fleet.deployment.Services {
+		for home := range checker.fleet.regions {
+			checker.checkFleetShift(s, home)
+		}
+		checker.checkAdmitted(traffic, s, name)
+		checker.checkGrants(name)
+	}
+	for _, vm := range checker.fleet.vms {
+		if vm.runs() && vm.decider.ready() {
+			checker.checkVM(vm)
+		}
+	}
+	checker.trim()
+}
+
+// trim forgets what no check looks at any more.
+func (checker *checker) trim() {
+	keep := checker.window(0) + checker.demandAge() + 1
+	for _, name := range checker.fleet.deployment.Services {
+		keep = max(keep, int(checker.fleet.configuration.Services[name].ShiftWindow/time.Second)+checker.demandAge()+1)
+	}
+	if len(checker.past) > keep {
+		checker.past = checker.past[1:]
+		checker.caps = checker.caps[1:]
+	}
+}
+
+func (checker *checker) demandAge() int {
+	return demandLag + int(time.Duration(checker.fleet.scripted.MeasurementAge)/time.Second)
+}
+
+func (checker *checker) window(s int) int {
+	name := checker.fleet.deployment.Services[s]
+	return int(checker.fleet.configuration.Services[name].ShiftWindow / time.Second)
+}
+
+// capsNow returns the cap in force for each service.
+func (checker *checker) capsNow() []float64 {
+	anyLost := false
+	for _, lost := range checker.fleet.knownLost {
+		anyLost = anyLost || lost
+	}
+	var caps []float64
+	for _, name := range checker.fleet.deployment.Services {
+		service := checker.fleet.configuration.Services[name]
+		if anyLost {
+			caps = append(caps, max(service.ShiftCap, service.FailoverCap))
+			continue
+		}
+		caps = append(caps, service.ShiftCap)
+	}
+	return caps
+}
+
+// capWithin returns the largest cap of a service that was in force within the last seconds.
+func (checker *checker) capWithin(s, seconds int) float64 {
+	largest := 0.0
+	for i := max(0, len(checker.caps)-1-seconds); i < len(checker.caps); i++ {
+		largest = max(largest, checker.caps[i][s])
+	}
+	return largest
+}
+
+// checkFleetShift checks I1 in the sum over the fleet: what regions other than home admit of the flow grows by at
+// most the cap within a window. While demand changes, a rate is compared with the largest demand that receiving
+// VMs may still know, and an earlier rate with the smallest.
+func (checker *checker) checkFleetShift(s, home int) {
+	last := len(checker.past) - 1
+	smallest, largest := checker.demandRange(s, home)
+	if smallest <= 0 {
+		return
+	}
+	allowed := checker.capWithin(s, checker.window(s))
+	for first := max(0, last-checker.window(s)); first < last; first++ {
+		shift := 0.0
+		for region := range checker.fleet.regions {
+			if region == home {
+				continue
+			}
+			now := checker.past[last].admitted[s][home][region] / largest
+			before := checker.past[first].admitted[s][home][region] / smallest
+			shift += max(0, now-before)
+		}
+		if shift > allowed+shareTolerance {
+			checker.violate("I1 fleet", "%s of %s: %.4f of the flow arrived elsewhere within %d s, cap %.4f",
+				checker.fleet.deployment.Services[s], checker.fleet.deployment.Regions[home], shift, last-first, allowed)
+			return
+		}
+	}
+}
+
+// demandRange returns the smallest and largest demand, true or reported, that a VM may go by.
+func (checker *checker) demandRange(s, home int) (smallest, largest float64) {
+	for _, earlier := range checker.past {
+		demand := earlier.demand[s][home]
+		if smallest == 0 || demand < smallest {
+			smallest = demand
+		}
+		largest = max(largest, demand)
+	}
+	name := checker.fleet.deployment.Services[s]
+	flow := oleandervane.Flow{Service: name, Home: checker.fleet.deployment.Regions[home]}
+	for _, vm := range checker.fleet.vms {
+		if summary, known := vm.summaries[flow]; known && summary.DemandPerSecond > 0 {
+			smallest = min(smallest, summary.DemandPerSecond)
+			largest = max(largest, summary.DemandPerSecond)
+		}
+	}
+	return smallest, largest
+}
+
+// checkAdmitted checks I2 on arrival: a region never serves more than its reported capacity less headroom.
+func (checker *checker) checkAdmitted(traffic *traffic, s int, name oleandervane.ServiceName) {
+	headroom := checker.fleet.configuration.Services[name].Headroom
+	for region, regionName := range checker.fleet.deployment.Regions {
+		admitted := 0.0
+		for home := range checker.fleet.regions {
+			admitted += traffic.admitted[s][home][region]
+		}
+		usable := checker.reported(oleandervane.Flow{Service: name, Home: regionName}, region).CapacityPerSecond * (1 - headroom)
+		if admitted > usable*(1+rateTolerance)+rateTolerance {
+			checker.violate("I2 admitted", "%s in %s: %.2f requests/s, usable %.2f", name, regionName, admitted, usable)
+		}
+	}
+}
+
+// reported returns the summary of its own region that the VMs of a region know, with the largest capacity if they
+// differ.
+func (checker *checker) reported(flow oleandervane.Flow, region int) oleandervane.RegionSummary {
+	var result oleandervane.RegionSummary
+	for _, vm := range checker.fleet.vms {
+		if vm.region != region {
+			continue
+		}
+		if summary, known := vm.summaries[flow]; known && summary.CapacityPerSecond >= result.CapacityPerSecond {
+			result = summary
+		}
+	}
+	return result
+}
+
+// checkGrants checks I2 for stale figures: all that a region's VMs grant fits beside the region's own demand, so that
+// source VMs that use all of it at the same instant overload nothing.
+func (checker *checker) checkGrants(name oleandervane.ServiceName) {
+	headroom := checker.fleet.configuration.Services[name].Headroom
+	for region, regionName := range checker.fleet.deployment.Regions {
+		granted := 0.0
+		for _, vm := range checker.fleet.vms {
+			if vm.region != region || !vm.runs() {
+				continue
+			}
+			for _, grant := range vm.ownGrants() {
+				if grant.Service == name {
+					granted += grant.PerSecond
+				}
+			}
+		}
+		summary := checker.reported(oleandervane.Flow{Service: name, Home: regionName}, region)
+		room := max(0, summary.CapacityPerSecond*(1-headroom)-summary.DemandPerSecond)
+		if granted > room*(1+rateTolerance)+rateTolerance {
+			checker.violate("I2 grants", "%s in %s: %.2f requests/s granted, room %.2f", name, regionName, granted, room)
+		}
+	}
+}
+
+// checkVM checks the decisions of one VM against what it knows.
+func (checker *checker) checkVM(vm *vm) {
+	fleet := checker.fleet
+	granted := map[oleandervane.Flow]map[oleandervane.Region]float64{}
+	for _, grant := range vm.Grants() {
+		flow := oleandervane.Flow{Service: grant.Service, Home: grant.From}
+		if granted[flow] == nil {
+			granted[flow] = map[oleandervane.Region]float64{}
+		}
+		if grant.ExpiresAt.After(vm.Now()) {
+			granted[flow][grant.To] += grant.PerSecond
+		}
+	}
+	for home, homeName := range fleet.deployment.Regions {
+		linkBytes := make([]float64, len(fleet.regions))
+		for s, name := range fleet.deployment.Services {
+			flow := oleandervane.Flow{Service: name, Home: homeName}
+			vector := vm.decider.vector(flow)
+			checker.checkVector(vm, s, flow, vector)
+			checker.checkRoom(vm, flow, vector, granted[flow])
+			demand := vm.summaries[flow].DemandPerSecond
+			bytes := demand * float64(fleet.configuration.Services[name].RequestBytes)
+			for region, regionName := range fleet.deployment.Regions {
+				linkBytes[region] += vector[regionName] * bytes
+			}
+		}
+		for region := range fleet.regions {
+			if region != home && linkBytes[region] > linkBytesPerSecond*(0.5+rateTolerance) {
+				checker.violate("link", "%s sends %.0f bytes/s from %s to %s", vm.entry.ID, linkBytes[region], homeName, fleet.deployment.Regions[region])
+			}
+		}
+	}
+}
+
+// checkVector checks I1 on the VM and that the vector is one.
+func (checker *checker) checkVector(vm *vm, s int, flow oleandervane.Flow, vector oleandervane.ShareVector) {
+	sum := 0.0
+	for region, share := range vector {
+		sum += share
+		if share < 0 {
+			checker.violate("vector", "%s: %v of %v is negative", vm.entry.ID, region, flow)
+		}
+		if share > 0 && checker.fleet.knownLost[region] {
+			checker.violate("lost region", "%s: %s has %.4f of %v", vm.entry.ID, region, share, flow)
+		}
+	}
+	if sum > 1+shareTolerance {
+		checker.violate("vector", "%s: shares of %v sum to %.6f", vm.entry.ID, flow, sum)
+	}
+	window := checker.window(s)
+	kept := vm.last[flow]
+	for len(kept) > 0 && kept[0].second < checker.fleet.second-window {
+		kept = kept[1:]
+	}
+	allowed := checker.capWithin(s, window)
+	for _, earlier := range kept {
+		if shift := vector.ShiftFrom(earlier.vector); shift > allowed+shareTolerance {
+			checker.violate("I1 VM", "%s: %v shifts by %.4f within %d s, cap %.4f", vm.entry.ID, flow, shift, checker.fleet.second-earlier.second, allowed)
+			break
+		}
+	}
+	vm.last[flow] = append(kept, vectorAt{second: checker.fleet.second, vector: vector})
+}
+
+// checkRoom checks I2 at the VM: its shares fit the grants and the home room that it knows.
+func (checker *checker) checkRoom(vm *vm, flow oleandervane.Flow, vector oleandervane.ShareVector, granted map[oleandervane.Region]float64) {
+	summary, known := vm.summaries[flow]
+	if !known || summary.DemandPerSecond <= 0 {
+		return
+	}
+	for region, share := range vector {
+		room := granted[region]
+		if region == flow.Home {
+			room = summary.CapacityPerSecond * (1 - checker.fleet.configuration.Services[flow.Service].Headroom)
+		}
+		if rate := share * summary.DemandPerSecond; rate > room*(1+rateTolerance)+rateTolerance {
+			checker.violate("I2 decision", "%s: %v sends %.2f requests/s to %s, room %.2f", vm.entry.ID, flow, rate, region, room)
+		}
+	}
+}
--- /dev/null
+++ b/steering/drain/check.go
@@ -0,0 +1,250 @@
+package drain
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"oleandervane.example"
+)
+
+// Errors that say why a drain is refused. They are wrapped with the figures.
+var (
+	ErrUnknownTarget = eris.New("the target of the drain is not configured")
+	ErrTimes         = eris.New("the drain returns before it is empty")
+	ErrTooLate       = eris.New("the drain cannot be finished in time within the shift cap")
+	ErrNoRoom        = eris.New("the other regions have no room for the drained traffic")
+	ErrLinkFull      = eris.New("the links have no room for the drained traffic")
+	ErrOverlap       = eris.New("the drain shifts the same flow at the same time as another")
+)
+
+// Figures are what a plan is checked against. They are immutable.
+type Figures struct {
+	Summaries []oleandervane.RegionSummary
+	// GroupPart returns the share of a region's capacity for a service that a failure domain has. If it is nil,
+	// failure domains have equal shares.
+	GroupPart func(serviceName oleandervane.ServiceName, failureDomain oleandervane.FailureDomain) float64
+	// EntryVMs is the number of entry VMs in each region; a drain of entry VMs takes their parts of capacity.
+	EntryVMs map[oleandervane.Region]int
+}
+
+// Refusal is a drain that was refused.
+type Refusal struct {
+	Drain  oleandervane.Drain
+	Reason error
+}
+
+// linkUse is the share of a link that drained traffic may use, as in package share.
+const linkUse = 0.5
+
+// New plans the drains of a configuration in the order given. A drain that is refused takes no part in the check
+// of later ones.
+func New(configuration *oleandervane.Configuration, figures Figures, now time.Time) (Plans, []Refusal) {
+	var plans Plans
+	var refusals []Refusal
+	for _, drain := range configuration.Drains {
+		plan, err := newPlan(configuration, figures, drain)
+		if err == nil {
+			err = check(configuration, figures, plans, plan, now)
+		}
+		if err != nil {
+			refusals = append(refusals, Refusal{Drain: drain, Reason: eris.Wrapf(err, "planning drain %s", drain.Name)})
+			continue
+		}
+		plans = append(plans, plan)
+	}
+	sortPlans(plans)
+	return plans, refusals
+}
+
+func newPlan(configuration *oleandervane.Configuration, figures Figures, drain oleandervane.Drain) (Plan, error) {
+	if !drain.ReturnAt.After(drain.EmptyFrom) {
+		return Plan{}, ErrTimes
+	}
+	region, known := configuration.Regions[drain.Region]
+	if !known {
+		return Plan{}, eris.Wrapf(ErrUnknownTarget, "region %q", drain.Region)
+	}
+	parts, err := parts(configuration, figures, region, drain)
+	if err != nil {
+		return Plan{}, err
+	}
+	shift := duration(configuration, parts)
+	if drain.Target == oleandervane.DrainEntryVMs {
+		shift = max(shift, configuration.LookupLifetime)
+	}
+	return Plan{
+		Drain:     drain,
+		Parts:     parts,
+		Start:     drain.EmptyFrom.Add(-Margin - shift),
+		ReturnEnd: drain.ReturnAt.Add(shift),
+	}, nil
+}
+
+// parts returns the share of the region's capacity that the drain takes of each service.
+func parts(configuration *oleandervane.Configuration, figures Figures, region oleandervane.RegionSettings, drain oleandervane.Drain) (map[oleandervane.ServiceName]float64, error) {
+	result := map[oleandervane.ServiceName]float64{}
+	switch drain.Target {
+	case oleandervane.DrainRegion:
+		for name := range configuration.Services {
+			result[name] = 1
+		}
+	case oleandervane.DrainFailureDomain:
+		for name := range configuration.Services {
+			part, err := figures.groupPart(region, name, drain.FailureDomain)
+			if err != nil {
+				return nil, err
+			}
+			result[name] = part
+		}
+	case oleandervane.DrainBackendGroup:
+		if _, known := configuration.Services[drain.Service]; !known {
+			return nil, eris.Wrapf(ErrUnknownTarget, "service %q", drain.Service)
+		}
+		part, err := figures.groupPart(region, drain.Service, drain.FailureDomain)
+		if err != nil {
+			return nil, err
+		}
+		result[drain.Service] = part
+	case oleandervane.DrainEntryVMs:
+		running := figures.EntryVMs[drain.Region]
+		if running == 0 || len(drain.EntryVMs) == 0 {
+			return nil, eris.Wrapf(ErrUnknownTarget, "entry VMs of %s", drain.Region)
+		}
+		for name := range configuration.Services {
+			result[name] = min(1, float64(len(drain.EntryVMs))/float64(running))
+		}
+	default:
+		return nil, eris.Wrapf(ErrUnknownTarget, "target %q", drain.Target)
+	}
+	return result, nil
+}
+
+func (figures Figures) groupPart(region oleandervane.RegionSettings, name oleandervane.ServiceName, failureDomain oleandervane.FailureDomain) (float64, error) {
+	for _, known := range region.FailureDomains {
+		if known != failureDomain {
+			continue
+		}
+		if figures.GroupPart != nil {
+			return min(1, max(0, figures.GroupPart(name, failureDomain))), nil
+		}
+		return 1 / float64(len(region.FailureDomains)), nil
+	}
+	return 0, eris.Wrapf(ErrUnknownTarget, "failure domain %q of region %s", failureDomain, region.Name)
+}
+
+// check says why a plan cannot be carried out together with those accepted before.
+func check(configuration *oleandervane.Configuration, figures Figures, plans Plans, plan Plan, now time.Time) error {
+	if plan.Start.Before(now) {
+		return eris.Wrapf(ErrTooLate, "it takes %s, so the earliest time to be empty is %s",
+			plan.Drain.EmptyFrom.Sub(plan.Start), clock(now.Add(plan.Drain.EmptyFrom.Sub(plan.Start))))
+	}
+	together := Plans{plan}
+	for _, other := range plans {
+		if !other.Start.Before(plan.ReturnEnd) || !plan.Start.Before(other.ReturnEnd) {
+			continue
+		}
+		together = append(together, other)
+		if shiftsTogether(plan, other) {
+			return eris.Wrapf(ErrOverlap, "with drain %s", other.Drain.Name)
+		}
+	}
+	for _, name := range sortedNames(plan.Parts) {
+		if err := checkRoom(configuration, figures, together, name); err != nil {
+			return err
+		}
+	}
+	return checkLinks(configuration, figures, together, plan.Drain.Region)
+}
+
+// shiftsTogether says whether two plans shift the same flow at the same time, on their way out or back.
+func shiftsTogether(a, b Plan) bool {
+	if a.Drain.Region != b.Drain.Region {
+		return false
+	}
+	sameService := false
+	for name, part := range a.Parts {
+		sameService = sameService || part > 0 && b.Parts[name] > 0
+	}
+	return sameService && slopesMeet(a, b)
+}
+
+func slopesMeet(a, b Plan) bool {
+	for _, first := range a.slopes() {
+		for _, second := range b.slopes() {
+			if first[0].Before(second[1]) && second[0].Before(first[1]) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// slopes returns the times in which the plan shifts traffic, as pairs of begin and end.
+func (plan Plan) slopes() [][2]time.Time {
+	return [][2]time.Time{{plan.Start, plan.Drain.EmptyFrom}, {plan.Drain.ReturnAt, plan.ReturnEnd}}
+}
+
+// checkRoom compares the demand for a service with the capacity less headroom that all the plans leave when they
+// overlap, as if they were all empty at once.
+func checkRoom(configuration *oleandervane.Configuration, figures Figures, together Plans, name oleandervane.ServiceName) error {
+	headroom := configuration.Services[name].Headroom
+	usable, demand := 0.0, 0.0
+	for _, summary := range figures.Summaries {
+		if summary.Service != name {
+			continue
+		}
+		left := 1.0
+		for _, plan := range together {
+			if plan.Drain.Region == summary.Region {
+				left -= plan.Parts[name]
+			}
+		}
+		usable += summary.CapacityPerSecond * (1 - headroom) * max(0, left)
+		demand += summary.DemandPerSecond
+	}
+	if demand > usable {
+		return eris.Wrapf(ErrNoRoom, "%s needs %.0f requests/s and %.0f are left%s", name, demand, usable, otherNames(together))
+	}
+	return nil
+}
+
+func otherNames(together Plans) string {
+	if len(together) == 1 {
+		return ""
+	}
+	names := ""
+	for _, plan := range together[1:] {
+		names += " " + plan.Drain.Name
+	}
+	return fmt.Sprintf(" together with%s", names)
+}
+
+// checkLinks compares what a region's own callers send elsewhere with the links out of it.
+func checkLinks(configuration *oleandervane.Configuration, figures Figures, together Plans, region oleandervane.Region) error {
+	needed, capacity := 0.0, 0.0
+	for _, summary := range figures.Summaries {
+		if summary.Region != region {
+			continue
+		}
+		service := configuration.Services[summary.Service]
+		left := 1.0
+		for _, plan := range together {
+			if plan.Drain.Region == region {
+				left -= plan.Parts[summary.Service]
+			}
+		}
+		moved := summary.DemandPerSecond - summary.CapacityPerSecond*(1-service.Headroom)*max(0, left)
+		needed += max(0, moved) * float64(service.RequestBytes)
+	}
+	for _, link := range configuration.Links {
+		if link.From == region {
+			capacity += float64(link.BytesPerSecond) * linkUse
+		}
+	}
+	if needed > capacity {
+		return eris.Wrapf(ErrLinkFull, "out of %s %.0f bytes/s are needed and %.0f are free", region, needed, capacity)
+	}
+	return nil
+}
--- /dev/null
+++ b/steering/drain/plan.go
@@ -0,0 +1,123 @@
+package drain
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"oleandervane.example"
+	"oleandervane.example/steering/share"
+)
+
+const (
+	// pace is the share of the shift cap that a plan uses. The rest is left for what happens meanwhile.
+	pace = 0.8
+	// Margin is the time between the end of the planned shift and EmptyFrom. It covers figures and grants that
+	// arrive late (20 s and 2 s) and requests in flight.
+	Margin = 30 * time.Second
+	// reportTime is how long after EmptyFrom the drainage of a part of a region stands. After that, the region's own
+	// figures show that the drained instances are gone.
+	reportTime = 15 * time.Second
+)
+
+// Plan is an accepted drain. It is immutable.
+type Plan struct {
+	Drain oleandervane.Drain
+	// Parts is the share of the region's capacity that is drained, by service.
+	Parts map[oleandervane.ServiceName]float64
+	// Start is when traffic begins to leave; ReturnEnd is when all of it may be back.
+	Start     time.Time
+	ReturnEnd time.Time
+}
+
+// Plans are accepted drains, in the order of their start.
+type Plans []Plan
+
+// Drainage returns how far the plans are in a region for a service.
+func (plans Plans) Drainage(now time.Time, region oleandervane.Region, serviceName oleandervane.ServiceName) share.Drainage {
+	part, emptied := 0.0, 0.0
+	for _, plan := range plans {
+		if plan.Drain.Region != region {
+			continue
+		}
+		drained := plan.Parts[serviceName]
+		part += drained
+		emptied += drained * plan.progress(now, drained)
+	}
+	if part == 0 {
+		return share.Drainage{}
+	}
+	return share.Drainage{Part: min(1, part), Progress: emptied / part}
+}
+
+// progress returns how much of the target has been emptied, in [0, 1].
+func (plan Plan) progress(now time.Time, part float64) float64 {
+	drain := plan.Drain
+	switch {
+	case now.Before(plan.Start) || !now.Before(plan.ReturnEnd):
+		return 0
+	case now.Before(drain.EmptyFrom):
+		return fraction(now.Sub(plan.Start), drain.EmptyFrom.Add(-Margin).Sub(plan.Start))
+	case now.Before(drain.ReturnAt):
+		if part < 1 && now.Sub(drain.EmptyFrom) > reportTime {
+			return 0
+		}
+		return 1
+	}
+	return 1 - fraction(now.Sub(drain.ReturnAt), plan.ReturnEnd.Sub(drain.ReturnAt))
+}
+
+func fraction(passed, whole time.Duration) float64 {
+	if whole <= 0 {
+		return 1
+	}
+	return min(1, float64(passed)/float64(whole))
+}
+
+// duration returns how long it takes to shift the largest part within every service's cap.
+func duration(configuration *oleandervane.Configuration, parts map[oleandervane.ServiceName]float64) time.Duration {
+	longest := time.Duration(0)
+	for name, part := range parts {
+		service := configuration.Services[name]
+		if service.ShiftCap <= 0 {
+			return math.MaxInt64 / 4
+		}
+		windows := part / (service.ShiftCap * pace)
+		longest = max(longest, time.Duration(windows*float64(service.ShiftWindow)))
+	}
+	return longest.Round(time.Second)
+}
+
+// String returns the plan for operators.
+func (plan Plan) String() string {
+	var text strings.Builder
+	drain := plan.Drain
+	fmt.Fprintf(&text, "drain %s (%s in %s): traffic leaves from %s, empty from %s, returns from %s to %s",
+		drain.Name, drain.Target, drain.Region, clock(plan.Start), clock(drain.EmptyFrom), clock(drain.ReturnAt), clock(plan.ReturnEnd))
+	for _, name := range sortedNames(plan.Parts) {
+		fmt.Fprintf(&text, "; %s loses %.0f%% of the region's capacity", name, 100*plan.Parts[name])
+	}
+	return text.String()
+}
+
+func clock(moment time.Time) string {
+	return moment.UTC().Format(time.RFC3339)
+}
+
+func sortedNames(parts map[oleandervane.ServiceName]float64) []oleandervane.ServiceName {
+	names := make([]oleandervane.ServiceName, 0, len(parts))
+	for name := range parts {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func sortPlans(plans Plans) {
+	slices.SortStableFunc(plans, func(a, b Plan) int {
+		return cmp.Or(a.Start.Compare(b.Start), cmp.Compare(a.Drain.Name, b.Drain.Name))
+	})
+}
--- a/steering/grant/keeper.go
+++ b/steering/grant/keeper.go
@@ -29,11 +29,11 @@
 
 // Keeper owns one VM's part of its region's capacity. Take is safe for concurrent use with everything else.
 type Keeper struct {
-	self   oleandervane.EntryVM
-	sight  Sight
-	factor share.FactorFunc
-	mutex  sync.Mutex
-	roster Roster
+	self     oleandervane.EntryVM
+	sight    Sight
+	drainage share.DrainageFunc
+	mutex    sync.Mutex
+	roster   Roster
 	// arrivals has the admitted rates of each service, oldest first, for the longest shift window.
 	arrivals []arrivalsAt
 	lastTick time.Time
@@ -85,9 +85,9 @@
 	return math.Float64frombits(counter.bits.Swap(0))
 }
 
-// NewKeeper returns a keeper without a part. The factor, which may be nil, says what planned drains leave.
-func NewKeeper(self oleandervane.EntryVM, sight Sight, factor share.FactorFunc) *Keeper {
-	keeper := &Keeper{self: self, sight: sight, factor: factor, roster: NewRoster(self.ID)}
+// NewKeeper returns a keeper without a part. The drainage of planned drains may be nil.
+func NewKeeper(self oleandervane.EntryVM, sight Sight, drainage share.DrainageFunc) *Keeper {
+	keeper := &Keeper{self: self, sight: sight, drainage: drainage, roster: NewRoster(self.ID)}
 	keeper.state.Store(&state{})
 	return keeper
 }
@@ -277,8 +277,8 @@
 		Factor:            1,
 		without:           keeper.without,
 	}
-	if keeper.factor != nil {
-		input.Factor = keeper.factor(now, keeper.self.Region, name)
+	if keeper.drainage != nil {
+		input.Factor = keeper.drainage(now, keeper.self.Region, name).Remaining()
 	}
 	lost := keeper.sight.LostRegions()
 	for _, region := range slices.Sorted(maps.Keys(configuration.Regions)) {
@@ -293,8 +293,8 @@
 
 func (keeper *Keeper) source(now time.Time, configuration *oleandervane.Configuration, service oleandervane.Service, summary oleandervane.RegionSummary, flow oleandervane.Flow, lost map[oleandervane.Region]bool) Source {
 	usable := summary.CapacityPerSecond * (1 - service.Headroom)
-	if keeper.factor != nil {
-		usable *= keeper.factor(now, flow.Home, service.Name)
+	if keeper.drainage != nil {
+		usable = keeper.drainage(now, flow.Home, service.Name).Usable(usable, summary.DemandPerSecond)
 	}
 	shiftCap := service.ShiftCap
 	if lost[flow.Home] {
--- a/steering/share/policy.go
+++ b/steering/share/policy.go
@@ -11,22 +11,19 @@
 	"oleandervane.example/steering/internal/guard"
 )
 
-// FactorFunc gives the share of a region's capacity for a service that planned drains leave at a time, in [0, 1].
-type FactorFunc func(now time.Time, region oleandervane.Region, serviceName oleandervane.ServiceName) float64
-
 // Policy implements oleandervane.SteeringPolicy. It serves at home up to capacity less headroom, then overflows to
 // the nearest regions that granted room. It is immutable and safe for concurrent use.
 type Policy struct {
-	factor FactorFunc
+	drainage DrainageFunc
 	// without has the guards that tests switch off.
 	without guard.Set
 }
 
 var _ oleandervane.SteeringPolicy = Policy{}
 
-// NewPolicy returns a policy. The factor, which may be nil, says what planned drains leave.
-func NewPolicy(factor FactorFunc) Policy {
-	return Policy{factor: factor}
+// NewPolicy returns a policy. The drainage of planned drains may be nil.
+func NewPolicy(drainage DrainageFunc) Policy {
+	return Policy{drainage: drainage}
 }
 
 // Without returns a policy without some of its guards, for the mutation check.
@@ -65,7 +62,7 @@
 	}
 	scene := newScene(input)
 	names := slices.Sorted(maps.Keys(input.Configuration.Services))
-	rooms := scene.rooms(names, policy.factor)
+	rooms := scene.rooms(names, policy.drainage)
 	for home := range scene.regions {
 		plans := policy.planHome(scene, rooms, home)
 		for i, plan := range plans {
@@ -262,10 +259,10 @@
 	plan.target = make([]float64, len(scene.regions))
 	ceiling := make([]float64, len(scene.regions))
 	for region := range ceiling {
-		ceiling[region] = plan.limit[region] * room.factor[region]
+		ceiling[region] = plan.limit[region] * room.drainage[region].Remaining()
 	}
 	if room.heard[home] && room.demand[home] > 0 {
-		ceiling[home] = min(1, plan.limit[home], room.usable[home]*room.factor[home]/room.demand[home])
+		ceiling[home] = min(1, plan.limit[home], room.drainage[home].Usable(room.usable[home], room.demand[home])/room.demand[home])
 	}
 	plan.target[home] = min(1, ceiling[home])
 	left := 1 - plan.target[home]
--- a/steering/share/scene.go
+++ b/steering/share/scene.go
@@ -26,10 +26,10 @@
 	heard   []bool
 	// usable is the capacity less the headroom, in requests per second.
 	usable []float64
-	// factor is the share of usable that drains leave.
-	factor []float64
-	demand []float64
-	age    []time.Duration
+	// drainage is how far planned drains are.
+	drainage []Drainage
+	demand   []float64
+	age      []time.Duration
 	// granted has one row for each home region, in requests per second.
 	granted [][]float64
 }
@@ -81,11 +81,11 @@
 }
 
 // rooms sorts the summaries and grants of the input by service.
-func (scene *scene) rooms(names []oleandervane.ServiceName, factor FactorFunc) []*room {
+func (scene *scene) rooms(names []oleandervane.ServiceName, drainage DrainageFunc) []*room {
 	rooms := make([]*room, len(names))
 	byName := make(map[oleandervane.ServiceName]*room, len(names))
 	for i, name := range names {
-		rooms[i] = scene.newRoom(scene.input.Configuration.Services[name], factor)
+		rooms[i] = scene.newRoom(scene.input.Configuration.Services[name], drainage)
 		byName[name] = rooms[i]
 	}
 	for _, summary := range scene.input.Summaries {
@@ -97,21 +97,20 @@
 	return rooms
 }
 
-func (scene *scene) newRoom(service oleandervane.Service, factor FactorFunc) *room {
+func (scene *scene) newRoom(service oleandervane.Service, drainage DrainageFunc) *room {
 	size := len(scene.regions)
 	room := &room{
-		service: service,
-		heard:   make([]bool, size),
-		usable:  make([]float64, size),
-		factor:  make([]float64, size),
-		demand:  make([]float64, size),
-		age:     make([]time.Duration, size),
-		granted: matrix[float64](size),
+		service:  service,
+		heard:    make([]bool, size),
+		usable:   make([]float64, size),
+		drainage: make([]Drainage, size),
+		demand:   make([]float64, size),
+		age:      make([]time.Duration, size),
+		granted:  matrix[float64](size),
 	}
 	for i, region := range scene.regions {
-		room.factor[i] = 1
-		if factor != nil {
-			room.factor[i] = factor(scene.input.Now, region, service.Name)
+		if drainage != nil {
+			room.drainage[i] = drainage(scene.input.Now, region, service.Name)
 		}
 	}
 	return room
