--- a/steering/comparison/checker.go
+++ b/steering/comparison/checker.go
@@ -48,7 +48,7 @@
 func (checker *checker) violate(rule, format string, arguments ...any) {
 	violations := &checker.fleet.result.Violations
 	if len(*violations) < maxViolations {
-		*violations = append(*violations, Violation{Rule: rule, Second: checker.fleet.second - warmUp, Detail: fmt.Sprintf(format, arguments...)})
+		*violations = append(*violations, Violation{Rule: rule, Second: checker.fleet.second - checker.fleet.warmUp, Detail: fmt.Sprintf(format, arguments...)})
 	}
 }
 
@@ -184,15 +184,14 @@
 	}
 }
 
-// reported returns the summary of its own region that the VMs of a region know, with the largest capacity if they
-// differ.
+// reported returns the newest summary of its own region that a running VM of a region knows.
 func (checker *checker) reported(flow oleandervane.Flow, region int) oleandervane.RegionSummary {
 	var result oleandervane.RegionSummary
 	for _, vm := range checker.fleet.vms {
-		if vm.region != region {
+		if vm.region != region || !vm.runs() {
 			continue
 		}
-		if summary, known := vm.summaries[flow]; known && summary.CapacityPerSecond >= result.CapacityPerSecond {
+		if summary, known := vm.summaries[flow]; known && !summary.MeasuredAt.Before(result.MeasuredAt) {
 			result = summary
 		}
 	}
--- a/steering/comparison/drains.go
+++ b/steering/comparison/drains.go
@@ -19,7 +19,7 @@
 		drains = append(drains, oleandervane.Drain{
 			Name: scripted.Name, Target: scripted.Target, Service: scripted.Service, Region: scripted.Region,
 			FailureDomain: scripted.Domain,
-			EmptyFrom:     at(scripted.EmptyFrom), ReturnAt: at(scripted.ReturnAt),
+			EmptyFrom:     fleet.at(scripted.EmptyFrom), ReturnAt: fleet.at(scripted.ReturnAt),
 		})
 	}
 	configuration := fleet.configuration.WithDrains(drains)
@@ -32,8 +32,8 @@
 	return nil
 }
 
-func at(duration Duration) time.Time {
-	return epoch.Add(warmUp*time.Second + time.Duration(duration))
+func (fleet *Fleet) at(duration Duration) time.Time {
+	return epoch.Add(time.Duration(fleet.warmUp)*time.Second + time.Duration(duration))
 }
 
 func (fleet *Fleet) usualFigures() []oleandervane.RegionSummary {
--- a/steering/comparison/fleet.go
+++ b/steering/comparison/fleet.go
@@ -40,11 +40,13 @@
 	without       guard.Set
 	plans         drain.Plans
 	second        int
-	vms           []*vm
-	regions       []regionState
-	split         [][]bool
-	storeDown     bool
-	listFrozen    bool
+	// warmUp is the number of seconds before the times of the case begin.
+	warmUp     int
+	vms        []*vm
+	regions    []regionState
+	split      [][]bool
+	storeDown  bool
+	listFrozen bool
 	// lists has the ids that the platform's list named in each second, by region.
 	lists     [][][]oleandervane.VMID
 	snapshots [][]byte
@@ -93,6 +95,7 @@
 		deployment:    deployment,
 		configuration: deployment.Configuration,
 		timer:         timer.NewManual(epoch),
+		warmUp:        usualWarmUp,
 		random:        rand.New(rand.NewPCG(scripted.Seed, 0)),
 		snapshots:     make([][]byte, len(deployment.Regions)),
 		knownLost:     map[oleandervane.Region]bool{},
@@ -151,15 +154,15 @@
 // Run steps the case to its end and returns what was measured.
 func (fleet *Fleet) Run() *Result {
 	seconds := int(time.Duration(fleet.scripted.Duration) / time.Second)
-	for range warmUp + seconds {
+	for range fleet.warmUp + seconds {
 		fleet.step()
 	}
 	fleet.result.close()
 	return fleet.result
 }
 
-// warmUp is the number of seconds before the times of a case begin, in which VMs get their parts and shares.
-const warmUp = 45
+// usualWarmUp is the number of seconds before the times of a case begin, in which VMs get their parts and shares.
+const usualWarmUp = 45
 
 // Run runs a case with a strategy.
 func Run(scripted Case, strategy Strategy, options ...Option) (*Result, error) {
@@ -173,7 +176,7 @@
 func (fleet *Fleet) step() {
 	fleet.second++
 	for _, event := range fleet.scripted.Events {
-		if int(time.Duration(event.At)/time.Second)+warmUp == fleet.second {
+		if int(time.Duration(event.At)/time.Second)+fleet.warmUp == fleet.second {
 			fleet.act(event)
 		}
 	}
--- a/steering/comparison/result.go
+++ b/steering/comparison/result.go
@@ -71,13 +71,13 @@
 
 // add measures one second.
 func (result *Result) add(traffic *traffic) {
-	if traffic.second <= warmUp {
+	if traffic.second <= result.fleet.warmUp {
 		return
 	}
 	fleet := result.fleet
 	result.past = append(result.past, traffic)
 	sample := Sample{
-		Second: traffic.second - warmUp,
+		Second: traffic.second - result.fleet.warmUp,
 		Shares: map[oleandervane.Flow]oleandervane.ShareVector{},
 		Load:   map[oleandervane.Flow]float64{},
 	}
@@ -301,7 +301,7 @@
 		return 0
 	}
 	plan := result.fleet.plans[0]
-	begin := int(plan.Start.Sub(epoch)/time.Second) - warmUp
+	begin := int(plan.Start.Sub(epoch)/time.Second) - result.fleet.warmUp
 	for _, sample := range result.Series {
 		if sample.Second < begin {
 			continue
--- a/steering/comparison/strategy.go
+++ b/steering/comparison/strategy.go
@@ -283,3 +283,8 @@
 func withoutGuards(without guard.Set) Option {
 	return func(fleet *Fleet) { fleet.without = without }
 }
+
+// withWarmUp sets the number of seconds before the times of the case begin.
+func withWarmUp(seconds int) Option {
+	return func(fleet *Fleet) { fleet.warmUp = seconds }
+}
