Add seeded random histories of the fleet

Cause: revisions and views must stay right under any combination of faults. Ruled out: scripted cases alone; they miss combinations. Change: 500 seeded histories of 20 VMs in 3 regions with kills, restarts, replacements, pauses, loss, cuts, store outages, rollbacks, stale reads and lost responses.

--- /dev/null
+++ b/fleet/gossip/history_test.go
@@ -0,0 +1,264 @@
+package gossip_test
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"runtime"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"oleandervane.example"
+	"oleandervane.example/fleet/gossip"
+)
+
+const (
+	historyVMs     = 20
+	historyRegions = 3
+	// healBound is the stated time after the last fault within which all VMs agree.
+	healBound = 30 * time.Second
+)
+
+// history is one random run of a fleet with faults.
+type history struct {
+	*fabric
+	seed       uint64
+	generation map[int]int
+	indexes    map[*vm]int
+	// newest is the largest head that any VM has accepted, and highest the last number that was published.
+	highest  uint64
+	saved    map[string]oleandervane.StoreEntry
+	accepted map[*vm]oleandervane.Revision
+	steps    []string
+	fault    error
+}
+
+func newHistory(seed uint64) *history {
+	history := &history{
+		fabric: newFabric(seed), seed: seed, generation: map[int]int{}, indexes: map[*vm]int{},
+		accepted: map[*vm]oleandervane.Revision{},
+	}
+	history.onAccept = func(run *vm, configuration *oleandervane.Configuration) {
+		if configuration.Revision < history.accepted[run] {
+			history.fail("%s went from revision %d back to %d", run.self.ID, history.accepted[run], configuration.Revision)
+		}
+		history.accepted[run] = configuration.Revision
+	}
+	return history
+}
+
+func (history *history) fail(format string, arguments ...any) {
+	if history.fault == nil {
+		history.fault = fmt.Errorf("after %v: "+format, append([]any{history.clock.Now().Sub(startTime)}, arguments...)...)
+	}
+}
+
+func (history *history) startVM(index int) {
+	run := history.start(index, historyRegions, history.generation[index])
+	history.indexes[run] = index
+}
+
+func (history *history) pick() *vm {
+	live := history.live()
+	return live[history.random.IntN(len(live))]
+}
+
+func (history *history) publish() {
+	if history.store.down {
+		return
+	}
+	// The operators' command builds on what the store has, which may be older after a rollback.
+	number := uint64(1)
+	if head, err := (testDecoder{}).DecodeHead(history.store.entries[gossip.HeadKey].Value); err == nil {
+		number = uint64(head.Revision) + 1
+	}
+	history.store.publish(number, []byte(strconv.Itoa(int(history.random.IntN(5)))), []byte("common"), []byte(strconv.FormatUint(history.random.Uint64(), 16)))
+}
+
+// step does one random thing to the fleet.
+func (history *history) step() {
+	random := history.random
+	regions := func() (string, string) {
+		first := random.IntN(historyRegions)
+		return string(regionName(first)), string(regionName((first + 1 + random.IntN(historyRegions-1)) % historyRegions))
+	}
+	switch choice := random.IntN(16); choice {
+	case 0, 1:
+		if live := history.live(); len(live) > historyVMs/2 {
+			history.pick().kill()
+		}
+	case 2, 3, 4:
+		index := random.IntN(historyVMs)
+		history.generation[index] += random.IntN(2)
+		history.startVM(index)
+	case 5:
+		history.pick().pause(time.Duration(1+random.IntN(30)) * time.Second)
+	case 6:
+		history.loss = float64(random.IntN(3)) * 0.05
+	case 7:
+		first, second := regions()
+		history.cuts[[2]string{first, second}] = true
+		history.cuts[[2]string{second, first}] = true
+	case 8:
+		first, second := regions()
+		history.cuts[[2]string{first, second}] = true
+	case 9:
+		history.cuts[[2]string{string(history.pick().self.ID), string(history.pick().self.ID)}] = true
+	case 10:
+		clear(history.cuts)
+	case 11:
+		history.store.setDown(!history.store.down)
+	case 12:
+		if history.saved != nil {
+			history.store.entries = maps.Clone(history.saved)
+			history.store.notify()
+		}
+		history.saved = maps.Clone(history.store.entries)
+	case 13:
+		history.store.stale = nil
+		if random.IntN(2) == 0 {
+			history.store.stale = maps.Clone(history.store.entries)
+		}
+		history.store.loseResponse = float64(random.IntN(2)) * 0.3
+	case 14, 15:
+		history.publish()
+	}
+}
+
+// check records a VM whose configuration went back.
+func (history *history) check() {
+	for _, run := range history.live() {
+		if configuration := run.node.Configuration(); configuration != nil && configuration.Revision < history.accepted[run] {
+			history.fail("%s has revision %d after %d", run.self.ID, configuration.Revision, history.accepted[run])
+		}
+	}
+}
+
+func (history *history) heal() {
+	clear(history.cuts)
+	history.loss = 0
+	history.store.stale = nil
+	history.store.loseResponse = 0
+	history.store.setDown(false)
+	for history.anyPaused() {
+		history.clock.Advance(time.Second)
+	}
+}
+
+func (history *history) anyPaused() bool {
+	for _, run := range history.live() {
+		if run.paused {
+			return true
+		}
+	}
+	return false
+}
+
+// settled returns an error unless all VMs agree on members, the revision, the store and a value of each VM.
+func (history *history) settled() error {
+	if err := history.agreement(); err != nil {
+		return err
+	}
+	newest := uint64(0)
+	for _, run := range history.live() {
+		if configuration := run.node.Configuration(); configuration != nil {
+			newest = max(newest, uint64(configuration.Revision))
+		}
+	}
+	head, err := (testDecoder{}).DecodeHead(history.store.entries[gossip.HeadKey].Value)
+	if newest == 0 && err != nil {
+		return nil
+	}
+	if err := history.inForce(newest); err != nil {
+		return err
+	}
+	if uint64(head.Revision) != newest {
+		return fmt.Errorf("the store has revision %d, the VMs %d", head.Revision, newest)
+	}
+	for _, reference := range head.Chunks {
+		if _, found := history.store.entries["config/chunk/"+reference.Digest]; !found {
+			return fmt.Errorf("the store lacks chunk %s of its head", reference.Digest)
+		}
+	}
+	for _, run := range history.live() {
+		if values := run.node.Values("from"); len(values) != len(history.live()) {
+			return fmt.Errorf("%s has the values of %d of %d VMs", run.self.ID, len(values), len(history.live()))
+		}
+	}
+	return nil
+}
+
+// run plays the history and returns what went wrong, and how long healing took.
+func (history *history) run() (time.Duration, error) {
+	for index := range historyVMs {
+		history.startVM(index)
+	}
+	history.clock.Advance(10 * time.Second)
+	history.publish()
+	history.clock.Advance(5 * time.Second)
+	for range 12 + history.random.IntN(12) {
+		history.step()
+		history.clock.Advance(time.Duration(200+history.random.IntN(5000)) * time.Millisecond)
+		history.check()
+	}
+	history.heal()
+	for _, run := range history.live() {
+		run.node.Publish("from", gossip.FleetScope, []byte(run.self.ID), time.Hour)
+	}
+	const step = 250 * time.Millisecond
+	var err error
+	healed := time.Duration(0)
+	for ; healed <= healBound; healed += step {
+		if err = history.settled(); err == nil {
+			break
+		}
+		history.clock.Advance(step)
+	}
+	if err != nil {
+		return 0, fmt.Errorf("not settled %v after healing: %w", healBound, err)
+	}
+	// What was settled has to stay so: a late declaration of death would show here.
+	history.clock.Advance(15 * time.Second)
+	if err := history.agreement(); err != nil {
+		return 0, fmt.Errorf("settled, then: %w", err)
+	}
+	return healed, history.fault
+}
+
+// Guards against revisions that go backwards, views that stay apart after healing, live VMs that stay dead and dead
+// VMs that stay alive, under random kills, restarts, pauses, loss, cuts, store outages and rollbacks. HISTORIES and
+// FIRST_SEED choose other histories than those of CI.
+func TestHistories(t *testing.T) {
+	count, first := 500, uint64(0)
+	if value, err := strconv.Atoi(os.Getenv("HISTORIES")); err == nil {
+		count = value
+	}
+	if value, err := strconv.ParseUint(os.Getenv("FIRST_SEED"), 10, 64); err == nil {
+		first = value
+	}
+	seeds := make(chan uint64)
+	var group sync.WaitGroup
+	var mutex sync.Mutex
+	longest := time.Duration(0)
+	for range max(1, runtime.GOMAXPROCS(0)/2) {
+		group.Go(func() {
+			for seed := range seeds {
+				healed, err := newHistory(seed).run()
+				mutex.Lock()
+				longest = max(longest, healed)
+				mutex.Unlock()
+				if err != nil {
+					t.Errorf("FIRST_SEED=%d HISTORIES=1: %v", seed, err)
+				}
+			}
+		})
+	}
+	for index := range count {
+		seeds <- first + uint64(index)
+	}
+	close(seeds)
+	group.Wait()
+	t.Logf("%d histories settled, the slowest %v after healing", count, longest)
+}
