--- /dev/null
+++ b/fleet/gossip/figure_test.go
@@ -0,0 +1,251 @@
+package gossip_test
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"oleandervane.example/figure"
+	"oleandervane.example/fleet/gossip"
+)
+
+// sizes are the fleets that are measured: VMs and regions.
+var sizes = []struct{ vms, regions int }{{20, 3}, {50, 3}, {100, 5}, {200, 8}, {450, 11}}
+
+// Budgets for control of section 1.5 of the design.
+const (
+	budgetBytesPerSecond = 20 << 10
+	budgetCorePercent    = 1.3
+	budgetMegabytes      = 64
+	budgetInForceSeconds = 4
+)
+
+// load makes each VM publish a report of about the size that 3 probed instances take, once a second, and one VM of a
+// region its summaries.
+func (fabric *fabric) load() {
+	fabric.clock.Every(time.Second, func(time.Time) {
+		for _, run := range fabric.live() {
+			run.do(func() {
+				run.node.Publish("load", gossip.RegionScope, make([]byte, 90), 30*time.Second)
+				if run.node.Chosen("summary") {
+					run.node.PublishForRegion("summary", gossip.FleetScope, make([]byte, 120), 30*time.Second)
+				}
+			})
+		}
+	})
+}
+
+// churn replaces or kills VMs at the rate of section 1.5 times the factor: 172 of 450 a day, 2 of them failures.
+func (fabric *fabric) churn(regions int, factor float64) {
+	count := len(fabric.live())
+	period := time.Duration(float64(24*time.Hour) / (172 * float64(count) / 450 * factor))
+	generation := 0
+	fabric.clock.Every(period, func(time.Time) {
+		generation++
+		index := fabric.random.IntN(count)
+		if old := fabric.at[address(index)]; old != nil && generation%86 != 0 {
+			old.node.Stop()
+		}
+		fabric.start(index, regions, generation%2)
+	})
+}
+
+// measured is what one run of a fleet costs per VM and second.
+type measured struct {
+	sent, received, messages, core, megabytes float64
+	storePerMinute                            float64
+}
+
+func (measured measured) String() string {
+	return fmt.Sprintf("| %.0f | %.0f | %.2f | %.4f | %.2f | %.1f |", measured.sent, measured.received, measured.messages, measured.core, measured.megabytes, measured.storePerMinute)
+}
+
+func (fabric *fabric) measure(duration time.Duration, idleHeap uint64) measured {
+	for _, run := range fabric.vms {
+		run.sent, run.received, run.messages = 0, 0, 0
+	}
+	callsBefore := fabric.store.total()
+	count := float64(len(fabric.live()))
+	started := time.Now()
+	fabric.clock.Advance(duration)
+	took := time.Since(started)
+	sent, received, messages := 0, 0, 0
+	for _, run := range fabric.vms {
+		sent += run.sent
+		received += run.received
+		messages += run.messages
+	}
+	seconds := count * duration.Seconds()
+	return measured{
+		sent: float64(sent) / seconds, received: float64(received) / seconds, messages: float64(messages) / seconds,
+		core: 100 * took.Seconds() / seconds, megabytes: float64(heap()-idleHeap) / count / (1 << 20),
+		storePerMinute: float64(fabric.store.total()-callsBefore) / duration.Minutes(),
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var statistics runtime.MemStats
+	runtime.ReadMemStats(&statistics)
+	return statistics.HeapAlloc
+}
+
+// largest leaves out the largest fleets under the race detector, where they take minutes.
+func largest() int {
+	if raceEnabled {
+		return 100
+	}
+	return 450
+}
+
+// Reports the cost of fleets of several sizes: idle, with loads and summaries, and with the churn of section 1.5
+// made 20 times faster. Guards against a cost per VM that grows with the fleet.
+func TestFigureCost(t *testing.T) {
+	var table strings.Builder
+	for _, size := range sizes {
+		if size.vms > largest() {
+			continue
+		}
+		before := heap()
+		fabric := newFabric(7)
+		fabric.startAll(size.vms, size.regions)
+		joined := fabric.until(t, time.Minute, "join", fabric.agreement)
+		fabric.store.publish(1, []byte("chunk"))
+		fabric.clock.Advance(20 * time.Second)
+		idle := fabric.measure(time.Minute, before)
+		fabric.load()
+		fabric.clock.Advance(10 * time.Second)
+		loaded := fabric.measure(time.Minute, before)
+		fabric.churn(size.regions, 20)
+		churned := fabric.measure(2*time.Minute, before)
+		for _, row := range []struct {
+			name string
+			measured
+		}{{"idle", idle}, {"loads", loaded}, {"loads and churn x20", churned}} {
+			fmt.Fprintf(&table, "| %d | %d | %s %s\n", size.vms, size.regions, row.name, row.measured)
+			name := fmt.Sprintf("fleet_%s_%d", strings.ReplaceAll(row.name, " ", "_"), size.vms)
+			figure.Require(t, figure.Figure{Name: name + "_traffic", Value: row.sent + row.received, Unit: "bytes/s", Bound: budgetBytesPerSecond})
+			figure.Report(t, figure.Figure{Name: name + "_core", Value: row.core, Unit: "percent", Bound: budgetCorePercent})
+			figure.Report(t, figure.Figure{Name: name + "_memory", Value: row.megabytes, Unit: "MB", Bound: budgetMegabytes})
+		}
+		figure.Require(t, figure.Figure{Name: fmt.Sprintf("fleet_store_calls_idle_%d", size.vms), Value: idle.storePerMinute / float64(size.regions), Unit: "calls/min/region", Bound: 20})
+		t.Logf("%d VMs joined in %v", size.vms, joined)
+		fabric.stop()
+	}
+	t.Log("\n| VMs | regions | case | sent B/s | received B/s | messages/s | core % | MB | store calls/min |\n" + table.String())
+}
+
+func (fabric *fabric) stop() {
+	for _, run := range fabric.live() {
+		run.kill()
+	}
+}
+
+// Reports how long a change takes to be in force everywhere, what it costs in bytes and store calls, and the same
+// with the store down right after acceptance. Guards against a second transfer of chunks that are held already.
+func TestFigureChange(t *testing.T) {
+	for _, size := range sizes {
+		if size.vms > largest() || (size.vms != 20 && size.vms != 450 && os.Getenv("ALL_SIZES") == "" && !raceEnabled) {
+			continue
+		}
+		fabric := newFabric(3)
+		fabric.startAll(size.vms, size.regions)
+		fabric.until(t, time.Minute, "join", fabric.agreement)
+		// 200 chunks of 32 KB stand for 1.5 million client blocks.
+		chunks := make([][]byte, 200)
+		for index := range chunks {
+			chunks[index] = make([]byte, 32<<10)
+			chunks[index][0] = byte(index)
+		}
+		fabric.store.publish(1, chunks...)
+		cold := fabric.until(t, time.Minute, "first revision", func() error { return fabric.inForce(1) })
+		coldBytes := fabric.bytes["Fetch"] / size.vms
+		fabric.clock.Advance(20 * time.Second)
+		for revision := uint64(2); revision <= 3; revision++ {
+			bytesBefore, callsBefore := fabric.bytes["Fetch"]+fabric.bytes["Push"], fabric.store.total()
+			chunks[17] = append([]byte{byte(revision)}, chunks[17][1:]...)
+			fabric.store.publish(revision, chunks...)
+			name := "fleet_change"
+			if revision == 3 {
+				// The store answers the first watchers and then is down.
+				fabric.clock.Advance(150 * time.Millisecond)
+				fabric.store.setDown(true)
+				name = "fleet_change_store_down"
+			}
+			took := fabric.until(t, 10*time.Second, "change", func() error { return fabric.inForce(revision) })
+			perVM := float64(fabric.bytes["Fetch"]+fabric.bytes["Push"]-bytesBefore) / float64(size.vms)
+			calls := float64(fabric.store.total() - callsBefore)
+			figure.Require(t, figure.Figure{Name: fmt.Sprintf("%s_in_force_%d", name, size.vms), Value: took.Seconds(), Unit: "s", Bound: budgetInForceSeconds})
+			// One chunk, the difference of the heads and the announcements.
+			figure.Require(t, figure.Figure{Name: fmt.Sprintf("%s_bytes_per_vm_%d", name, size.vms), Value: perVM, Unit: "bytes", Bound: 32<<10 + 4<<10})
+			if revision == 2 {
+				figure.Require(t, figure.Figure{Name: fmt.Sprintf("%s_store_calls_%d", name, size.vms), Value: calls / float64(size.regions), Unit: "calls/region", Bound: 8})
+			}
+		}
+		t.Logf("%d VMs: first revision of %d KB in force after %v, %d bytes fetched per VM from peers", size.vms, 200*32, cold, coldBytes)
+		fabric.stop()
+	}
+}
+
+// Reports the time from the death of a VM until its region, and then all VMs, call it dead. Guards against detection
+// that depends on luck: 40 deaths, one after the other.
+func TestFigureDetection(t *testing.T) {
+	for _, size := range sizes {
+		if size.vms > min(200, largest()) {
+			continue
+		}
+		fabric := newFabric(5)
+		fabric.startAll(size.vms, size.regions)
+		fabric.until(t, time.Minute, "join", fabric.agreement)
+		var inRegion, everywhere time.Duration
+		for round := range 40 {
+			fabric.clock.Advance(time.Duration(fabric.random.IntN(1000)) * time.Millisecond)
+			victim := fabric.at[address(fabric.random.IntN(size.vms))]
+			victim.kill()
+			took := fabric.until(t, time.Minute, "death in region", func() error { return fabric.dead(victim, true) })
+			inRegion = max(inRegion, took)
+			everywhere = max(everywhere, took+fabric.until(t, time.Minute, "death everywhere", func() error { return fabric.dead(victim, false) }))
+			for index := range size.vms {
+				if fabric.at[address(index)] == nil {
+					fabric.start(index, size.regions, round%2)
+				}
+			}
+			fabric.until(t, time.Minute, "rejoin", fabric.agreement)
+		}
+		figure.Require(t, figure.Figure{Name: fmt.Sprintf("fleet_death_in_region_%d", size.vms), Value: inRegion.Seconds(), Unit: "s", Bound: 5})
+		figure.Require(t, figure.Figure{Name: fmt.Sprintf("fleet_death_everywhere_%d", size.vms), Value: everywhere.Seconds(), Unit: "s", Bound: 8})
+		fabric.stop()
+	}
+}
+
+// dead returns an error unless the VM is dead for all live VMs, or for those of its region.
+func (fabric *fabric) dead(victim *vm, sameRegion bool) error {
+	for _, run := range fabric.live() {
+		if sameRegion && run.self.Region != victim.self.Region {
+			continue
+		}
+		if _, found := run.node.Membership().View().VM(victim.self.ID); found {
+			return fmt.Errorf("%s still knows %s", run.self.ID, victim.self.ID)
+		}
+	}
+	return nil
+}
+
+// Guards against a cost that hides in the fabric: bytes are counted on both sides.
+func TestFabricCountsBytes(t *testing.T) {
+	fabric := newFabric(2)
+	fabric.startAll(4, 1)
+	fabric.clock.Advance(5 * time.Second)
+	sent, received := 0, 0
+	for _, run := range fabric.vms {
+		sent += run.sent
+		received += run.received
+	}
+	assert.Assert(t, sent > 0 && received > 0 && received <= sent)
+}
--- /dev/null
+++ b/fleet/gossip/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package gossip_test
+
+const raceEnabled = false
--- a/fleet/membership/compare.go
+++ b/fleet/membership/compare.go
@@ -134,10 +134,7 @@
 	for _, version := range request.Versions {
 		vmID := oleandervane.VMID(version.Id)
 		known[vmID] = true
-		theirs := Record{
-			Version: version.Version,
-			VM:      oleandervane.EntryVM{Incarnation: oleandervane.Incarnation(version.Incarnation), State: oleandervane.VMState(min(version.State, peer.MaxVMState))},
-		}
+		theirs := messageVersion(&peer.VMRecord{Incarnation: version.Incarnation, Version: version.Version, State: version.State})
 		held := membership.table.entries[vmID]
 		switch {
 		case held == nil || theirs.NewerThan(held.record):
--- a/fleet/membership/spread.go
+++ b/fleet/membership/spread.go
@@ -170,7 +170,8 @@
 	membership.mutex.Lock()
 	membership.notePause(now)
 	membership.heardAt = now
-	actions := membership.mergeMessages(append([]*peer.VMRecord{packet.From}, packet.Updates...), now)
+	actions := membership.mergeMessages([]*peer.VMRecord{packet.From}, now)
+	actions = append(actions, membership.mergeMessages(packet.Updates, now)...)
 	if held := membership.table.entries[from.VM.ID]; held != nil && held.record.VM.State == oleandervane.VMLeaving && held.record.VM.Incarnation == from.VM.Incarnation {
 		membership.table.clear(held)
 	}
@@ -201,6 +202,9 @@
 func (membership *Membership) mergeMessages(messages []*peer.VMRecord, now time.Time) []action {
 	var changed []oleandervane.VMID
 	for _, message := range messages {
+		if !membership.table.news(message) {
+			continue
+		}
 		record, err := RecordFromWire(message)
 		if err != nil {
 			continue
--- a/fleet/membership/table.go
+++ b/fleet/membership/table.go
@@ -54,6 +54,26 @@
 	return view
 }
 
+// news says whether a message may be newer than the record held. It spares reading the many that are not.
+func (table *table) news(message *peer.VMRecord) bool {
+	held, found := table.entries[oleandervane.VMID(message.GetId())]
+	if !found {
+		return true
+	}
+	return messageVersion(message).NewerThan(held.record)
+}
+
+// messageVersion returns a record with only what precedence depends on.
+func messageVersion(message *peer.VMRecord) Record {
+	return Record{
+		Version: message.GetVersion(),
+		VM: oleandervane.EntryVM{
+			Incarnation: oleandervane.Incarnation(message.GetIncarnation()),
+			State:       oleandervane.VMState(min(message.GetState(), peer.MaxVMState)),
+		},
+	}
+}
+
 // merge takes a record if it is newer than the one held and returns the ids whose records changed.
 func (table *table) merge(record Record, now time.Time) []oleandervane.VMID {
 	held, found := table.entries[record.VM.ID]
