Close slots of instances that end attempts too fast

Cause: the fast-failing instance still got 43% of the attempts of 5 instances; the guard allowed it twice the rate of a busy slot, and borrowing passed it by.

Change: an attempt at a suspected instance holds its slot for the typical time, and no slot of it is borrowed.

Conclusion: the guard holds for fast answers; broken attempts are ejected.

--- a/entry/balance/balance_test.go
+++ b/entry/balance/balance_test.go
@@ -25,7 +25,8 @@
 			return float64(region.servers[0].started) / float64(total)
 		}
 		fair := 1.0 / 5
-		assert.Assert(t, share(false) <= 2*fair, "share %.3f, unguarded %.3f", share(false), share(true))
-		t.Logf("answers %v: share %.3f, unguarded %.3f", answers, share(false), share(true))
+		assert.Assert(t, share(false) <= 2*fair, "share %.3f", share(false))
+		// Broken attempts lead to ejection; only the guard stops an instance whose fast answers look good.
+		assert.Equal(t, share(true) <= 2*fair, !answers, "unguarded share %.3f", share(true))
 	}
 }
--- a/entry/balance/group.go
+++ b/entry/balance/group.go
@@ -13,8 +13,8 @@
 
 const (
 	// fastShare is the part of the typical time of an attempt below which an instance is suspected of failing fast.
-	// Its slots then stay closed for that part of the typical time, so that it gets at most 1/fastShare times the
-	// requests of another instance.
+	// Each of its attempts then holds a slot for the typical time, so that it gets no more requests for each slot than
+	// an instance that does the work.
 	fastShare = 0.5
 	// fastSamples is how many attempts must have ended at an instance before its mean time counts.
 	fastSamples = 8
@@ -161,14 +161,19 @@
 // closedFor returns how long the slot of an ended attempt must stay closed because the instance is suspected of
 // failing fast: such an instance is always idle, and would otherwise attract the traffic of the others.
 func (group *group) closedFor(instance *instance, held time.Duration) time.Duration {
-	if group.unguarded || instance.hold.count < fastSamples {
+	if group.unguarded {
 		return 0
 	}
-	shortest := time.Duration(fastShare * float64(group.typicalHold()))
-	if instance.hold.mean >= shortest {
+	typical := group.typicalHold()
+	if !instance.suspect(typical) {
 		return 0
 	}
-	return max(0, shortest-held)
+	return max(0, typical-held)
+}
+
+// suspect says whether attempts at the instance end much faster than the typical time.
+func (instance *instance) suspect(typical time.Duration) bool {
+	return instance.hold.count >= fastSamples && instance.hold.mean < time.Duration(fastShare*float64(typical))
 }
 
 func (group *group) reopen(instance *instance) {
--- a/entry/balance/owned.go
+++ b/entry/balance/owned.go
@@ -64,11 +64,12 @@
 	if picker.budget < 1 && !idle {
 		return nil
 	}
-	fresh := borrowFresh * picker.group.typicalHold()
+	typical := picker.group.typicalHold()
+	fresh := borrowFresh * typical
 	var seen, unseen *instance
 	count := 0
 	for _, instance := range usable {
-		if instance.ramp.ramping || now.Before(instance.shedUntil) {
+		if instance.ramp.ramping || now.Before(instance.shedUntil) || (!picker.group.unguarded && instance.suspect(typical)) {
 			continue
 		}
 		if !instance.load.known || now.Sub(instance.load.measuredAt) > fresh {
