Test retries, quarantine, deadlines and streamed responses of the forwarder

Ruled out: comparing bytes alone for a cut-off chunked response; without the last chunk it may hold all bytes and is still reported as cut off. Change: retry_test.go; amplification is measured on a fake connection layer that fails every request.

--- /dev/null
+++ b/entry/forward/retry_test.go
@@ -0,0 +1,264 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"oleandervane.example"
+	"oleandervane.example/figure"
+)
+
+// failingOpener opens connections on which every request breaks after it was written, and counts the requests.
+func failingOpener(attempts *int) opener {
+	return func(context.Context, netip.AddrPort) (*connection, error) {
+		gate := &gate{}
+		return &connection{
+			gate:  gate,
+			close: func() {},
+			roundTrip: func(*http.Request) (*http.Response, error) {
+				*attempts++
+				gate.state.Store(gateWritten)
+				return nil, io.ErrUnexpectedEOF
+			},
+		}, nil
+	}
+}
+
+// amplification returns attempts per request when every backend server fails, under random bursts and pauses.
+func amplification(t *testing.T, prepare func(*Forwarder)) float64 {
+	const requests = 5000
+	random := rand.New(rand.NewPCG(20261204, 1))
+	forwarder, manual := newTestForwarder(t)
+	prepare(forwarder)
+	attempts := 0
+	forwarder.pool.open = failingOpener(&attempts)
+	chooser := &targets{list: []Target{{ID: "b1"}, {ID: "b2"}, {ID: "b3"}, {ID: "b4"}}}
+	for number := range requests {
+		if random.IntN(20) == 0 {
+			manual.Advance(time.Duration(random.IntN(4000)) * time.Millisecond)
+		}
+		request := testRequest(true, "GET", "")
+		request.Path = "/" + strconv.Itoa(number)
+		request.Deadline = manual.Now().Add(time.Minute)
+		forwarder.Forward(context.Background(), request, chooser)
+	}
+	return float64(attempts) / requests
+}
+
+// Guards against retries that add more than a tenth to the load while every backend server fails.
+func TestFigureRetryAmplification(t *testing.T) {
+	unbounded := amplification(t, func(forwarder *Forwarder) {
+		for range 100_000 {
+			forwarder.budget.noteRequest("ledger")
+		}
+	})
+	assert.Assert(t, unbounded > 1.1, "the check finds nothing without the budget: %v", unbounded)
+	value := amplification(t, func(*Forwarder) {})
+	assert.Assert(t, value > 1.01, "retries do not happen at all: %v", value)
+	figure.Require(t, figure.Figure{Name: "request_retry_amplification", Value: value, Unit: "ratio", Bound: 1.1})
+}
+
+// Guards against wrong retries: of what may have run, at the same target, and "not run" after an attempt that may
+// have run.
+func TestRetries(t *testing.T) {
+	const shed = `read; send "HTTP/1.1 503 Busy\r\nOleandervane-Shed: 1\r\nContent-Length: 0\r\n\r\n"`
+	for _, test := range []struct {
+		first, second string
+		idempotent    bool
+		outcome       oleandervane.Outcome
+		attempts      int
+	}{
+		{"read; close", "read; " + okAction, false, oleandervane.Unknown, 1},
+		{"read; close", "read; " + okAction, true, oleandervane.Answered, 2},
+		{shed, "read; " + okAction, false, oleandervane.Answered, 2},
+		{shed, shed, false, oleandervane.NotRun, 2},
+		{"read; close", shed, true, oleandervane.Unknown, 2},
+		{shed, "read; close", false, oleandervane.Unknown, 2},
+	} {
+		first, second := scripted(t, "b1", test.first), scripted(t, "b2", test.second)
+		forwarder, _ := newTestForwarder(t)
+		allowRetries(forwarder)
+		unreachable := Target{ID: "b0", Address: netip.MustParseAddrPort("127.0.0.2:1")}
+		for _, list := range [][]Target{{first.target, second.target}, {unreachable, first.target, second.target}} {
+			forwarder.quarantine.noteAnswered(FingerprintOf(testRequest(test.idempotent, "POST", "x")))
+			result := forwarder.Forward(context.Background(), testRequest(test.idempotent, "POST", "x"), &targets{list: list})
+			assert.Equal(t, result.Outcome, test.outcome, "%+v", test)
+			assert.Equal(t, result.Attempts, test.attempts+len(list)-2, "%+v", test)
+		}
+	}
+}
+
+// Guards against a request that crashes one backend server after the other, whether the system or its caller sends
+// it again, and against a quarantine that does not reach peers, hits other requests or does not end.
+func TestQuarantine(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		list := []Target{scripted(t, "b1", "read; close").target, scripted(t, "b2", "read; close").target, scripted(t, "b3", "read; "+okAction).target}
+		forwarder, manual := newTestForwarder(t)
+		allowRetries(forwarder)
+		request := testRequest(idempotent, "POST", "deadly")
+		request.Deadline = manual.Now().Add(time.Hour)
+		forwarder.Forward(context.Background(), request, &targets{list: list})
+		forwarder.Forward(context.Background(), request, &targets{list: list[1:]})
+		result := forwarder.Forward(context.Background(), request, &targets{list: list[2:]})
+		assert.Equal(t, result.Reason, ReasonQuarantined)
+		assert.Equal(t, result.Outcome, oleandervane.NotRun)
+		peer, peerManual := newTestForwarder(t)
+		exported := forwarder.Quarantine().Export()
+		exported[0].Left = time.Hour
+		peer.Quarantine().Import(exported)
+		assert.Equal(t, peer.Forward(context.Background(), request, &targets{list: list[2:]}).Reason, ReasonQuarantined)
+		other := testRequest(idempotent, "POST", "harmless")
+		assert.Equal(t, peer.Forward(context.Background(), other, &targets{list: list[2:]}).Outcome, oleandervane.Answered)
+		peerManual.Advance(DefaultQuarantinePeriod)
+		assert.Equal(t, peer.Forward(context.Background(), request, &targets{list: list[2:]}).Outcome, oleandervane.Answered)
+		assert.Equal(t, len(peer.Quarantine().Export()), 0)
+	}
+}
+
+// Guards against a deadline or a cancellation that does not reach the backend server, and against work that starts
+// after the deadline, as on a VM that was paused.
+func TestDeadlineAndCancellationPropagate(t *testing.T) {
+	started, ended := make(chan string, 1), make(chan struct{}, 1)
+	backend := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+		started <- request.Header.Get(oleandervane.HeaderDeadlineMillis) + " " + request.URL.EscapedPath() + "?" + request.URL.RawQuery
+		<-request.Context().Done()
+		ended <- struct{}{}
+	}))
+	defer backend.Close()
+	target := Target{ID: "b1", Address: netip.MustParseAddrPort(backend.Listener.Addr().String()), PathPrefix: "/v1"}
+	for _, cause := range []string{"cancellation", "deadline"} {
+		forwarder, manual := newTestForwarder(t)
+		chooser := &targets{list: []Target{target}}
+		ctx, cancel := context.WithCancel(context.Background())
+		results := make(chan Result, 1)
+		go func() { results <- forwarder.Forward(ctx, testRequest(false, "GET", ""), chooser) }()
+		assert.Equal(t, <-started, "8000 /v1/allocations/2026%2F12?a=1")
+		if cause == "deadline" {
+			manual.Advance(8 * time.Second)
+		} else {
+			cancel()
+		}
+		<-ended
+		assert.Equal(t, (<-results).Outcome, oleandervane.Unknown)
+		cancel()
+		manual.Advance(8 * time.Second)
+		late := forwarder.Forward(context.Background(), testRequest(true, "GET", ""), chooser)
+		assert.Equal(t, late.Outcome, oleandervane.NotRun)
+		assert.Equal(t, late.Reason, ReasonDeadline)
+	}
+}
+
+// Guards against a paused VM that writes a request whose ticket has expired meanwhile.
+func TestRefusedBeforeWrite(t *testing.T) {
+	server := scripted(t, "b1", "read; "+okAction)
+	forwarder, _ := newTestForwarder(t)
+	request := testRequest(false, "POST", "x")
+	errExpired := errors.New("expired")
+	calls := 0
+	request.BeforeWrite = func() error {
+		if calls++; calls < 2 {
+			return nil
+		}
+		return errExpired
+	}
+	result := forwarder.Forward(context.Background(), request, &targets{list: []Target{server.target}})
+	assert.Equal(t, result.Outcome, oleandervane.NotRun)
+	assert.Equal(t, result.Reason, ReasonRefused)
+	assert.ErrorIs(t, result.Err, errExpired)
+	assert.Equal(t, server.requests.Load(), int64(0))
+}
+
+// Guards against a large response that was cut off reaching the caller as a complete one, and against one that is
+// complete being changed on its way.
+func TestStreamedResponse(t *testing.T) {
+	large := strings.Repeat("0123456789abcdef", DefaultMaxBufferedBytes/4)
+	half := large[:len(large)/2]
+	length := fmt.Sprintf("Content-Length: %d", len(large))
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(half), half)
+	for _, test := range []struct {
+		header, body string
+		whole        bool
+	}{
+		{length, large, true},
+		{length, half, false},
+		{"Transfer-Encoding: chunked", chunk + chunk + "0\r\n\r\n", true},
+		{"Transfer-Encoding: chunked", chunk + chunk, false},
+		{"Transfer-Encoding: chunked", chunk + chunk[:len(chunk)/2], false},
+	} {
+		server := scripted(t, "b1", fmt.Sprintf("read; send %q; close", "HTTP/1.1 200 OK\r\n"+test.header+"\r\n\r\n"+test.body))
+		forwarder, _ := newTestForwarder(t)
+		chooser := &targets{list: []Target{server.target}}
+		sent := make(chan error, 1)
+		entry := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			result := forwarder.Forward(request.Context(), testRequest(true, "GET", ""), chooser)
+			assert.Check(t, result.Response.Streamed())
+			err := result.Response.Send(writer)
+			sent <- err
+			if err != nil {
+				panic(http.ErrAbortHandler)
+			}
+		}))
+		response, err := http.Get(entry.URL)
+		assert.NilError(t, err)
+		body, err := io.ReadAll(response.Body)
+		sendErr := <-sent
+		entry.Close()
+		assert.Equal(t, err == nil, test.whole, "%s", test.header)
+		assert.Equal(t, errors.Is(sendErr, ErrTruncated), !test.whole)
+		// Without its last chunk a body may hold all bytes and is still not known to be whole.
+		assert.Assert(t, bytes.HasPrefix([]byte(large), body) && (len(body) == len(large) || !test.whole))
+		assert.Equal(t, len(chooser.released), 1)
+	}
+}
+
+// Guards against bytes left over from one exchange being taken for the response of the next on the same connection.
+func TestStrayResponseIsNotDelivered(t *testing.T) {
+	const stray = `HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nXX`
+	withStray := "read; " + strings.TrimSuffix(okAction, `"`) + stray + `"`
+	forwarder, _ := newTestForwarder(t)
+	chooser := &targets{list: []Target{scripted(t, "b1", withStray).target}}
+	for range 50 {
+		result := forwarder.Forward(context.Background(), testRequest(true, "GET", ""), chooser)
+		if result.Outcome == oleandervane.Answered {
+			assert.Equal(t, string(result.Response.Body), "ok")
+		}
+	}
+}
+
+type fakeChooser struct {
+	excluded []oleandervane.BackendServerID
+}
+
+func (chooser *fakeChooser) Choose(_ oleandervane.ServiceName, excluded []oleandervane.BackendServerID) (oleandervane.Reservation, error) {
+	chooser.excluded = excluded
+	return nil, oleandervane.ErrNoBackendServer
+}
+
+// Guards against choosers that offer a target again, and against a wrong outcome when there is none.
+func TestChoosers(t *testing.T) {
+	chooser := &fakeChooser{}
+	_, err := BackendServers(chooser, "ledger").Choose([]string{"b1"})
+	assert.ErrorIs(t, err, oleandervane.ErrNoBackendServer)
+	assert.DeepEqual(t, chooser.excluded, []oleandervane.BackendServerID{"b1"})
+	relay := RelayVMs([]oleandervane.EntryVM{{ID: "vm1"}, {ID: "vm2"}}, "/v1/relay/ledger/filing")
+	reservation, err := relay.Choose([]string{"vm1"})
+	assert.NilError(t, err)
+	assert.Equal(t, reservation.Target(), Target{ID: "vm2", PathPrefix: "/v1/relay/ledger/filing", Relay: true})
+	forwarder, _ := newTestForwarder(t)
+	result := forwarder.Forward(context.Background(), testRequest(true, "GET", ""), RelayVMs(nil, ""))
+	assert.Equal(t, result.Outcome, oleandervane.NotRun)
+	assert.Equal(t, result.Reason, ReasonNoBackendServer)
+}
