Add the library for callers

Ruled out: a resend with the same ticket to fetch a lost response; the entry VM would answer it from its record, but the rule that a non-idempotent request is sent again only after not_run is simpler to keep in other languages. Change: package entry/caller.

--- /dev/null
+++ b/entry/caller/client.go
@@ -0,0 +1,87 @@
+package caller
+
+import (
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"oleandervane.example"
+)
+
+const (
+	// DefaultControlTimeout bounds a look-up, a ticket and an outcome query. Entry VMs answer them from memory, and
+	// the longest way to one takes 35 ms.
+	DefaultControlTimeout = time.Second
+	// DefaultOutcomeQueries is how often an unknown outcome is asked for before the caller is left with it.
+	DefaultOutcomeQueries = 3
+	// DefaultOutcomePause is the time between two such queries.
+	DefaultOutcomePause = 500 * time.Millisecond
+	// DefaultMaxResponseBytes bounds a response, which is held in memory until it is complete.
+	DefaultMaxResponseBytes = 64 << 20
+	// maxSends bounds how often a request is sent when entry VMs keep answering not_run or cannot be reached.
+	maxSends = 3
+	// idleConnectionLimit is short because an idle connection may go silent unnoticed.
+	idleConnectionLimit = 2 * time.Second
+)
+
+// Settings are the settings of a Client. Zero values take the defaults.
+type Settings struct {
+	// Seeds are a few entry VMs that are asked when no look-up has succeeded yet, or when the known VMs are gone.
+	Seeds            []netip.AddrPort
+	ControlTimeout   time.Duration
+	OutcomeQueries   int
+	OutcomePause     time.Duration
+	MaxResponseBytes int64
+}
+
+func (settings Settings) withDefaults() Settings {
+	if settings.ControlTimeout == 0 {
+		settings.ControlTimeout = DefaultControlTimeout
+	}
+	if settings.OutcomeQueries == 0 {
+		settings.OutcomeQueries = DefaultOutcomeQueries
+	}
+	if settings.OutcomePause == 0 {
+		settings.OutcomePause = DefaultOutcomePause
+	}
+	if settings.MaxResponseBytes == 0 {
+		settings.MaxResponseBytes = DefaultMaxResponseBytes
+	}
+	return settings
+}
+
+// Client sends requests through entry VMs. All methods may be called from many goroutines at once.
+type Client struct {
+	settings     Settings
+	timerService oleandervane.TimerService
+	httpClient   *http.Client
+
+	mutex sync.Mutex
+	lists map[listKey]*vmList
+}
+
+// New returns a client.
+func New(settings Settings, timerService oleandervane.TimerService) *Client {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	return &Client{
+		settings:     settings.withDefaults(),
+		timerService: timerService,
+		httpClient: &http.Client{
+			Transport: &http.Transport{
+				Protocols:          protocols,
+				DisableCompression: true,
+				IdleConnTimeout:    idleConnectionLimit,
+			},
+			// A redirect would send the request again, to somewhere that the look-up did not name.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+		lists: map[listKey]*vmList{},
+	}
+}
+
+// Close closes idle connections.
+func (client *Client) Close() {
+	client.httpClient.CloseIdleConnections()
+}
--- /dev/null
+++ b/entry/caller/control.go
@@ -0,0 +1,128 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"oleandervane.example"
+)
+
+// maxControlBytes bounds the answer to a look-up, a ticket or an outcome query.
+const maxControlBytes = 64 << 10
+
+// ErrRefused says that an entry VM answered a look-up, a ticket or an outcome query with an error status.
+var ErrRefused = errors.New("the entry VM refused")
+
+// control calls an entry VM and decodes its JSON answer.
+func (client *Client) control(ctx context.Context, method string, address netip.AddrPort, path string, answer any) error {
+	ctx, cancel := client.withTimeout(ctx, client.settings.ControlTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address.String()+path, http.NoBody)
+	if err != nil {
+		return fmt.Errorf("calling %s: %w", address, err)
+	}
+	response, err := client.httpClient.Do(request)
+	if err != nil {
+		return fmt.Errorf("calling %s: %w", address, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("calling %s: status %d: %w", address, response.StatusCode, ErrRefused)
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxControlBytes)).Decode(answer); err != nil {
+		return fmt.Errorf("reading the answer of %s: %w", address, err)
+	}
+	return nil
+}
+
+// withTimeout returns a context that the timer service ends.
+func (client *Client) withTimeout(ctx context.Context, timeout time.Duration) (context.Context, func()) {
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	stop := client.timerService.After(timeout, func(time.Time) { cancelCause(context.DeadlineExceeded) })
+	return ctx, func() {
+		stop()
+		cancelCause(nil)
+	}
+}
+
+// ticket returns a ticket that the VM at the address issued.
+func (client *Client) ticket(ctx context.Context, key listKey, address netip.AddrPort) (string, error) {
+	if ticket := client.takeTicket(key, address); ticket != "" {
+		return ticket, nil
+	}
+	var answer struct {
+		Ticket string `json:"ticket"`
+	}
+	if err := client.control(ctx, http.MethodPost, address, "/v1/ticket"+key.query(), &answer); err != nil {
+		return "", err
+	}
+	if answer.Ticket == "" {
+		return "", fmt.Errorf("asking %s for a ticket: %w", address, ErrRefused)
+	}
+	return answer.Ticket, nil
+}
+
+// Filing identifies a non-idempotent request that was sent.
+type Filing struct {
+	Ticket string
+	// EntryVM is the VM that issued the ticket.
+	EntryVM netip.AddrPort
+	key     listKey
+}
+
+// Standing is what an entry VM says of a filing.
+type Standing struct {
+	Outcome oleandervane.Outcome
+	// Status is the status of the response when the outcome is Answered.
+	Status int
+}
+
+// Outcome asks for the outcome of a filing: the VM that issued its ticket, then the others, which ask that VM. It
+// fails only when no VM answers; the outcome is then unknown as well.
+func (client *Client) Outcome(ctx context.Context, filing Filing) (Standing, error) {
+	return client.standing(ctx, http.MethodGet, filing, "")
+}
+
+// Revoke makes the ticket of a filing unusable if its request has not begun. The outcome is then NotRun, and the
+// filing may be sent again; otherwise the outcome is that of the request, or Unknown while it runs.
+func (client *Client) Revoke(ctx context.Context, filing Filing) (Standing, error) {
+	return client.standing(ctx, http.MethodPost, filing, "/revoke")
+}
+
+func (client *Client) standing(ctx context.Context, method string, filing Filing, suffix string) (Standing, error) {
+	path := "/v1/outcome/" + url.PathEscape(filing.Ticket) + suffix
+	errs := []error{ErrNoEntryVM}
+	for _, address := range client.standingCandidates(filing) {
+		var answer struct {
+			Outcome oleandervane.Outcome `json:"outcome"`
+			Status  int                  `json:"status"`
+		}
+		err := client.control(ctx, method, address, path, &answer)
+		if err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		if answer.Outcome == oleandervane.Answered || answer.Outcome == oleandervane.NotRun {
+			return Standing{Outcome: answer.Outcome, Status: answer.Status}, nil
+		}
+		return Standing{Outcome: oleandervane.Unknown}, nil
+	}
+	return Standing{Outcome: oleandervane.Unknown}, errors.Join(errs...)
+}
+
+func (client *Client) standingCandidates(filing Filing) []netip.AddrPort {
+	candidates := []netip.AddrPort{filing.EntryVM}
+	for _, address := range client.lookupCandidates(filing.key) {
+		if address != filing.EntryVM {
+			candidates = append(candidates, address)
+		}
+	}
+	return candidates
+}
--- /dev/null
+++ b/entry/caller/lookup.go
@@ -0,0 +1,153 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"slices"
+	"time"
+
+	"oleandervane.example"
+)
+
+// ErrNoEntryVM says that no entry VM answers and none is known from an earlier look-up.
+var ErrNoEntryVM = errors.New("no entry VM answers")
+
+// lookupRetryPause keeps requests from each waiting for look-ups that fail, while the expired list is in use.
+const lookupRetryPause = time.Second
+
+type listKey struct {
+	service oleandervane.ServiceName
+	kind    oleandervane.KindName
+}
+
+func (listKey listKey) query() string {
+	values := url.Values{"service": {string(listKey.service)}, "kind": {string(listKey.kind)}}
+	return "?" + values.Encode()
+}
+
+// vmList is a look-up answer as a caller keeps it. The mutex of the client guards it.
+type vmList struct {
+	addresses []netip.AddrPort
+	expiresAt time.Time
+	// tickets were issued by issuer.
+	tickets []string
+	issuer  netip.AddrPort
+}
+
+// addresses returns the entry VMs to use, best first. When the cached list has expired and no entry VM answers, the
+// cached list is still used.
+func (client *Client) addresses(ctx context.Context, key listKey) ([]netip.AddrPort, error) {
+	if list := client.cached(key); list != nil {
+		return list, nil
+	}
+	err := client.lookUp(ctx, key)
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	list := client.lists[key]
+	if list == nil {
+		return nil, err
+	}
+	if err != nil {
+		list.expiresAt = client.timerService.Now().Add(lookupRetryPause)
+	}
+	return slices.Clone(list.addresses), nil
+}
+
+func (client *Client) cached(key listKey) []netip.AddrPort {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	list := client.lists[key]
+	if list == nil || !client.timerService.Now().Before(list.expiresAt) {
+		return nil
+	}
+	return slices.Clone(list.addresses)
+}
+
+// lookUp asks the VMs of the last list and then the seeds, until one answers.
+func (client *Client) lookUp(ctx context.Context, key listKey) error {
+	errs := []error{ErrNoEntryVM}
+	for _, address := range client.lookupCandidates(key) {
+		err := client.lookUpAt(ctx, key, address)
+		if err == nil {
+			return nil
+		}
+		errs = append(errs, err)
+	}
+	return errors.Join(errs...)
+}
+
+func (client *Client) lookupCandidates(key listKey) []netip.AddrPort {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	var candidates []netip.AddrPort
+	if list := client.lists[key]; list != nil {
+		candidates = slices.Clone(list.addresses)
+	}
+	for _, seed := range client.settings.Seeds {
+		if !slices.Contains(candidates, seed) {
+			candidates = append(candidates, seed)
+		}
+	}
+	return candidates
+}
+
+func (client *Client) lookUpAt(ctx context.Context, key listKey, address netip.AddrPort) error {
+	var answer struct {
+		EntryVMs []struct {
+			ID      oleandervane.VMID `json:"id"`
+			Address netip.AddrPort    `json:"address"`
+		} `json:"entry_vms"`
+		LifetimeMillis int64    `json:"lifetime_ms"`
+		Tickets        []string `json:"tickets"`
+	}
+	if err := client.control(ctx, http.MethodGet, address, "/v1/lookup"+key.query(), &answer); err != nil {
+		return err
+	}
+	if len(answer.EntryVMs) == 0 {
+		return fmt.Errorf("looking up at %s: %w", address, ErrNoEntryVM)
+	}
+	list := &vmList{
+		expiresAt: client.timerService.Now().Add(time.Duration(answer.LifetimeMillis) * time.Millisecond),
+		tickets:   answer.Tickets,
+	}
+	for _, entryVM := range answer.EntryVMs {
+		list.addresses = append(list.addresses, entryVM.Address)
+	}
+	list.issuer = list.addresses[0]
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	client.lists[key] = list
+	return nil
+}
+
+// demote moves an entry VM that is gone or leaving to the end of the list until the next look-up.
+func (client *Client) demote(key listKey, address netip.AddrPort) {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	list := client.lists[key]
+	if list == nil {
+		return
+	}
+	index := slices.Index(list.addresses, address)
+	if index < 0 {
+		return
+	}
+	list.addresses = append(slices.Delete(list.addresses, index, index+1), address)
+}
+
+// takeTicket returns a ticket that came with the look-up, if the VM issued one.
+func (client *Client) takeTicket(key listKey, address netip.AddrPort) string {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	list := client.lists[key]
+	if list == nil || list.issuer != address || len(list.tickets) == 0 {
+		return ""
+	}
+	ticket := list.tickets[0]
+	list.tickets = list.tickets[1:]
+	return ticket
+}
