--- a/steering/comparison/action.go
+++ b/steering/comparison/action.go
@@ -16,6 +16,14 @@
 		fleet.scale(event)
 	case SetCap:
 		fleet.setCap(event)
+	case SetLink:
+		fleet.setLink(event.Factor)
+	case AddVMs:
+		for _, i := range fleet.regionsOf(event) {
+			for range event.Count {
+				fleet.addVM(i)
+			}
+		}
 	case Kill, Start, Restart, Pause, Resume, SkewClocks:
 		fleet.actOnVMs(event)
 	case LoseRegion:
@@ -78,12 +86,21 @@
 	fleet.configuration = &configuration
 }
 
+func (fleet *Fleet) setLink(factor float64) {
+	configuration := *fleet.configuration
+	configuration.Links = nil
+	for _, link := range fleet.configuration.Links {
+		link.BytesPerSecond = int64(linkBytesPerSecond * factor)
+		configuration.Links = append(configuration.Links, link)
+	}
+	fleet.configuration = &configuration
+}
+
 func (fleet *Fleet) actOnVMs(event Event) {
 	affected := 0
 	for _, vm := range fleet.vms {
-		number := vm.number / len(fleet.regions)
 		inRegion := event.Region == "" || event.Region == vm.entry.Region
-		if !inRegion || number < event.First || event.Count > 0 && affected >= event.Count || fleet.regions[vm.region].lost {
+		if !inRegion || vm.inRegion < event.First || event.Count > 0 && affected >= event.Count || fleet.regions[vm.region].lost {
 			continue
 		}
 		affected++
--- a/steering/comparison/case.go
+++ b/steering/comparison/case.go
@@ -84,6 +84,10 @@
 	// SetReport sets a factor by which a region's reported capacity and demand are false.
 	SetReport Action = "report"
 	SetCap    Action = "shift_cap"
+	// SetLink sets a factor on what links carry.
+	SetLink Action = "link"
+	// AddVMs starts VMs under new ids.
+	AddVMs Action = "add_vms"
 	// Kill ends VMs of a region; Start starts VMs under the ids of those that ended, without memory.
 	Kill  Action = "kill"
 	Start Action = "start"
--- a/steering/comparison/checker.go
+++ b/steering/comparison/checker.go
@@ -65,6 +65,7 @@
 		checker.checkAdmitted(traffic, s, name)
 		checker.checkGrants(name)
 	}
+	checker.checkParts()
 	for _, vm := range checker.fleet.vms {
 		if vm.runs() && vm.decider.ready() {
 			checker.checkVM(vm)
@@ -184,6 +185,22 @@
 	}
 }
 
+// checkParts checks that the VMs of a region never own more than all of it.
+func (checker *checker) checkParts() {
+	for region, name := range checker.fleet.deployment.Regions {
+		sum := 0.0
+		for _, vm := range checker.fleet.vms {
+			decider, holds := vm.decider.(*grantDecider)
+			if vm.region == region && vm.alive && holds {
+				sum += decider.keeper.Part()
+			}
+		}
+		if sum > 1+shareTolerance {
+			checker.violate("I2 parts", "%s: parts sum to %.4f", name, sum)
+		}
+	}
+}
+
 // reported returns the newest summary of its own region that a running VM of a region knows.
 func (checker *checker) reported(flow oleandervane.Flow, region int) oleandervane.RegionSummary {
 	var result oleandervane.RegionSummary
@@ -249,7 +266,7 @@
 			}
 		}
 		for region := range fleet.regions {
-			if region != home && linkBytes[region] > linkBytesPerSecond*(0.5+rateTolerance) {
+			if region != home && linkBytes[region] > float64(fleet.configuration.Links[0].BytesPerSecond)*(0.5+rateTolerance) {
 				checker.violate("link", "%s sends %.0f bytes/s from %s to %s", vm.entry.ID, linkBytes[region], homeName, fleet.deployment.Regions[region])
 			}
 		}
--- a/steering/comparison/fleet.go
+++ b/steering/comparison/fleet.go
@@ -129,21 +129,30 @@
 	}
 	perRegion := fleet.deployment.EntryVMs / len(fleet.deployment.Regions)
 	for i := range perRegion * len(fleet.deployment.Regions) {
-		region := i % len(fleet.deployment.Regions)
-		name := fleet.deployment.Regions[region]
-		fleet.vms = append(fleet.vms, &vm{
-			fleet: fleet, number: i, region: region,
-			entry: oleandervane.EntryVM{ID: oleandervane.VMID(fmt.Sprintf("%s-%03d", name, i/len(fleet.deployment.Regions))), Region: name},
-		})
+		fleet.addVM(i % len(fleet.deployment.Regions))
 	}
+}
+
+// addVM starts a VM under a new id.
+func (fleet *Fleet) addVM(region int) {
+	name := fleet.deployment.Regions[region]
+	inRegion := 0
 	for _, vm := range fleet.vms {
-		vm.start()
-		fleet.timer.Every(share.Period, func(time.Time) {
-			if vm.runs() {
-				vm.decider.tick(vm.Now())
-			}
-		})
+		if vm.region == region {
+			inRegion++
+		}
 	}
+	added := &vm{
+		fleet: fleet, number: len(fleet.vms), region: region, inRegion: inRegion,
+		entry: oleandervane.EntryVM{ID: oleandervane.VMID(fmt.Sprintf("%s-%03d", name, inRegion)), Region: name},
+	}
+	fleet.vms = append(fleet.vms, added)
+	added.start()
+	fleet.timer.Every(share.Period, func(time.Time) {
+		if added.runs() {
+			added.decider.tick(added.Now())
+		}
+	})
 }
 
 // drainage says how far planned drains are.
@@ -272,11 +281,14 @@
 	if receiver.region != sender.region {
 		return !fleet.split[receiver.region][sender.region]
 	}
-	return !fleet.regions[receiver.region].divided || receiver.number/len(fleet.regions)%2 == sender.number/len(fleet.regions)%2
+	return !fleet.regions[receiver.region].divided || receiver.inRegion%2 == sender.inRegion%2
 }
 
 // deliver gives a VM what has reached it.
 func (fleet *Fleet) deliver(receiver *vm) {
+	for len(receiver.heard) < len(fleet.vms) {
+		receiver.heard = append(receiver.heard, nil)
+	}
 	for i, sender := range fleet.vms {
 		lag := peerLag
 		if sender.region != receiver.region {
--- a/steering/comparison/property_test.go
+++ b/steering/comparison/property_test.go
@@ -21,7 +21,10 @@
 
 const (
 	historySeconds = 45
-	// rulesOfHistory bounds the events of a history.
+	// longSeconds is the duration of one history in longEvery, in which VMs stop counting others.
+	longSeconds = 130
+	longEvery   = 12
+	// eventsOfHistory bounds the events of a history.
 	eventsOfHistory = 7
 )
 
@@ -40,20 +43,26 @@
 		MeasurementAge: Duration([]time.Duration{1, 5, 20}[random.IntN(3)] * time.Second),
 		Utilization:    0.3 + 0.5*random.Float64(), NoisePart: 0.05 * float64(random.IntN(2)),
 	}
+	seconds := historySeconds
+	if random.IntN(longEvery) == 0 {
+		seconds = longSeconds
+		scripted.Duration = Duration(longSeconds * time.Second)
+	}
 	lost := map[oleandervane.Region]bool{}
 	for range 1 + random.IntN(eventsOfHistory) {
-		scripted.Events = append(scripted.Events, randomEvent(random, regions, lost))
+		scripted.Events = append(scripted.Events, randomEvent(random, seconds, regions, lost))
 	}
 	return scripted
 }
 
-func randomEvent(random *rand.Rand, regions []oleandervane.Region, lost map[oleandervane.Region]bool) Event {
+func randomEvent(random *rand.Rand, seconds int, regions []oleandervane.Region, lost map[oleandervane.Region]bool) Event {
 	actions := []Action{
 		SetDemand, SetDemand, SetDemand, SetCapacity, SetCapacity, SetReport, SetCap, Kill, Start, Restart, Restart, Pause, Resume,
 		LoseRegion, ReturnRegion, Partition, Heal, StopMeasurement, StartMeasurement, StoreDown, FreezeList, ThawList, SkewClocks,
+		AddVMs, SetLink,
 	}
 	event := Event{
-		At: Duration(time.Duration(1+random.IntN(historySeconds-5)) * time.Second), Do: actions[random.IntN(len(actions))],
+		At: Duration(time.Duration(1+random.IntN(seconds-5)) * time.Second), Do: actions[random.IntN(len(actions))],
 		Region: regions[random.IntN(len(regions))], Other: regions[random.IntN(len(regions))],
 		Factor: 0.3 + 2*random.Float64(), Count: 1 + random.IntN(3), First: random.IntN(2),
 	}
@@ -62,6 +71,8 @@
 		event.Factor = 0.02 + 0.1*random.Float64()
 	case SetReport:
 		event.Factor = 0.5 + random.Float64()
+	case SetLink:
+		event.Factor = 0.01 + 0.1*random.Float64()
 	case SkewClocks:
 		event.Factor = random.Float64()
 	case LoseRegion:
--- a/steering/comparison/vm.go
+++ b/steering/comparison/vm.go
@@ -10,14 +10,16 @@
 
 // vm is one entry VM of a simulation. It is the sight of its decision code.
 type vm struct {
-	fleet   *Fleet
-	entry   oleandervane.EntryVM
-	number  int
-	region  int
-	decider decider
-	alive   bool
-	paused  bool
-	skew    time.Duration
+	fleet  *Fleet
+	entry  oleandervane.EntryVM
+	number int
+	region int
+	// inRegion is the number of the VM among those of its region.
+	inRegion int
+	decider  decider
+	alive    bool
+	paused   bool
+	skew     time.Duration
 	// heard has what the VM last heard of each VM, by number; log has what it published, by second.
 	heard []*published
 	log   []*published
@@ -129,7 +131,7 @@
 func (vm *vm) start() {
 	vm.alive, vm.paused = true, false
 	vm.entry.Incarnation++
-	vm.heard = make([]*published, len(vm.fleet.vms))
+	vm.heard = nil
 	vm.log = nil
 	vm.summaries = map[oleandervane.Flow]oleandervane.RegionSummary{}
 	vm.last = map[oleandervane.Flow][]vectorAt{}
--- a/steering/grant/roster.go
+++ b/steering/grant/roster.go
@@ -124,7 +124,9 @@
 	for _, vm := range view.Listed {
 		roster.listedNow[vm] = true
 		roster.everListed[vm] = true
-		roster.see(vm, view.Now)
+		if !roster.without.RaiseDelay {
+			roster.see(vm, view.Now)
+		}
 	}
 	if before != nil && !maps.Equal(before, roster.listedNow) {
 		roster.listChangedAt = view.Now
@@ -186,7 +188,7 @@
 		confirmedGone := !roster.listedNow[vm] && listIsNewer && now.Sub(seenAt) > RaiseDelay
 		confirmedGone = confirmedGone || roster.dropped[vm] && !roster.knownToPeer(vm)
 		if roster.without.RaiseDelay {
-			confirmedGone = now.Sub(seenAt) > 0 && !roster.listedNow[vm]
+			confirmedGone = now.Sub(seenAt) > 0
 		}
 		if vm == roster.self || !confirmedGone {
 			continue
--- a/steering/share/steerer.go
+++ b/steering/share/steerer.go
@@ -123,10 +123,17 @@
 		LostRegions:   steerer.sight.LostRegions(),
 	}
 	decision := steerer.policy.Decide(input)
-	steerer.history = append(steerer.history, oleandervane.SharesAt{From: now, Shares: decision.Shares})
+	if len(steerer.history) == 0 || !sameShares(input.Shares, decision.Shares) {
+		steerer.history = append(steerer.history, oleandervane.SharesAt{From: now, Shares: decision.Shares})
+	}
 	steerer.publish(now, configuration, decision)
 }
 
+// sameShares says whether a decision changed nothing; the newest history then stays in force.
+func sameShares(before, after map[oleandervane.Flow]oleandervane.ShareVector) bool {
+	return maps.EqualFunc(before, after, maps.Equal[oleandervane.ShareVector, oleandervane.ShareVector])
+}
+
 // recall takes shares from a peer, then from the snapshot. What a VM takes over counts as in force since the beginning
 // of the window at its floor, so that a restart gives no second use of the shift cap.
 func (steerer *Steerer) recall(now time.Time) {
@@ -201,6 +208,9 @@
 
 func floors(history []oleandervane.SharesAt) map[oleandervane.Flow]oleandervane.ShareVector {
 	latest := history[len(history)-1].Shares
+	if len(history) == 1 {
+		return latest
+	}
 	result := make(map[oleandervane.Flow]oleandervane.ShareVector, len(latest))
 	for flow, vector := range latest {
 		floor := maps.Clone(vector)
