Encode, publish, read back and collect configuration revisions

Cause: an accepted configuration has to be in force as a whole or not at all, and of two operators at nearly the same moment, or one with a stale copy of the folder, neither may undo the other. Ruled out: one value for the configuration (1.5 million client blocks are over 1 MB); chunks of fixed size (an inserted block would change all later ones); a lease for publishers (it lapses while its holder is paused); a second write after a lost answer (the first may still be on its way). Change: operator/revision encodes settings as lines and blocks in binary, cut into content-addressed chunks by the hash of each record's key; publishes chunks first and then the head by compare-and-swap; names conflicting files with their last author; settles lost answers by reading; keeps 100 revisions; collects chunks that nothing refers to; restores a store that came back older.

--- /dev/null
+++ b/operator/revision/collect.go
@@ -0,0 +1,281 @@
+package revision
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"oleandervane.example"
+)
+
+const (
+	// maxPending bounds the chunks noted at a time; beyond it the oldest are forgotten and stay in the store.
+	maxPending = 8_000
+	// maxCollected bounds the chunks of one collection, and with it the size of the head meanwhile.
+	maxCollected = 500
+)
+
+// pendingChunk is a chunk that a publisher was about to write.
+type pendingChunk struct {
+	Digest Digest    `json:"digest"`
+	At     time.Time `json:"at"`
+}
+
+func decodePending(content []byte) ([]pendingChunk, error) {
+	if len(content) == 0 {
+		return nil, nil
+	}
+	var pending []pendingChunk
+	decoder := json.NewDecoder(bytes.NewReader(content))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&pending); err != nil {
+		return nil, eris.Wrap(err, "decode pending chunks")
+	}
+	if len(pending) > maxPending {
+		return nil, eris.New("decode pending chunks: there are too many")
+	}
+	return pending, nil
+}
+
+// notePending adds chunks to the pending ones, and drops those that the head in force refers to.
+func (publisher *Publisher) notePending(ctx context.Context, chunks []Chunk, head Head) error {
+	now := publisher.timerService.Now().UTC()
+	return publisher.changePending(ctx, func(pending []pendingChunk) []pendingChunk {
+		inForce := map[Digest]bool{}
+		for _, digest := range head.AllChunks() {
+			inForce[digest] = true
+		}
+		for _, chunk := range chunks {
+			inForce[chunk.Digest] = true
+		}
+		pending = slices.DeleteFunc(pending, func(chunk pendingChunk) bool { return inForce[chunk.Digest] })
+		for _, chunk := range chunks {
+			pending = append(pending, pendingChunk{chunk.Digest, now})
+		}
+		return pending[max(0, len(pending)-maxPending):]
+	})
+}
+
+func (publisher *Publisher) changePending(ctx context.Context, change func(pending []pendingChunk) []pendingChunk) error {
+	var err error
+	for range maxRounds {
+		var entry oleandervane.StoreEntry
+		entry, err = publisher.store.Get(ctx, PendingKey)
+		if err != nil {
+			return err
+		}
+		pending, decodeErr := decodePending(entry.Value)
+		if decodeErr != nil {
+			// A list that cannot be read only keeps some chunks from being collected.
+			pending = nil
+		}
+		content, marshalErr := json.Marshal(change(pending))
+		if marshalErr != nil {
+			return eris.Wrap(marshalErr, "encode pending chunks")
+		}
+		_, err = publisher.store.CompareAndSwap(ctx, PendingKey, entry.Version, content)
+		if err == nil {
+			return nil
+		}
+	}
+	return eris.Wrap(err, "note pending chunks")
+}
+
+// Collect empties chunks that no revision of the history refers to, and that were noted by a publisher at least the
+// given age ago or belong to dropped revisions. It returns how many it emptied.
+//
+// A publisher may at the same time rely on such a chunk. So the versions of the chunks are read first, the head is
+// then written with their digests, and only then each is emptied at the version read. A publisher that read the head
+// before fails to write its own; one that reads it after writes the chunk again, which changes its version.
+func (publisher *Publisher) Collect(ctx context.Context, age time.Duration) (int, error) {
+	head, version, err := ReadHead(ctx, publisher.store)
+	if err != nil || head.Revision == 0 {
+		return 0, eris.Wrap(err, "collect")
+	}
+	history, err := readHistory(ctx, publisher.store, head)
+	if err != nil {
+		return 0, eris.Wrap(err, "collect")
+	}
+	referenced, err := publisher.referenced(ctx, head, history)
+	if err != nil {
+		return 0, eris.Wrap(err, "collect")
+	}
+	garbage, err := publisher.garbage(ctx, head, history, referenced, age)
+	if err != nil {
+		return 0, eris.Wrap(err, "collect")
+	}
+	if len(garbage) == 0 && len(head.Collecting) == 0 {
+		return 0, nil
+	}
+	versions, err := publisher.versions(ctx, garbage)
+	if err != nil {
+		return 0, eris.Wrap(err, "collect")
+	}
+	entry, err := publisher.announce(ctx, head, version, garbage)
+	if err != nil {
+		return 0, eris.Wrap(err, "collect")
+	}
+	collected, err := publisher.empty(ctx, versions)
+	if err != nil {
+		return collected, eris.Wrap(err, "collect")
+	}
+	head.Collecting = slices.DeleteFunc(slices.Clone(head.Collecting), func(digest Digest) bool { return referenced[digest] })
+	return collected, eris.Wrap(publisher.finish(ctx, head, history, entry.Version, garbage, age), "collect")
+}
+
+// garbage returns the chunks to empty, sorted, and marks them as referenced, so that those of the head's Collecting
+// are done with afterwards. Those of a collection that was cut off come first.
+func (publisher *Publisher) garbage(ctx context.Context, head Head, history History, referenced map[Digest]bool, age time.Duration) ([]Digest, error) {
+	entry, err := publisher.store.Get(ctx, PendingKey)
+	if err != nil {
+		return nil, err
+	}
+	pending, err := decodePending(entry.Value)
+	if err != nil {
+		return nil, err
+	}
+	candidates := slices.Clone(head.Collecting)
+	for _, dropped := range history.Dropped {
+		chunks, err := publisher.chunksOf(ctx, dropped)
+		if err != nil {
+			return nil, err
+		}
+		candidates = append(append(candidates, chunks...), dropped)
+	}
+	now := publisher.timerService.Now()
+	for _, chunk := range pending {
+		if now.Sub(chunk.At) >= age {
+			candidates = append(candidates, chunk.Digest)
+		}
+	}
+	var garbage []Digest
+	for _, digest := range candidates {
+		if !referenced[digest] && len(garbage) < maxCollected {
+			referenced[digest] = true
+			garbage = append(garbage, digest)
+		}
+	}
+	slices.SortFunc(garbage, compareDigests)
+	return garbage, nil
+}
+
+func compareDigests(a, b Digest) int {
+	return bytes.Compare(a[:], b[:])
+}
+
+// referenced returns the chunks of the head in force and of all revisions of the history.
+func (publisher *Publisher) referenced(ctx context.Context, head Head, history History) (map[Digest]bool, error) {
+	referenced := map[Digest]bool{}
+	for _, digest := range head.AllChunks() {
+		referenced[digest] = true
+	}
+	for _, entry := range history.Entries {
+		if entry.Head == (Digest{}) {
+			continue
+		}
+		chunks, err := publisher.chunksOf(ctx, entry.Head)
+		if err != nil {
+			return nil, err
+		}
+		referenced[entry.Head] = true
+		for _, digest := range chunks {
+			referenced[digest] = true
+		}
+	}
+	return referenced, nil
+}
+
+// chunksOf returns the chunks of a head that is a chunk itself; none if the chunk was collected.
+func (publisher *Publisher) chunksOf(ctx context.Context, digest Digest) ([]Digest, error) {
+	content, err := Fetch(ctx, publisher.store, digest)
+	if errors.Is(err, oleandervane.ErrStoreUnavailable) {
+		return nil, err
+	}
+	if err != nil {
+		return nil, nil
+	}
+	head, err := DecodeHead(content)
+	if err != nil {
+		return nil, err
+	}
+	return head.AllChunks(), nil
+}
+
+// versions reads the versions of chunks that are not empty.
+func (publisher *Publisher) versions(ctx context.Context, list []Digest) (map[Digest]uint64, error) {
+	versions := map[Digest]uint64{}
+	for _, digest := range list {
+		entry, err := publisher.store.Get(ctx, ChunkKey(digest))
+		if err != nil {
+			return nil, err
+		}
+		if len(entry.Value) > 0 {
+			versions[digest] = entry.Version
+		}
+	}
+	return versions, nil
+}
+
+// announce writes the head with the chunks that are about to be emptied, and those of earlier collections that
+// publishers must go on to write again.
+func (publisher *Publisher) announce(ctx context.Context, head Head, version uint64, garbage []Digest) (oleandervane.StoreEntry, error) {
+	head.Collecting = slices.Compact(slices.SortedFunc(slices.Values(slices.Concat(head.Collecting, garbage)), compareDigests))
+	encoded, err := head.Encode()
+	if err != nil {
+		return oleandervane.StoreEntry{}, err
+	}
+	return publisher.store.CompareAndSwap(ctx, HeadKey, version, encoded)
+}
+
+// empty empties chunks at the versions read, in the order of their digests. A chunk that was written again meanwhile
+// is left alone.
+func (publisher *Publisher) empty(ctx context.Context, versions map[Digest]uint64) (collected int, err error) {
+	for _, digest := range slices.SortedFunc(maps.Keys(versions), compareDigests) {
+		_, err := publisher.store.CompareAndSwap(ctx, ChunkKey(digest), versions[digest], nil)
+		if err == nil {
+			collected++
+		} else if !errors.Is(err, oleandervane.ErrVersionConflict) {
+			return collected, err
+		}
+	}
+	return collected, nil
+}
+
+// finish writes the head without the chunks that were emptied, and forgets dropped revisions and pending chunks. When
+// the head has moved meanwhile, the next collection does it.
+func (publisher *Publisher) finish(ctx context.Context, head Head, history History, version uint64, garbage []Digest, age time.Duration) error {
+	if len(garbage) < maxCollected && len(history.Dropped) > 0 {
+		history.Dropped = nil
+		chunk, err := history.encode()
+		if err != nil {
+			return err
+		}
+		if err := publisher.writeChunks(ctx, []Chunk{chunk}, head); err != nil {
+			return err
+		}
+		head.History = chunk.Digest
+	}
+	encoded, err := head.Encode()
+	if err != nil {
+		return err
+	}
+	_, err = publisher.store.CompareAndSwap(ctx, HeadKey, version, encoded)
+	if errors.Is(err, oleandervane.ErrVersionConflict) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	now := publisher.timerService.Now()
+	return publisher.changePending(ctx, func(pending []pendingChunk) []pendingChunk {
+		return slices.DeleteFunc(pending, func(chunk pendingChunk) bool {
+			return slices.Contains(garbage, chunk.Digest) && now.Sub(chunk.At) >= age
+		})
+	})
+}
--- /dev/null
+++ b/operator/revision/revision_test.go
@@ -0,0 +1,460 @@
+package revision_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"oleandervane.example"
+	"oleandervane.example/figure"
+	"oleandervane.example/operator/check"
+	"oleandervane.example/operator/folder"
+	"oleandervane.example/operator/revision"
+	"oleandervane.example/standin/storestandin"
+	"oleandervane.example/timer"
+)
+
+var start = time.Date(2027, 1, 10, 0, 0, 0, 0, time.UTC)
+
+func association(tb testing.TB) oleandervane.Configuration {
+	tb.Helper()
+	result, err := folder.Read("../folder/testdata/association", check.Circumstances{})
+	assert.NilError(tb, err)
+	assert.Assert(tb, !result.Refused())
+	return result.Configuration
+}
+
+func lookup(content revision.Content) func(revision.Digest) ([]byte, bool) {
+	chunks := map[revision.Digest][]byte{}
+	for _, chunk := range content.Chunks() {
+		chunks[chunk.Digest] = chunk.Content
+	}
+	return func(digest revision.Digest) ([]byte, bool) {
+		content, found := chunks[digest]
+		return content, found
+	}
+}
+
+func headOf(content revision.Content) revision.Head {
+	head := revision.Head{Format: 1, Revision: 1}
+	for _, chunk := range content.Settings {
+		head.Settings = append(head.Settings, chunk.Digest)
+	}
+	for _, chunk := range content.Blocks {
+		head.Blocks = append(head.Blocks, chunk.Digest)
+	}
+	return head
+}
+
+// Guards against an encoding that loses a setting or that has two forms for one configuration.
+func TestEncodeRoundTrip(t *testing.T) {
+	configuration := association(t)
+	configuration.Drains = []oleandervane.Drain{{
+		Name: "vms", Target: oleandervane.DrainEntryVMs, EntryVMs: []oleandervane.VMID{"entry-1"}, EmptyFrom: start, ReturnAt: start.Add(time.Hour),
+	}}
+	sites := []oleandervane.Site{"kigali-1", "kigali-2", "huye-1", "musanze-1"}
+	rapid.Check(t, func(t *rapid.T) {
+		prefixes := rapid.SliceOfN(rapid.Custom(prefix), 0, 3000).Draw(t, "prefixes")
+		slices.SortFunc(prefixes, check.ComparePrefixes)
+		configuration.ClientBlocks = nil
+		for index, prefix := range slices.Compact(prefixes) {
+			configuration.ClientBlocks = append(configuration.ClientBlocks, oleandervane.ClientBlock{Prefix: prefix, Site: sites[index%len(sites)]})
+		}
+		content, err := revision.Encode(configuration)
+		assert.NilError(t, err)
+		decoded, err := revision.Decode(headOf(content), lookup(content))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, decoded, configuration.WithRevision(1), cmp.Comparer(func(a, b netip.Prefix) bool { return a == b }), cmpopts.EquateEmpty())
+		again, err := revision.Encode(decoded)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, again, content)
+	})
+}
+
+func prefix(t *rapid.T) netip.Prefix {
+	if rapid.Bool().Draw(t, "wide") {
+		address := [16]byte{0x20}
+		copy(address[1:], rapid.SliceOfN(rapid.Byte(), 15, 15).Draw(t, "address"))
+		return netip.PrefixFrom(netip.AddrFrom16(address), rapid.IntRange(0, 128).Draw(t, "bits")).Masked()
+	}
+	address := [4]byte(rapid.SliceOfN(rapid.Byte(), 4, 4).Draw(t, "address"))
+	return netip.PrefixFrom(netip.AddrFrom4(address), rapid.IntRange(0, 32).Draw(t, "bits")).Masked()
+}
+
+// Guards against bytes from the store that were changed or cut being accepted.
+func TestDecodeRefusesDamage(t *testing.T) {
+	content, err := revision.Encode(association(t))
+	assert.NilError(t, err)
+	for _, chunk := range content.Chunks() {
+		for index := range chunk.Content {
+			damaged := slices.Clone(chunk.Content)
+			damaged[index] ^= 1 << (index % 8)
+			_, err := revision.Decode(headOf(content), func(digest revision.Digest) ([]byte, bool) {
+				if digest == chunk.Digest {
+					return damaged, true
+				}
+				return lookup(content)(digest)
+			})
+			assert.ErrorContains(t, err, "other content than its digest says")
+		}
+	}
+}
+
+// Guards against a decoder that panics or accepts two forms of one configuration.
+func FuzzDecode(f *testing.F) {
+	content, err := revision.Encode(association(f))
+	assert.NilError(f, err)
+	f.Add(content.Settings[0].Content, content.Blocks[0].Content)
+	f.Add([]byte("oleandervane settings 1\n{}\n"), []byte("oleandervane blocks 1\n\x01\x01a\x01\x08\x00\x0a\x00"))
+	f.Fuzz(func(t *testing.T, settings, blocks []byte) {
+		chunks := revision.Content{
+			Settings: []revision.Chunk{{Digest: revision.DigestOf(settings), Content: settings}},
+			Blocks:   []revision.Chunk{{Digest: revision.DigestOf(blocks), Content: blocks}},
+		}
+		decoded, err := revision.Decode(headOf(chunks), lookup(chunks))
+		if err != nil {
+			return
+		}
+		again, err := revision.Encode(decoded)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, again.Settings, chunks.Settings)
+	})
+}
+
+// Guards against a head that panics the reader or has two forms.
+func FuzzDecodeHead(f *testing.F) {
+	content, err := revision.Encode(association(f))
+	assert.NilError(f, err)
+	encoded, err := headOf(content).Encode()
+	assert.NilError(f, err)
+	f.Add(encoded)
+	f.Fuzz(func(t *testing.T, encoded []byte) {
+		head, err := revision.DecodeHead(encoded)
+		if err != nil {
+			return
+		}
+		again, err := head.Encode()
+		assert.NilError(t, err)
+		assert.Equal(t, string(again), string(encoded))
+	})
+}
+
+// manyBlocks returns blocks as a registry hands them out: neighbours of different sizes at different sites.
+func manyBlocks(count int) []oleandervane.ClientBlock {
+	random := rand.New(rand.NewPCG(1, 2))
+	blocks := make([]oleandervane.ClientBlock, 0, count)
+	sites := []oleandervane.Site{"kigali-1", "kigali-2", "huye-1", "musanze-1"}
+	for address := uint32(1 << 24); len(blocks) < count; {
+		bits := 22 + random.IntN(7)
+		size := uint32(1) << (32 - bits)
+		address = (address + size - 1) / size * size
+		prefix := netip.PrefixFrom(netip.AddrFrom4([4]byte{byte(address >> 24), byte(address >> 16), byte(address >> 8), byte(address)}), bits)
+		blocks = append(blocks, oleandervane.ClientBlock{Prefix: prefix, Site: sites[random.IntN(len(sites))]})
+		address += size
+	}
+	return blocks
+}
+
+// controlBytes is what a node may receive for control while a revision comes into force: 20 KB/s for 4 s.
+const controlBytes = 20_000 * 4
+
+// Guards against a small change of client blocks that costs each entry VM more than it may receive in 4 s.
+func TestFigureChangedBlock(t *testing.T) {
+	configuration := association(t)
+	configuration.ClientBlocks = manyBlocks(1_500_000)
+	before, err := revision.Encode(configuration)
+	assert.NilError(t, err)
+	known := lookup(before)
+	random := rand.New(rand.NewPCG(3, 4))
+	largest := 0
+	for _, chunk := range before.Blocks {
+		largest = max(largest, len(chunk.Content))
+	}
+	head, err := headOf(before).Encode()
+	assert.NilError(t, err)
+	worst, total := len(head)+largest, 0
+	const changes = 8
+	for range changes {
+		changed := configuration
+		changed.ClientBlocks = slices.Clone(configuration.ClientBlocks)
+		index := random.IntN(len(changed.ClientBlocks))
+		if random.IntN(2) == 0 {
+			changed.ClientBlocks = slices.Delete(changed.ClientBlocks, index, index+1)
+		} else {
+			changed.ClientBlocks[index].Site = "huye-1"
+		}
+		after, err := revision.Encode(changed)
+		assert.NilError(t, err)
+		head, err := headOf(after).Encode()
+		assert.NilError(t, err)
+		cost := len(head)
+		for _, chunk := range after.Chunks() {
+			if _, found := known(chunk.Digest); !found {
+				cost += len(chunk.Content)
+			}
+		}
+		worst, total = max(worst, cost), total+cost
+	}
+	figure.Require(t, figure.Figure{Name: "operator_changed_block_mean_bytes", Value: float64(total / changes), Unit: "bytes", Bound: controlBytes})
+	figure.Require(t, figure.Figure{Name: "operator_changed_block_worst_bytes", Value: float64(worst), Unit: "bytes", Bound: controlBytes})
+}
+
+// desk is one operator with a copy of the folder.
+type desk struct {
+	name      string
+	publisher *revision.Publisher
+	files     map[string]string
+	base      revision.Base
+	attempts  int
+}
+
+func (desk *desk) proposal(configuration oleandervane.Configuration) revision.Proposal {
+	desk.attempts++
+	proposal := revision.Proposal{
+		Configuration: configuration, Author: desk.name, Base: desk.base, Attempt: fmt.Sprintf("%s-%d", desk.name, desk.attempts),
+	}
+	for name, content := range desk.files {
+		proposal.Files = append(proposal.Files, revision.File{Name: name, Digest: revision.DigestOf([]byte(content))})
+	}
+	return proposal
+}
+
+func (desk *desk) publish(tb testing.TB, configuration oleandervane.Configuration) (revision.Publication, error) {
+	tb.Helper()
+	publication, err := desk.publisher.Publish(context.Background(), desk.proposal(configuration))
+	if err == nil {
+		desk.base = publication.Head.AsBase()
+	}
+	return publication, err
+}
+
+func newDesk(name string, store oleandervane.Store, timerService oleandervane.TimerService) *desk {
+	return &desk{name: name, publisher: revision.NewPublisher(store, timerService), files: map[string]string{"a.toml": "1", "b.toml": "1", "c.toml": "1"}}
+}
+
+func withLifetime(configuration oleandervane.Configuration, seconds int) oleandervane.Configuration {
+	configuration.LookupLifetime = time.Duration(seconds) * time.Second
+	return configuration
+}
+
+// Guards against a second operator who silently undoes the first, and against a conflict that names no files.
+func TestConflicts(t *testing.T) {
+	manual := timer.NewManual(start)
+	store := storestandin.New(manual)
+	configuration := association(t)
+	alice, bob, eve := newDesk("alice", store, manual), newDesk("bob", store, manual), newDesk("eve", store, manual)
+	first, err := alice.publish(t, configuration)
+	assert.NilError(t, err)
+	assert.Equal(t, first.Head.Revision, oleandervane.Revision(1))
+	bob.base = alice.base
+	again, err := bob.publish(t, configuration)
+	assert.NilError(t, err)
+	assert.Assert(t, again.Unchanged)
+
+	alice.files["a.toml"], alice.files["d.toml"] = "2", "1"
+	second, err := alice.publish(t, withLifetime(configuration, 20))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, second.Changed, []string{"a.toml", "d.toml"})
+
+	bob.files["a.toml"], bob.files["b.toml"] = "3", "3"
+	_, err = bob.publish(t, withLifetime(configuration, 10))
+	var conflict *revision.ConflictError
+	assert.Assert(t, errors.As(err, &conflict), "%v", err)
+	assert.Error(t, conflict, `the folder was taken from revision 1, but revision 2 is in force and 2 files conflict:
+  a.toml: changed there and, differently, here; last by alice in revision 2
+  d.toml: there, but not here; last by alice in revision 2`)
+
+	eve.base = first.Head.AsBase()
+	eve.files["c.toml"] = "4"
+	_, err = eve.publish(t, withLifetime(configuration, 5))
+	assert.Assert(t, errors.As(err, &conflict), "%v", err)
+	assert.Equal(t, conflict.Files[0].Clash, revision.Stale)
+	eve.files["a.toml"], eve.files["d.toml"] = "2", "1"
+	third, err := eve.publish(t, withLifetime(configuration, 5))
+	assert.NilError(t, err, "a folder that has taken over all changes may go on from an old base")
+	assert.DeepEqual(t, third.Changed, []string{"c.toml"})
+
+	history, err := revision.ReadHistory(context.Background(), store)
+	assert.NilError(t, err)
+	assert.Equal(t, len(history.Entries), 3)
+	assert.Equal(t, history.Entries[2].Author, "eve")
+	old, err := revision.ReadRevision(context.Background(), store, 2)
+	assert.NilError(t, err)
+	loaded, err := revision.Load(context.Background(), store, old, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, loaded.LookupLifetime, 20*time.Second)
+}
+
+// Guards against a lost answer that leads to a second write or a wrong report, and a dead store reported as accepted.
+func TestLostAnswers(t *testing.T) {
+	manual := timer.NewManual(start)
+	store := storestandin.New(manual)
+	configuration := association(t)
+	alice := newDesk("alice", store, manual)
+	store.SetFaults(storestandin.Faults{Down: true})
+	_, err := alice.publish(t, configuration)
+	assert.ErrorIs(t, err, oleandervane.ErrStoreUnavailable)
+	for lost := 1; lost <= 4; lost++ {
+		store.SetFaults(storestandin.Faults{LoseAnswers: lost})
+		publication, err := alice.publish(t, withLifetime(configuration, lost+1))
+		assert.NilError(t, err)
+		assert.Equal(t, publication.Head.Revision, oleandervane.Revision(lost))
+	}
+	head, _, err := revision.ReadHead(context.Background(), store)
+	assert.NilError(t, err)
+	assert.Equal(t, head.Revision, oleandervane.Revision(4))
+}
+
+// headLoser loses the request of the head's write, which a reader cannot tell from one that is still on its way.
+type headLoser struct {
+	oleandervane.Store
+	writes int
+}
+
+func (headLoser *headLoser) CompareAndSwap(ctx context.Context, key string, version uint64, value []byte) (oleandervane.StoreEntry, error) {
+	if key != revision.HeadKey {
+		return headLoser.Store.CompareAndSwap(ctx, key, version, value)
+	}
+	headLoser.writes++
+	return oleandervane.StoreEntry{}, oleandervane.ErrStoreUnavailable
+}
+
+// Guards against writing a head twice when its first write may still be on its way.
+func TestUndecided(t *testing.T) {
+	manual := timer.NewManual(start)
+	loser := &headLoser{Store: storestandin.New(manual)}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel2 := manual.After(time.Second, func(time.Time) { cancel() })
+	defer cancel2()
+	go func() {
+		for ctx.Err() == nil {
+			manual.Advance(100 * time.Millisecond)
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	_, err := revision.NewPublisher(loser, manual).Publish(ctx, newDesk("alice", loser, manual).proposal(association(t)))
+	var undecided *revision.UndecidedError
+	assert.Assert(t, errors.As(err, &undecided), "%v", err)
+	assert.Equal(t, loser.writes, 1)
+}
+
+// Guards against a publish on a store that lost revisions, and against a store that is not brought forward.
+func TestOlderStore(t *testing.T) {
+	manual := timer.NewManual(start)
+	store := storestandin.New(manual)
+	configuration := association(t)
+	alice := newDesk("alice", store, manual)
+	_, err := alice.publish(t, configuration)
+	assert.NilError(t, err)
+	kept := store.Content()
+	alice.files["a.toml"] = "2"
+	second, err := alice.publish(t, withLifetime(configuration, 20))
+	assert.NilError(t, err)
+	chunks := map[revision.Digest][]byte{}
+	for _, digest := range second.Head.Chunks() {
+		chunks[digest], err = revision.Fetch(context.Background(), store, digest)
+		assert.NilError(t, err)
+	}
+	store.RollBack(kept)
+	alice.files["a.toml"] = "3"
+	_, err = alice.publish(t, withLifetime(configuration, 10))
+	var older *revision.OlderError
+	assert.Assert(t, errors.As(err, &older), "%v", err)
+	assert.Equal(t, older.Seen, oleandervane.Revision(2))
+
+	bob := newDesk("bob", store, manual)
+	proposal := bob.proposal(withLifetime(configuration, 7))
+	proposal.Seen = 2
+	_, err = bob.publisher.Publish(context.Background(), proposal)
+	assert.Assert(t, errors.As(err, &older), "a revision seen on an entry VM must count: %v", err)
+
+	restored, err := alice.publisher.Restore(context.Background(), second.Head, func(digest revision.Digest) ([]byte, bool) {
+		content, found := chunks[digest]
+		return content, found
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, restored.Revision, oleandervane.Revision(2))
+	third, err := alice.publish(t, withLifetime(configuration, 10))
+	assert.NilError(t, err, "a publish must go on although the store lost the history")
+	assert.Equal(t, third.Head.Revision, oleandervane.Revision(3))
+
+	store.RollBack(kept)
+	bob.base = revision.Base{Revision: 1, Identity: revision.DigestOf([]byte("another"))}
+	_, err = bob.publish(t, configuration)
+	assert.Assert(t, errors.As(err, &older) && older.Other, "%v", err)
+}
+
+// mostCallsOfPublish bounds the calls of one small publish: one after another over the longest link (70 ms there and
+// back) they take at most 1 s of the operator's time.
+const mostCallsOfPublish = 14
+
+// Guards against a publish that takes more store calls, and chunks that are written although they are there.
+func TestFigurePublishCalls(t *testing.T) {
+	manual := timer.NewManual(start)
+	store := storestandin.New(manual)
+	configuration := association(t)
+	configuration.ClientBlocks = manyBlocks(100_000)
+	alice := newDesk("alice", store, manual)
+	_, err := alice.publish(t, configuration)
+	assert.NilError(t, err)
+	before := store.Calls()
+	configuration.ClientBlocks = slices.Delete(slices.Clone(configuration.ClientBlocks), 50_000, 50_001)
+	alice.files["a.toml"] = "2"
+	_, err = alice.publish(t, configuration)
+	assert.NilError(t, err)
+	calls := store.Calls().Since(before)
+	figure.Require(t, figure.Figure{Name: "operator_publish_store_calls", Value: float64(calls.Total()), Unit: "calls", Bound: mostCallsOfPublish})
+}
+
+// Guards against a collection that empties a chunk in use, or that leaves what nothing refers to.
+func TestCollect(t *testing.T) {
+	manual := timer.NewManual(start)
+	store := storestandin.New(manual)
+	configuration := association(t)
+	alice := newDesk("alice", store, manual)
+	for round := range 130 {
+		alice.files["a.toml"] = fmt.Sprint(round)
+		_, err := alice.publish(t, withLifetime(configuration, round+2))
+		assert.NilError(t, err)
+	}
+	orphan := newDesk("bob", &headLoser{Store: store}, manual)
+	orphan.base = alice.base
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := orphan.publisher.Publish(ctx, orphan.proposal(configuration))
+	assert.Assert(t, err != nil)
+	manual.Advance(2 * time.Hour)
+	collected, err := alice.publisher.Collect(context.Background(), time.Hour)
+	assert.NilError(t, err)
+	assert.Assert(t, collected >= 30, "%d chunks", collected)
+	again, err := alice.publisher.Collect(context.Background(), time.Hour)
+	assert.NilError(t, err)
+	assert.Equal(t, again, 0)
+	history, err := revision.ReadHistory(context.Background(), store)
+	assert.NilError(t, err)
+	assert.Equal(t, len(history.Entries), 100)
+	for _, entry := range history.Entries {
+		head, err := revision.ReadRevision(context.Background(), store, entry.Revision)
+		assert.NilError(t, err)
+		_, err = revision.Load(context.Background(), store, head, nil)
+		assert.NilError(t, err)
+		_, err = revision.ReadFiles(context.Background(), store, head)
+		assert.NilError(t, err)
+	}
+	_, err = alice.publish(t, withLifetime(configuration, 2))
+	assert.NilError(t, err, "a chunk that was collected must be written again")
+	head, _, err := revision.ReadHead(context.Background(), store)
+	assert.NilError(t, err)
+	_, err = revision.Load(context.Background(), store, head, nil)
+	assert.NilError(t, err)
+}
