Add the operators' command line: check, diff, publish, history, status, explain

Cause: operators need the way from the folder to an accepted revision, and a view of what entry VMs know.

--- /dev/null
+++ b/cmd/oleandervane/folder.go
@@ -0,0 +1,331 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/user"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"oleandervane.example"
+	"oleandervane.example/operator/check"
+	"oleandervane.example/operator/folder"
+	"oleandervane.example/operator/revision"
+	"oleandervane.example/operator/status"
+)
+
+// baseFile is the hidden file in which a folder keeps the revision that it was taken from.
+const baseFile = ".oleandervane-base"
+
+type atOption struct {
+	At string `long:"at" description:"judge drains as of this time instead of now" value-name:"RFC3339"`
+}
+
+func (atOption atOption) time(terminal *terminal) (time.Time, error) {
+	if atOption.At == "" {
+		return terminal.timerService.Now(), nil
+	}
+	at, err := time.Parse(time.RFC3339, atOption.At)
+	return at, eris.Wrap(err, "read --at")
+}
+
+type checkCommand struct {
+	terminal *terminal
+	jsonOption
+	atOption
+	folderArgument
+}
+
+// Execute checks a folder.
+func (command *checkCommand) Execute([]string) error {
+	now, err := command.time(command.terminal)
+	if err != nil {
+		return err
+	}
+	result, err := folder.Read(string(command.Arguments.Folder), check.Circumstances{Now: now})
+	if err != nil {
+		return err
+	}
+	findings := result.Findings
+	if findings == nil {
+		findings = []check.Finding{}
+	}
+	var text strings.Builder
+	for _, finding := range findings {
+		text.WriteString(finding.String() + "\n")
+	}
+	fmt.Fprintf(&text, "%d files, %d services, %d client blocks, %d findings\n", len(result.Files),
+		len(result.Configuration.Services), len(result.Configuration.ClientBlocks), len(findings))
+	if err := command.terminal.show(command.JSON, findings, text.String()); err != nil {
+		return err
+	}
+	return refused(result)
+}
+
+func refused(result folder.Result) error {
+	if result.Refused() {
+		return eris.Wrap(errRefused, "the folder has errors")
+	}
+	return nil
+}
+
+// inForce reads the head in force and its configuration, nil before the first revision.
+func inForce(ctx context.Context, store oleandervane.Store) (revision.Head, *oleandervane.Configuration, error) {
+	head, _, err := revision.ReadHead(ctx, store)
+	if err != nil || head.Revision == 0 {
+		return head, nil, err
+	}
+	configuration, err := revision.Load(ctx, store, head, nil)
+	return head, &configuration, err
+}
+
+type diffCommand struct {
+	terminal *terminal
+	jsonOption
+	storeOption
+	atOption
+	From uint64 `long:"from" description:"compare with this revision of the history" value-name:"REVISION"`
+	folderArgument
+}
+
+// Execute shows what a folder would change.
+func (command *diffCommand) Execute([]string) error {
+	ctx := context.Background()
+	store := command.open(command.terminal)
+	now, err := command.time(command.terminal)
+	if err != nil {
+		return err
+	}
+	_, accepted, err := inForce(ctx, store)
+	if err != nil {
+		return err
+	}
+	result, err := folder.Read(string(command.Arguments.Folder), check.Circumstances{Now: now, InForce: accepted})
+	if err != nil {
+		return err
+	}
+	before := oleandervane.Configuration{}
+	if accepted != nil {
+		before = *accepted
+	}
+	if command.From > 0 {
+		head, err := revision.ReadRevision(ctx, store, oleandervane.Revision(command.From))
+		if err != nil {
+			return err
+		}
+		if before, err = revision.Load(ctx, store, head, nil); err != nil {
+			return err
+		}
+	}
+	difference := revision.Diff(before, result.Configuration)
+	difference.Findings = result.Findings
+	if err := command.terminal.show(command.JSON, difference, difference.String()); err != nil {
+		return err
+	}
+	return refused(result)
+}
+
+type publishCommand struct {
+	terminal *terminal
+	jsonOption
+	storeOption
+	entryVMOption
+	Author  string        `long:"author" description:"who publishes; the user's name by default"`
+	Base    *uint64       `long:"base" description:"say that the folder takes account of everything up to this revision" value-name:"REVISION"`
+	Wait    bool          `long:"wait" description:"wait until the revision is in force on all entry VMs given"`
+	WaitFor time.Duration `long:"wait-for" default:"10s" description:"how long --wait waits"`
+	folderArgument
+}
+
+// published is what publish reports.
+type published struct {
+	Revision    oleandervane.Revision `json:"revision"`
+	Unchanged   bool                  `json:"unchanged"`
+	Superseded  bool                  `json:"superseded"`
+	Changed     []string              `json:"changed"`
+	InForceOn   int                   `json:"in_force_on,omitempty"`
+	WaitSeconds float64               `json:"wait_seconds,omitempty"`
+}
+
+// Execute publishes a folder.
+func (command *publishCommand) Execute([]string) error {
+	ctx := context.Background()
+	if command.Wait && len(command.EntryVMs) == 0 {
+		return eris.Wrap(errRefused, "--wait needs --entry-vm")
+	}
+	store := command.open(command.terminal)
+	path := string(command.Arguments.Folder)
+	_, accepted, err := inForce(ctx, store)
+	if err != nil {
+		return err
+	}
+	result, err := folder.Read(path, check.Circumstances{Now: command.terminal.timerService.Now(), InForce: accepted})
+	if err != nil {
+		return err
+	}
+	if result.Refused() {
+		for _, finding := range result.Findings {
+			fmt.Fprintln(command.terminal.output, finding)
+		}
+		return refused(result)
+	}
+	proposal, err := command.proposal(ctx, store, path, result)
+	if err != nil {
+		return err
+	}
+	publication, err := revision.NewPublisher(store, command.terminal.timerService).Publish(ctx, proposal)
+	if err != nil {
+		return err
+	}
+	if err := writeBase(path, publication.Head.AsBase()); err != nil {
+		return eris.Wrapf(err, "revision %d is accepted, but its number could not be kept in the folder", publication.Head.Revision)
+	}
+	return command.finish(ctx, publication)
+}
+
+func (command *publishCommand) proposal(ctx context.Context, store oleandervane.Store, path string, result folder.Result) (revision.Proposal, error) {
+	proposal := revision.Proposal{Configuration: result.Configuration, Author: command.Author, Attempt: rand.Text()}
+	if proposal.Author == "" {
+		if current, err := user.Current(); err == nil {
+			proposal.Author = current.Username
+		}
+	}
+	for _, file := range result.Files {
+		proposal.Files = append(proposal.Files, revision.File{Name: file.Name, Digest: file.Digest})
+	}
+	base, err := readBase(path)
+	if err != nil {
+		return revision.Proposal{}, err
+	}
+	proposal.Base = base
+	if command.Base != nil {
+		head, err := revision.ReadRevision(ctx, store, oleandervane.Revision(*command.Base))
+		if err != nil {
+			return revision.Proposal{}, eris.Wrap(err, "read --base")
+		}
+		proposal.Base = head.AsBase()
+	}
+	// A store that came back older may not know what entry VMs have in force.
+	for _, address := range command.EntryVMs {
+		var answer status.Status
+		if status.Ask(ctx, command.terminal.timerService, address, "/v1/status", &answer) == nil {
+			proposal.Seen = max(proposal.Seen, answer.Revision)
+		}
+	}
+	return proposal, nil
+}
+
+func (command *publishCommand) finish(ctx context.Context, publication revision.Publication) error {
+	report := published{
+		Revision: publication.Head.Revision, Unchanged: publication.Unchanged, Superseded: publication.Superseded, Changed: publication.Changed,
+	}
+	text := fmt.Sprintf("revision %d is accepted; changed files: %s\n", report.Revision, strings.Join(report.Changed, ", "))
+	if report.Unchanged {
+		text = fmt.Sprintf("revision %d is in force already; nothing was written\n", report.Revision)
+	}
+	var waitErr error
+	if command.Wait {
+		started := command.terminal.timerService.Now()
+		report.InForceOn, waitErr = command.wait(ctx, report.Revision)
+		report.WaitSeconds = command.terminal.timerService.Now().Sub(started).Seconds()
+		text += fmt.Sprintf("in force on %d of %d entry VMs\n", report.InForceOn, len(command.EntryVMs))
+	}
+	if err := command.terminal.show(command.JSON, report, text); err != nil {
+		return err
+	}
+	return waitErr
+}
+
+// waitPause is the time between rounds of questions to entry VMs.
+const waitPause = 200 * time.Millisecond
+
+// wait asks entry VMs until all have the revision, and returns how many have it.
+func (command *publishCommand) wait(ctx context.Context, awaited oleandervane.Revision) (int, error) {
+	timerService := command.terminal.timerService
+	deadline := timerService.Now().Add(command.WaitFor)
+	for {
+		have := 0
+		var missing []string
+		for _, address := range command.EntryVMs {
+			var answer status.Status
+			err := status.Ask(ctx, timerService, address, "/v1/status", &answer)
+			if err == nil && answer.Revision >= awaited {
+				have++
+				continue
+			}
+			missing = append(missing, address)
+		}
+		if len(missing) == 0 {
+			return have, nil
+		}
+		if !timerService.Now().Before(deadline) {
+			return have, eris.Wrapf(errUnreachable, "revision %d is accepted, but not seen in force on %s", awaited, strings.Join(missing, ", "))
+		}
+		due := make(chan struct{})
+		timerService.After(waitPause, func(time.Time) { close(due) })
+		<-due
+	}
+}
+
+func readBase(path string) (revision.Base, error) {
+	content, err := os.ReadFile(filepath.Join(path, baseFile))
+	if errors.Is(err, os.ErrNotExist) {
+		return revision.Base{}, nil
+	}
+	var base revision.Base
+	if err == nil {
+		err = json.Unmarshal(content, &base)
+	}
+	return base, eris.Wrapf(err, "read %s; remove it and give --base", baseFile)
+}
+
+// writeBase replaces the file in one step, so that a copy of the folder never has half of it.
+func writeBase(path string, base revision.Base) error {
+	content, err := json.Marshal(base)
+	if err != nil {
+		return err
+	}
+	temporary := filepath.Join(path, baseFile+".new")
+	if err := os.WriteFile(temporary, append(content, '\n'), 0o644); err != nil {
+		return err
+	}
+	return os.Rename(temporary, filepath.Join(path, baseFile))
+}
+
+type historyCommand struct {
+	terminal *terminal
+	jsonOption
+	storeOption
+	Collect    bool          `long:"collect" description:"remove chunks that no revision of the history uses"`
+	CollectAge time.Duration `long:"collect-age" default:"1h" description:"spare chunks that a publisher noted less long ago"`
+}
+
+// Execute lists accepted revisions.
+func (command *historyCommand) Execute([]string) error {
+	ctx := context.Background()
+	store := command.open(command.terminal)
+	if command.Collect {
+		collected, err := revision.NewPublisher(store, command.terminal.timerService).Collect(ctx, command.CollectAge)
+		if err != nil {
+			return err
+		}
+		return command.terminal.show(command.JSON, map[string]int{"collected": collected}, fmt.Sprintf("%d chunks removed\n", collected))
+	}
+	history, err := revision.ReadHistory(ctx, store)
+	if err != nil {
+		return err
+	}
+	var text strings.Builder
+	for _, entry := range history.Entries {
+		fmt.Fprintf(&text, "%d\t%s\t%s\t%d files changed: %s\n", entry.Revision, entry.PublishedAt.UTC().Format(time.RFC3339),
+			entry.Author, entry.ChangedCount, strings.Join(entry.Changed, ", "))
+	}
+	return command.terminal.show(command.JSON, history.Entries, text.String())
+}
--- /dev/null
+++ b/cmd/oleandervane/vms.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net/url"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"oleandervane.example"
+	"oleandervane.example/operator/check"
+	"oleandervane.example/operator/status"
+)
+
+// answers asks all entry VMs at the same time and returns the answers by address, and what failed.
+func answers[Answer any](terminal *terminal, addresses []string, path string) (map[string]Answer, map[string]string, error) {
+	if len(addresses) == 0 {
+		return nil, nil, eris.Wrap(errRefused, "give at least one --entry-vm")
+	}
+	found, failed := map[string]Answer{}, map[string]string{}
+	var mutex sync.Mutex
+	var asked sync.WaitGroup
+	for _, address := range addresses {
+		asked.Go(func() {
+			var answer Answer
+			err := status.Ask(context.Background(), terminal.timerService, address, path, &answer)
+			mutex.Lock()
+			defer mutex.Unlock()
+			if err != nil {
+				failed[address] = err.Error()
+				return
+			}
+			found[address] = answer
+		})
+	}
+	asked.Wait()
+	return found, failed, nil
+}
+
+// silent is an error when any entry VM did not answer.
+func silent(failed map[string]string) error {
+	if len(failed) == 0 {
+		return nil
+	}
+	return eris.Wrapf(errUnreachable, "no answer from %s", strings.Join(slices.Sorted(maps.Keys(failed)), ", "))
+}
+
+type statusCommand struct {
+	terminal *terminal
+	jsonOption
+	entryVMOption
+}
+
+// Execute shows what entry VMs know.
+func (command *statusCommand) Execute([]string) error {
+	found, failed, err := answers[status.Status](command.terminal, command.EntryVMs, "/v1/status")
+	if err != nil {
+		return err
+	}
+	var text strings.Builder
+	var list []status.Status
+	for _, address := range slices.Sorted(maps.Keys(found)) {
+		answer := found[address]
+		list = append(list, answer)
+		fmt.Fprintf(&text, "%s %s/%s %s revision %d, peers %s, store %s\n", answer.ID, answer.Region, answer.FailureDomain, answer.State,
+			answer.Revision, counts(answer.Peers), storeText(answer.Store))
+		for _, flow := range answer.Shares {
+			fmt.Fprintf(&text, "  %s from %s: %s\n", flow.Service, flow.Home, shares(flow.Shares))
+		}
+	}
+	if err := command.terminal.show(command.JSON, list, text.String()); err != nil {
+		return err
+	}
+	return silent(failed)
+}
+
+func counts(peers map[string]int) string {
+	var words []string
+	for _, state := range slices.Sorted(maps.Keys(peers)) {
+		words = append(words, fmt.Sprintf("%d %s", peers[state], state))
+	}
+	return strings.Join(words, ", ")
+}
+
+func storeText(health status.StoreHealth) string {
+	word := "unreachable"
+	if health.Reachable {
+		word = "reachable"
+	}
+	if health.AgeSeconds < 0 {
+		return word + ", never heard from"
+	}
+	return fmt.Sprintf("%s, heard from %.1f s ago", word, health.AgeSeconds)
+}
+
+func shares(vector oleandervane.ShareVector) string {
+	var words []string
+	left := 1.0
+	for _, region := range slices.Sorted(maps.Keys(vector)) {
+		words = append(words, fmt.Sprintf("%s %s", region, check.Percent(vector[region])))
+		left -= vector[region]
+	}
+	if left > 1e-6 {
+		words = append(words, "shed "+check.Percent(left))
+	}
+	return strings.Join(words, ", ")
+}
+
+type explainCommand struct {
+	terminal *terminal
+	jsonOption
+	entryVMOption
+	Arguments struct {
+		Service string `positional-arg-name:"SERVICE"`
+		Home    string `positional-arg-name:"HOME" description:"home region of the callers"`
+	} `positional-args:"true" required:"true"`
+}
+
+// Execute explains the shares of a flow.
+func (command *explainCommand) Execute([]string) error {
+	path := "/v1/explain?" + url.Values{"service": {command.Arguments.Service}, "home": {command.Arguments.Home}}.Encode()
+	found, failed, err := answers[status.Explanation](command.terminal, command.EntryVMs, path)
+	if err != nil {
+		return err
+	}
+	var text strings.Builder
+	var list []status.Explanation
+	for _, address := range slices.Sorted(maps.Keys(found)) {
+		answer := found[address]
+		list = append(list, answer)
+		fmt.Fprintf(&text, "%s, revision %d: %s from %s: %s\n", answer.ID, answer.Revision, answer.Service, answer.Home, shares(answer.Shares))
+		for _, reason := range answer.Reasons {
+			text.WriteString("  " + reason + "\n")
+		}
+	}
+	if err := command.terminal.show(command.JSON, list, text.String()); err != nil {
+		return err
+	}
+	return silent(failed)
+}
--- a/operator/revision/collect.go
+++ b/operator/revision/collect.go
@@ -64,11 +64,15 @@
 
 func (publisher *Publisher) changePending(ctx context.Context, change func(pending []pendingChunk) []pendingChunk) error {
 	var err error
+	var written []byte
 	for range maxRounds {
-		var entry oleandervane.StoreEntry
-		entry, err = publisher.store.Get(ctx, PendingKey)
-		if err != nil {
-			return err
+		entry, readErr := publisher.store.Get(ctx, PendingKey)
+		if readErr != nil {
+			return errors.Join(err, readErr)
+		}
+		if written != nil && bytes.Equal(entry.Value, written) {
+			// The answer to the write was lost.
+			return nil
 		}
 		pending, decodeErr := decodePending(entry.Value)
 		if decodeErr != nil {
@@ -83,6 +87,7 @@
 		if err == nil {
 			return nil
 		}
+		written = content
 	}
 	return eris.Wrap(err, "note pending chunks")
 }
