Run the whole path as separate processes: gateway, entry VM, demo

Cause: the parts existed as libraries; nothing showed that a caller gets an answer through a real entry VM.

Ruled out: serving the callers' address through the kratos router, which redirects paths that it cleans and cuts requests at one second; a demo in one process, which could not kill a VM.

Change: package gateway (look-up, ticket, request, outcome, relay), package entryvm that joins the parts, daemon oleandervane-entry, stand-in commands for store and VM list, and oleandervane-demo with both example deployments. Backend servers are still chosen round robin and requests stay at home.

--- /dev/null
+++ b/cmd/oleandervane-demo/process.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// process is one process of the demo.
+type process struct {
+	name    string
+	command *exec.Cmd
+	log     *os.File
+	ended   chan struct{}
+	err     error
+}
+
+// launcher starts processes and ends those that it started, each by its id.
+type launcher struct {
+	programs string
+	folder   string
+
+	mutex     sync.Mutex
+	processes map[string]*process
+}
+
+func newLauncher(programs, folder string) *launcher {
+	return &launcher{programs: programs, folder: folder, processes: map[string]*process{}}
+}
+
+// start runs a program; its output goes to a file named after the process.
+func (launcher *launcher) start(name, program string, arguments ...string) error {
+	log, err := os.OpenFile(filepath.Join(launcher.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return eris.Wrapf(err, "opening the log of %s", name)
+	}
+	command := exec.Command(filepath.Join(launcher.programs, program), arguments...)
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		return eris.Wrapf(err, "starting %s", name)
+	}
+	process := &process{name: name, command: command, log: log, ended: make(chan struct{})}
+	go process.wait()
+	launcher.mutex.Lock()
+	defer launcher.mutex.Unlock()
+	launcher.processes[name] = process
+	return nil
+}
+
+func (process *process) wait() {
+	process.err = process.command.Wait()
+	_ = process.log.Close()
+	close(process.ended)
+}
+
+func (launcher *launcher) find(name string) *process {
+	launcher.mutex.Lock()
+	defer launcher.mutex.Unlock()
+	return launcher.processes[name]
+}
+
+// kill ends a process at once.
+func (launcher *launcher) kill(name string) {
+	process := launcher.find(name)
+	_ = process.command.Process.Kill()
+	<-process.ended
+}
+
+// terminate asks a process to stop and returns how long that took. It fails when the process does not end in
+// time or ends with an error.
+func (launcher *launcher) terminate(name string, limit time.Duration) (time.Duration, error) {
+	process := launcher.find(name)
+	start := time.Now()
+	if err := process.command.Process.Signal(syscall.SIGTERM); err != nil {
+		return 0, eris.Wrapf(err, "terminating %s", name)
+	}
+	select {
+	case <-process.ended:
+		if process.err != nil {
+			return time.Since(start), eris.Wrapf(process.err, "%s ended with an error", name)
+		}
+		return time.Since(start), nil
+	case <-time.After(limit):
+		return limit, fmt.Errorf("%s did not end within %v", name, limit)
+	}
+}
+
+// endAll kills what still runs.
+func (launcher *launcher) endAll() {
+	launcher.mutex.Lock()
+	defer launcher.mutex.Unlock()
+	for _, process := range launcher.processes {
+		_ = process.command.Process.Kill()
+	}
+	for _, process := range launcher.processes {
+		<-process.ended
+	}
+}
--- /dev/null
+++ b/cmd/oleandervane-demo/scenario.go
@@ -0,0 +1,198 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"oleandervane.example"
+	"oleandervane.example/standin/backendstandin"
+	"oleandervane.example/standin/load"
+	"oleandervane.example/timer"
+)
+
+// Times of the scenario, from the start of the load.
+const (
+	loadTime         = 20 * time.Second
+	backendDrainAt   = 3 * time.Second
+	entryDrainAt     = 6 * time.Second
+	entryKillAt      = 12 * time.Second
+	entryRestartAt   = 14 * time.Second
+	terminationLimit = 30 * time.Second
+	requestTimeout   = 12 * time.Second
+	// leaveLimit is how long a leaving backend server may receive new work.
+	leaveLimit = 3 * time.Second
+)
+
+// scenario plays one deployment.
+type scenario struct {
+	options    options
+	deployment deployment
+	folder     string
+	launcher   *launcher
+	ledger     *ledger
+	promises   []promise
+	notes      []string
+}
+
+// run starts the deployment, plays the events while load runs, and returns the number of broken promises.
+func (scenario *scenario) run() (broken int, err error) {
+	scenario.ledger = newLedger()
+	if err := scenario.startPlatform(); err != nil {
+		return 0, err
+	}
+	if err := scenario.publish(); err != nil {
+		return 0, err
+	}
+	if err := scenario.startEntryVMs(); err != nil {
+		return 0, err
+	}
+	if err := scenario.waitUntilReady(); err != nil {
+		return 0, err
+	}
+	results, err := scenario.playLoad()
+	if err != nil {
+		return 0, err
+	}
+	return scenario.report(results)
+}
+
+func (scenario *scenario) playLoad() ([]load.Result, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), loadTime)
+	defer cancel()
+	events := make(chan error, 1)
+	go func() { events <- scenario.playEvents(ctx) }()
+	results := make(chan []load.Result, len(scenario.deployment.regions))
+	for number := range scenario.deployment.regions {
+		go func() { results <- scenario.loadRegion(ctx, number) }()
+	}
+	var all []load.Result
+	for range scenario.deployment.regions {
+		all = append(all, <-results...)
+	}
+	return all, <-events
+}
+
+// loadRegion sends the streams of callers whose home is one region.
+func (scenario *scenario) loadRegion(ctx context.Context, number int) []load.Result {
+	region := scenario.deployment.regions[number]
+	sender := newSender(scenario.deployment, number)
+	generator := load.NewGenerator(sender, timer.System{}, string(region))
+	generator.OnCompletion = scenario.ledger.record
+	var streams []load.Stream
+	for _, service := range scenario.deployment.services {
+		for _, stream := range service.streams {
+			streams = append(streams, load.Stream{
+				Service:    service.name,
+				Kind:       stream.kind,
+				Idempotent: stream.idempotent,
+				PerSecond:  stream.perSecond,
+				Timeout:    requestTimeout,
+			})
+		}
+	}
+	return generator.Run(ctx, streams, scenario.options.Seed+uint64(number))
+}
+
+// playEvents drains a backend server, stops an entry VM gracefully, and kills and replaces another.
+func (scenario *scenario) playEvents(ctx context.Context) error {
+	entryVMs := scenario.deployment.entryVMs()
+	drained, stopped, killed := scenario.deployment.backendServers()[0], entryVMs[1], entryVMs[2]
+	start := time.Now()
+	wait := func(at time.Duration) {
+		select {
+		case <-time.After(time.Until(start.Add(at))):
+		case <-ctx.Done():
+		}
+	}
+	wait(backendDrainAt)
+	if err := scenario.drainBackendServer(drained); err != nil {
+		return err
+	}
+	wait(entryDrainAt)
+	if err := scenario.stopEntryVM(stopped); err != nil {
+		return err
+	}
+	wait(entryKillAt)
+	scenario.launcher.kill(string(killed.ID))
+	scenario.note("killed %s at %s and replaced it at the same address", killed.ID, seconds(time.Since(start)))
+	wait(entryRestartAt)
+	return scenario.startEntryVM(killed)
+}
+
+// drainBackendServer marks a backend server as leaving and checks that it gets no new work after leaveLimit.
+func (scenario *scenario) drainBackendServer(backendServer oleandervane.BackendServer) error {
+	if err := scenario.setFaults(backendServer, backendstandin.Faults{Drain: true}); err != nil {
+		return err
+	}
+	if err := scenario.publishVMList(map[string]bool{string(backendServer.ID): true}); err != nil {
+		return err
+	}
+	time.Sleep(leaveLimit)
+	before, err := scenario.totalRuns(backendServer)
+	if err != nil {
+		return err
+	}
+	go scenario.checkNoNewWork(backendServer, before)
+	return nil
+}
+
+// settleTime is how long the demo watches a backend server that should get no new work.
+const settleTime = 2 * time.Second
+
+func (scenario *scenario) checkNoNewWork(backendServer oleandervane.BackendServer, before int) {
+	time.Sleep(settleTime)
+	after, err := scenario.totalRuns(backendServer)
+	if err != nil {
+		after = before
+	}
+	scenario.promise(promise{
+		text:   "a leaving backend server receives no new work after 3 s",
+		broken: after - before,
+		detail: fmt.Sprintf("%s ran %d requests", backendServer.ID, after-before),
+	})
+}
+
+func (scenario *scenario) stopEntryVM(entryVM oleandervane.EntryVM) error {
+	took, err := scenario.launcher.terminate(string(entryVM.ID), terminationLimit)
+	broken := 0
+	if err != nil {
+		broken = 1
+	}
+	scenario.promise(promise{text: "a planned stop of an entry VM ends by itself", broken: broken, detail: fmt.Sprint(err)})
+	scenario.note("drained and stopped %s in %s", entryVM.ID, seconds(took))
+	return nil
+}
+
+// report prints the outcomes and the promises, and returns how often promises were broken.
+func (scenario *scenario) report(results []load.Result) (int, error) {
+	runs, err := scenario.journals()
+	if err != nil {
+		return 0, eris.Wrap(err, "reading the journals of backend servers")
+	}
+	fmt.Printf("\n%s: %d entry VMs, %d backend servers, %s of load\n", scenario.deployment.name,
+		len(scenario.deployment.entryVMs()), len(scenario.deployment.backendServers()), seconds(loadTime))
+	if err := load.WriteTable(os.Stdout, results); err != nil {
+		return 0, err
+	}
+	for _, note := range scenario.notes {
+		fmt.Println(note)
+	}
+	promises := append(scenario.ledger.compare(runs), scenario.promises...)
+	return writePromises(os.Stdout, promises), nil
+}
+
+func (scenario *scenario) note(format string, arguments ...any) {
+	scenario.ledger.mutex.Lock()
+	defer scenario.ledger.mutex.Unlock()
+	scenario.notes = append(scenario.notes, fmt.Sprintf(format, arguments...))
+}
+
+func (scenario *scenario) promise(promise promise) {
+	scenario.ledger.mutex.Lock()
+	defer scenario.ledger.mutex.Unlock()
+	scenario.promises = append(scenario.promises, promise)
+}
--- a/cmd/oleandervane-standin/main.go
+++ b/cmd/oleandervane-standin/main.go
@@ -13,6 +13,8 @@
 	parser := flags.NewNamedParser("oleandervane-standin", flags.Default)
 	parser.ShortDescription = "Runs a stand-in for a backend server, the store or the VM list."
 	addCommand(parser, "backend", "Run a backend server", "Serves requests on a few slots; POST /fault changes its faults.", &backendCommand{})
+	addCommand(parser, "store", "Run the platform's store", "Keeps values in memory; PUT /v1/faults changes its faults.", &storeCommand{})
+	addCommand(parser, "vm-list", "Run the platform's VM list", "PUT /v1/vms sets the list; PUT /v1/faults changes its faults.", &vmListCommand{})
 	if _, err := parser.Parse(); err != nil {
 		os.Exit(exitCode(err))
 	}
--- /dev/null
+++ b/cmd/oleandervane-standin/platform.go
@@ -0,0 +1,25 @@
+package main
+
+import (
+	"oleandervane.example/standin/storestandin"
+	"oleandervane.example/standin/vmliststandin"
+	"oleandervane.example/timer"
+)
+
+type storeCommand struct {
+	Address string `long:"address" required:"true" description:"address to listen on, IP and port"`
+}
+
+// Execute runs the store until the process is told to stop.
+func (storeCommand *storeCommand) Execute([]string) error {
+	return serve("store", newServer(storeCommand.Address, storestandin.New(timer.System{}).Handler()))
+}
+
+type vmListCommand struct {
+	Address string `long:"address" required:"true" description:"address to listen on, IP and port"`
+}
+
+// Execute runs the VM list until the process is told to stop.
+func (vmListCommand *vmListCommand) Execute([]string) error {
+	return serve("vm-list", newServer(vmListCommand.Address, vmliststandin.New(timer.System{}).Handler()))
+}
--- /dev/null
+++ b/entry/gateway/gateway.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"oleandervane.example"
+	"oleandervane.example/entry/forward"
+	"oleandervane.example/entry/lookup"
+	"oleandervane.example/entry/ticket"
+)
+
+// Lookup tells which entry VMs a caller should use, and the caller's home region.
+type Lookup interface {
+	Decide(address netip.Addr, entryVMs []oleandervane.EntryVM) lookup.Decision
+}
+
+// Forwarder sends requests to backend servers and entry VMs of other regions.
+type Forwarder interface {
+	Forward(ctx context.Context, request forward.Request, chooser forward.TargetChooser) forward.Result
+}
+
+// GrantKeeper admits relayed requests against the room that this VM has granted to the home region of their callers.
+type GrantKeeper interface {
+	// Take uses the room of one request and says whether there was any.
+	Take(now time.Time, serviceName oleandervane.ServiceName, home oleandervane.Region) bool
+}
+
+// OutcomeRelay asks the entry VM that issued a ticket for the outcome of its request.
+type OutcomeRelay interface {
+	Outcome(ctx context.Context, issuer oleandervane.EntryVM, ticketText string) (OutcomeBody, error)
+}
+
+// Observer is told of every look-up and request. Its methods are called on the path of a request and must not block.
+type Observer interface {
+	LookedUp(serviceName oleandervane.ServiceName)
+	Arrived(serviceName oleandervane.ServiceName, home oleandervane.Region)
+	Finished(completion Completion)
+}
+
+// Completion is what became of one request. It is immutable.
+type Completion struct {
+	Service oleandervane.ServiceName
+	Kind    oleandervane.Kind
+	Home    oleandervane.Region
+	// ServedIn is the region whose backend server answered; empty when none did.
+	ServedIn oleandervane.Region
+	Outcome  oleandervane.Outcome
+	Reason   forward.Reason
+	Status   int
+	Latency  time.Duration
+	Attempts int
+	// Relayed says that another entry VM received the request from its caller.
+	Relayed bool
+}
+
+// Settings are the settings of a Gateway. They are immutable.
+type Settings struct {
+	MaxBodyBytes int64
+	// TrustCallerAddressHeader takes the caller's address from X-Forwarded-For.
+	TrustCallerAddressHeader bool
+}
+
+// Parts are what a Gateway works with. All are required.
+type Parts struct {
+	Membership    oleandervane.Membership
+	Configuration oleandervane.ConfigurationSource
+	Lookup        Lookup
+	Tickets       *ticket.Ledger
+	Admission     oleandervane.AdmissionController
+	Regions       oleandervane.RegionChooser
+	Backends      oleandervane.BackendChooser
+	Forwarder     Forwarder
+	Grants        GrantKeeper
+	OutcomeRelay  OutcomeRelay
+	Observer      Observer
+	TimerService  oleandervane.TimerService
+	// Random gives points in [0, 1) that select a region by its share; nil takes a random source.
+	Random func() float64
+}
+
+// Gateway serves callers and relayed requests. It is safe for concurrent use.
+type Gateway struct {
+	settings Settings
+	parts    Parts
+	inFlight inFlight
+}
+
+// New returns a gateway of the given parts.
+func New(settings Settings, parts Parts) *Gateway {
+	if parts.Random == nil {
+		parts.Random = rand.Float64
+	}
+	return &Gateway{settings: settings, parts: parts}
+}
+
+// CallerHandler returns the handler of the address that callers use.
+func (gateway *Gateway) CallerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/lookup", gateway.serveLookup)
+	mux.HandleFunc("POST /v1/ticket", gateway.serveTicket)
+	mux.HandleFunc("GET /v1/outcome/{ticket}", gateway.serveOutcome)
+	mux.HandleFunc("POST /v1/outcome/{ticket}/revoke", gateway.serveRevoke)
+	// Requests go by prefix and not through the patterns of the mux, which would clean their paths and redirect.
+	return PrefixHandler(requestPrefix, http.HandlerFunc(gateway.serveRequest), mux)
+}
+
+// RelayHandler returns the handler of requests that entry VMs of other regions relay.
+func (gateway *Gateway) RelayHandler() http.Handler {
+	return http.HandlerFunc(gateway.serveRelay)
+}
+
+// InFlight returns the number of requests that are being served now.
+func (gateway *Gateway) InFlight() int64 {
+	return gateway.inFlight.count()
+}
+
+// Drain waits until no request is in flight, or ctx ends.
+func (gateway *Gateway) Drain(ctx context.Context) error {
+	return gateway.inFlight.wait(ctx, gateway.parts.TimerService)
+}
--- /dev/null
+++ b/entry/gateway/lookup.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"net/http"
+
+	"oleandervane.example"
+	"oleandervane.example/entry/lookup"
+)
+
+// namedEntryVMs is how many entry VMs a look-up names: one to use and two to move on to.
+const namedEntryVMs = 3
+
+// ticketsInLookup is how many tickets a look-up hands out when this VM is the one to use.
+const ticketsInLookup = 1
+
+type namedEntryVM struct {
+	ID      oleandervane.VMID `json:"id"`
+	Address string            `json:"address"`
+}
+
+func (gateway *Gateway) serveLookup(writer http.ResponseWriter, request *http.Request) {
+	serviceName, kind, refusal := gateway.requestedKind(request)
+	if refusal != nil {
+		refusal.write(writer)
+		return
+	}
+	gateway.parts.Observer.LookedUp(serviceName)
+	var entryVMs [lookup.MaxEntryVMs]oleandervane.EntryVM
+	decision := gateway.parts.Lookup.Decide(gateway.callerAddress(request), entryVMs[:namedEntryVMs])
+	if decision.Count == 0 {
+		refuse(http.StatusServiceUnavailable, oleandervane.NotRun, "no_entry_vm", "no entry VM is known to be alive").write(writer)
+		return
+	}
+	configuration := gateway.parts.Configuration.Configuration()
+	writeJSON(writer, http.StatusOK, struct {
+		EntryVMs       []namedEntryVM        `json:"entry_vms"`
+		LifetimeMillis int64                 `json:"lifetime_ms"`
+		Revision       oleandervane.Revision `json:"revision"`
+		Home           oleandervane.Region   `json:"home"`
+		Tickets        []string              `json:"tickets,omitempty"`
+	}{
+		EntryVMs:       named(entryVMs[:decision.Count]),
+		LifetimeMillis: configuration.LookupLifetime.Milliseconds(),
+		Revision:       configuration.Revision,
+		Home:           decision.Home,
+		Tickets:        gateway.ticketsFor(entryVMs[0], serviceName, kind),
+	})
+}
+
+func named(entryVMs []oleandervane.EntryVM) []namedEntryVM {
+	result := make([]namedEntryVM, 0, len(entryVMs))
+	for _, entryVM := range entryVMs {
+		result = append(result, namedEntryVM{ID: entryVM.ID, Address: entryVM.CallerAddress.String()})
+	}
+	return result
+}
+
+// ticketsFor returns tickets when the caller will use this VM for a non-idempotent kind. A ticket of this VM is
+// of no use at another.
+func (gateway *Gateway) ticketsFor(first oleandervane.EntryVM, serviceName oleandervane.ServiceName, kind oleandervane.Kind) []string {
+	if kind.Idempotent || first.ID != gateway.parts.Membership.Self().ID {
+		return nil
+	}
+	var tickets []string
+	for range ticketsInLookup {
+		text, err := gateway.parts.Tickets.Issue(serviceName, kind.Name)
+		if err != nil {
+			return tickets
+		}
+		tickets = append(tickets, text)
+	}
+	return tickets
+}
+
+// requestedKind finds the service and kind that the query names.
+func (gateway *Gateway) requestedKind(request *http.Request) (oleandervane.ServiceName, oleandervane.Kind, *refusal) {
+	query := request.URL.Query()
+	serviceName := oleandervane.ServiceName(query.Get("service"))
+	kind, refusal := gateway.findKind(serviceName, oleandervane.KindName(query.Get("kind")))
+	return serviceName, kind, refusal
+}
+
+func (gateway *Gateway) findKind(serviceName oleandervane.ServiceName, kindName oleandervane.KindName) (oleandervane.Kind, *refusal) {
+	configuration := gateway.parts.Configuration.Configuration()
+	if configuration == nil {
+		return oleandervane.Kind{}, refuse(http.StatusServiceUnavailable, oleandervane.NotRun, "no_configuration", "this entry VM has no configuration yet")
+	}
+	kind, found := configuration.Kind(serviceName, kindName)
+	if !found {
+		return oleandervane.Kind{}, refuse(http.StatusNotFound, oleandervane.NotRun, "unknown_kind", "the configuration has no such service and kind of request")
+	}
+	return kind, nil
+}
--- /dev/null
+++ b/entry/gateway/ticket.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"net/http"
+
+	"oleandervane.example"
+	"oleandervane.example/entry/ticket"
+)
+
+// OutcomeBody is the answer to a query for the outcome of a ticket.
+type OutcomeBody struct {
+	Outcome oleandervane.Outcome `json:"outcome"`
+	// Status is the status of the backend server's answer; 0 when there is none.
+	Status int    `json:"status,omitempty"`
+	State  string `json:"state"`
+}
+
+func (gateway *Gateway) serveTicket(writer http.ResponseWriter, request *http.Request) {
+	serviceName, kind, refusal := gateway.requestedKind(request)
+	if refusal != nil {
+		refusal.write(writer)
+		return
+	}
+	if kind.Idempotent {
+		refuse(http.StatusBadRequest, oleandervane.NotRun, "no_ticket_needed", "requests of this kind are idempotent and need no ticket").write(writer)
+		return
+	}
+	text, err := gateway.parts.Tickets.Issue(serviceName, kind.Name)
+	if err != nil {
+		refuseBy(oleandervane.NotRun, "no_ticket", err.Error()).write(writer)
+		return
+	}
+	writeJSON(writer, http.StatusOK, struct {
+		Ticket string `json:"ticket"`
+	}{text})
+}
+
+func (gateway *Gateway) serveOutcome(writer http.ResponseWriter, request *http.Request) {
+	text := request.PathValue("ticket")
+	answer := gateway.parts.Tickets.Query(text)
+	if answer.State != ticket.Foreign {
+		writeOutcome(writer, outcomeBody(answer))
+		return
+	}
+	writeOutcome(writer, gateway.askIssuer(request, text, answer))
+}
+
+func (gateway *Gateway) serveRevoke(writer http.ResponseWriter, request *http.Request) {
+	writeOutcome(writer, outcomeBody(gateway.parts.Tickets.Revoke(request.PathValue("ticket"))))
+}
+
+// LocalOutcome returns what this VM knows of a ticket, for entry VMs that ask on behalf of their callers.
+func (gateway *Gateway) LocalOutcome(text string) OutcomeBody {
+	return outcomeBody(gateway.parts.Tickets.Query(text))
+}
+
+// askIssuer asks the incarnation that issued the ticket. What it does not answer stays unknown.
+func (gateway *Gateway) askIssuer(request *http.Request, text string, answer ticket.Answer) OutcomeBody {
+	parsed, err := ticket.Parse(text)
+	if err != nil {
+		return outcomeBody(answer)
+	}
+	for _, entryVM := range gateway.parts.Membership.EntryVMs() {
+		if entryVM.ID != parsed.VM || entryVM.Incarnation != parsed.Incarnation {
+			continue
+		}
+		body, err := gateway.parts.OutcomeRelay.Outcome(request.Context(), entryVM, text)
+		if err == nil {
+			return body
+		}
+	}
+	return outcomeBody(answer)
+}
+
+func outcomeBody(answer ticket.Answer) OutcomeBody {
+	return OutcomeBody{Outcome: answer.Outcome(), Status: answer.Response.Status, State: answer.State.String()}
+}
+
+func writeOutcome(writer http.ResponseWriter, body OutcomeBody) {
+	writer.Header().Set(oleandervane.HeaderOutcome, string(body.Outcome))
+	writeJSON(writer, http.StatusOK, body)
+}
--- /dev/null
+++ b/entryvm/entryvm.go
@@ -0,0 +1,223 @@
+package entryvm
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kratos/kratos/v2"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"oleandervane.example"
+	"oleandervane.example/entry/admission"
+	"oleandervane.example/entry/forward"
+	"oleandervane.example/entry/gateway"
+	"oleandervane.example/entry/lookup"
+	"oleandervane.example/entry/ticket"
+	"oleandervane.example/fleet/gossip"
+	"oleandervane.example/fleet/transport"
+	"oleandervane.example/platform/store"
+	"oleandervane.example/platform/vmlist"
+)
+
+// EntryVM is one entry VM: all parts, joined and ready to run.
+type EntryVM struct {
+	settings     Settings
+	self         oleandervane.EntryVM
+	timerService oleandervane.TimerService
+	log          *logrus.Entry
+	observer     *observer
+	lookup       *lookup.Lookup
+	tickets      *ticket.Ledger
+	admission    *admission.Controller
+	forwarder    *forward.Forwarder
+	backends     *roundRobin
+	daemon       *transport.Daemon
+	gateway      *gateway.Gateway
+}
+
+// New returns an entry VM with the given settings. It opens no connection before Run.
+func New(settings Settings, timerService oleandervane.TimerService, logger *logrus.Logger) *EntryVM {
+	self := settings.Self(newIncarnation(timerService.Now()))
+	entryVM := &EntryVM{
+		settings:     settings,
+		self:         self,
+		timerService: timerService,
+		log: logger.WithFields(logrus.Fields{
+			FieldVM:            self.ID,
+			FieldIncarnation:   self.Incarnation,
+			FieldRegion:        self.Region,
+			FieldFailureDomain: self.FailureDomain,
+		}),
+		observer:  newObserver(metrics.NewSet()),
+		lookup:    lookup.New(self),
+		forwarder: forward.New(forward.Settings{}, timerService),
+		backends:  &roundRobin{},
+		tickets: ticket.NewLedger(ticket.Settings{
+			VM:          self.ID,
+			Incarnation: self.Incarnation,
+			Lifetime:    time.Duration(settings.Requests.TicketLifetime),
+		}, timerService),
+		admission: admission.New(admission.Settings{
+			TimerService: timerService,
+			DefaultLimit: settings.Queue.Length,
+			QueueLimit:   settings.Queue.Length,
+		}),
+	}
+	return entryVM
+}
+
+// Run starts the VM and serves until it is told to stop by a signal; it then drains and returns.
+func (entryVM *EntryVM) Run() error {
+	if err := entryVM.startNode(); err != nil {
+		return err
+	}
+	stopBackends := entryVM.timerService.Every(time.Second, func(time.Time) { entryVM.readBackends() })
+	defer stopBackends()
+	entryVM.gateway = entryVM.newGateway()
+	app := kratos.New(
+		kratos.ID(string(entryVM.self.ID)),
+		kratos.Name("oleandervane-entry"),
+		kratos.Logger(kratosLogger{entry: entryVM.log}),
+		kratos.Server(
+			newServer(entryVM.settings.CallerAddress.String(), entryVM.callerHandler()),
+			newServer(entryVM.settings.OperationsAddress.String(), entryVM.operationsHandler()),
+		),
+		kratos.StopTimeout(time.Duration(entryVM.settings.Shutdown.DrainLimit)),
+		kratos.BeforeStop(func(context.Context) error { return entryVM.drain() }),
+	)
+	entryVM.log.Info("entry VM starts")
+	err := app.Run()
+	entryVM.close()
+	if err != nil {
+		return eris.Wrap(err, "running the entry VM")
+	}
+	entryVM.log.Info("entry VM has stopped")
+	return nil
+}
+
+func (entryVM *EntryVM) startNode() error {
+	daemon, err := transport.Start(gossip.Settings{
+		Self:         entryVM.self,
+		TimerService: entryVM.timerService,
+		Store:        gossip.Asynchronous(store.NewClient(entryVM.settings.StoreURL, entryVM.timerService)),
+		Decoder:      decoder{},
+		Random:       rand.New(rand.NewPCG(uint64(entryVM.self.Incarnation), 0)),
+		VMList:       gossip.AsynchronousVMList(vmlist.NewClient(entryVM.settings.VMListURL, entryVM.timerService)),
+		Accepted:     entryVM.acceptConfiguration,
+		VMsChanged:   entryVM.publishEntryVMs,
+		Log:          entryVM.log.WithField(FieldPart, "gossip"),
+	}, nil, nil)
+	if err != nil {
+		return eris.Wrap(err, "starting the node for peers")
+	}
+	entryVM.daemon = daemon
+	entryVM.publishEntryVMs()
+	return nil
+}
+
+func (entryVM *EntryVM) newGateway() *gateway.Gateway {
+	return gateway.New(gateway.Settings{
+		MaxBodyBytes:             entryVM.settings.Requests.MaxBodyBytes,
+		TrustCallerAddressHeader: entryVM.settings.TrustCallerAddressHeader,
+	}, gateway.Parts{
+		Membership:    entryVM.daemon.Node.Membership(),
+		Configuration: entryVM.daemon.Node,
+		Lookup:        entryVM.lookup,
+		Tickets:       entryVM.tickets,
+		Admission:     entryVM.admission,
+		Regions:       homeRegion{self: entryVM.self.Region},
+		Backends:      entryVM.backends,
+		Forwarder:     entryVM.forwarder,
+		Grants:        noGrants{},
+		OutcomeRelay:  noOutcomeRelay{},
+		Observer:      entryVM.observer,
+		TimerService:  entryVM.timerService,
+	})
+}
+
+func (entryVM *EntryVM) callerHandler() http.Handler {
+	callers, relays := entryVM.gateway.CallerHandler(), entryVM.gateway.RelayHandler()
+	return gateway.PrefixHandler(gateway.RelayPrefix, relays, callers)
+}
+
+// newServer returns a kratos HTTP server that passes every request to the handler as it is: the kratos router
+// would redirect paths that it cleans, and its timeout would cut long requests.
+func newServer(address string, handler http.Handler) *khttp.Server {
+	return khttp.NewServer(
+		khttp.Address(address),
+		khttp.Timeout(0),
+		khttp.Filter(func(http.Handler) http.Handler { return handler }),
+	)
+}
+
+// acceptConfiguration puts a revision into force in all parts.
+func (entryVM *EntryVM) acceptConfiguration(configuration *oleandervane.Configuration) {
+	entryVM.lookup.PublishConfiguration(*configuration)
+	table, err := lookup.NewTable(configuration.ClientBlocks)
+	if err != nil {
+		entryVM.log.WithError(err).WithField(FieldRevision, configuration.Revision).Error("client blocks cannot be used")
+		return
+	}
+	entryVM.lookup.PublishTable(table)
+	entryVM.log.WithField(FieldRevision, configuration.Revision).Info("configuration is in force")
+}
+
+func (entryVM *EntryVM) publishEntryVMs() {
+	if entryVM.daemon == nil {
+		return
+	}
+	entryVM.lookup.PublishEntryVMs(entryVM.daemon.Node.Membership().EntryVMs())
+}
+
+func (entryVM *EntryVM) readBackends() {
+	backendServers, _ := entryVM.daemon.Node.BackendServers()
+	entryVM.backends.publish(backendServers)
+}
+
+// drain announces that this VM leaves, serves on while callers still hold its name, and then waits for requests in
+// flight.
+func (entryVM *EntryVM) drain() error {
+	entryVM.log.Info("entry VM leaves")
+	entryVM.daemon.Node.Leave()
+	entryVM.sleep(entryVM.lookupGrace())
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(entryVM.settings.Shutdown.DrainLimit))
+	defer cancel()
+	if err := entryVM.gateway.Drain(ctx); err != nil {
+		entryVM.log.WithError(err).Error("requests are cut at the drain limit")
+	}
+	return nil
+}
+
+// leaveSpread is how long peers may go on naming this VM after it has announced that it leaves.
+const leaveSpread = 2 * time.Second
+
+// lookupGrace is how long callers may still use this VM after it has announced that it leaves.
+func (entryVM *EntryVM) lookupGrace() time.Duration {
+	grace := time.Duration(entryVM.settings.Shutdown.LookupGrace)
+	configuration := entryVM.daemon.Node.Configuration()
+	if configuration == nil {
+		return grace
+	}
+	return max(grace, configuration.LookupLifetime+leaveSpread)
+}
+
+func (entryVM *EntryVM) sleep(duration time.Duration) {
+	done := make(chan struct{})
+	entryVM.timerService.After(duration, func(time.Time) { close(done) })
+	<-done
+}
+
+func (entryVM *EntryVM) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := entryVM.daemon.Stop(ctx); err != nil {
+		entryVM.log.WithError(err).Warn("the node for peers did not stop cleanly")
+	}
+	entryVM.forwarder.Close()
+	entryVM.admission.Close()
+}
