Use the caller library in the demo and name unanswered filings

Ruled out: the planned stop. The list of unanswered filings has only requests to the VM that was killed: connections that were open when it died ended without a response.

Change: the demo sends through package caller, which moves on when a VM is gone and asks for outcomes; callers of a region have their own local address; unanswered filings are written to a file.

Conclusion: what remains unknown is what a killed VM took with it.

--- a/cmd/oleandervane-demo/deployment.go
+++ b/cmd/oleandervane-demo/deployment.go
@@ -80,6 +80,8 @@
 	entryByte    = 10
 	backendByte  = 20
 	callerByte   = 30
+	// callerHost is the last byte of the address of the callers of a region.
+	callerHost = 5
 )
 
 // Ports of the demo. Each process has a loopback address of its own.
--- a/cmd/oleandervane-demo/scenario.go
+++ b/cmd/oleandervane-demo/scenario.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"os"
+	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -181,6 +183,10 @@
 	for _, note := range scenario.notes {
 		fmt.Println(note)
 	}
+	unanswered := strings.Join(scenario.ledger.unanswered, "\n")
+	if err := os.WriteFile(filepath.Join(scenario.folder, "unanswered.txt"), []byte(unanswered), 0o644); err != nil {
+		return 0, err
+	}
 	promises := append(scenario.ledger.compare(runs), scenario.promises...)
 	return writePromises(os.Stdout, promises), nil
 }
--- a/cmd/oleandervane-demo/verdict.go
+++ b/cmd/oleandervane-demo/verdict.go
@@ -16,8 +16,8 @@
 type ledger struct {
 	mutex    sync.Mutex
 	outcomes map[string]oleandervane.Outcome
-	// unexpected are requests that did not end well although no process was killed in their region.
-	unexpected []string
+	// unanswered describes the filings that were not answered, for the log.
+	unanswered []string
 }
 
 func newLedger() *ledger {
@@ -31,6 +31,9 @@
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	ledger.outcomes[completion.Request.Identity] = completion.Outcome
+	if completion.Outcome != oleandervane.Answered {
+		ledger.unanswered = append(ledger.unanswered, fmt.Sprintf("%s %s after %s: %v", time.Now().Format(time.TimeOnly), completion.Request.Identity, seconds(completion.Latency), completion.Err))
+	}
 }
 
 // promise is a promise to callers, and how often it was broken.
--- a/entry/caller/client.go
+++ b/entry/caller/client.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -23,12 +24,17 @@
 	maxSends = 3
 	// idleConnectionLimit is short because an idle connection may go silent unnoticed.
 	idleConnectionLimit = 2 * time.Second
+	// maxIdleConnections to one entry VM keeps a busy caller from opening a connection for each request.
+	maxIdleConnections = 32
+	dialTimeout        = time.Second
 )
 
 // Settings are the settings of a Client. Zero values take the defaults.
 type Settings struct {
 	// Seeds are a few entry VMs that are asked when no look-up has succeeded yet, or when the known VMs are gone.
-	Seeds            []netip.AddrPort
+	Seeds []netip.AddrPort
+	// LocalAddress is the address to send from; the zero value leaves it to the machine. Look-ups go by it.
+	LocalAddress     netip.Addr
 	ControlTimeout   time.Duration
 	OutcomeQueries   int
 	OutcomePause     time.Duration
@@ -51,6 +57,14 @@
 	return settings
 }
 
+func (settings Settings) dialer() *net.Dialer {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	if settings.LocalAddress.IsValid() {
+		dialer.LocalAddr = &net.TCPAddr{IP: settings.LocalAddress.AsSlice()}
+	}
+	return dialer
+}
+
 // Client sends requests through entry VMs. All methods may be called from many goroutines at once.
 type Client struct {
 	settings     Settings
@@ -70,9 +84,11 @@
 		timerService: timerService,
 		httpClient: &http.Client{
 			Transport: &http.Transport{
-				Protocols:          protocols,
-				DisableCompression: true,
-				IdleConnTimeout:    idleConnectionLimit,
+				Protocols:           protocols,
+				DisableCompression:  true,
+				DialContext:         settings.dialer().DialContext,
+				MaxIdleConnsPerHost: maxIdleConnections,
+				IdleConnTimeout:     idleConnectionLimit,
 			},
 			// A redirect would send the request again, to somewhere that the look-up did not name.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
