Keep the last decision when home figures are missing; add figures and tests

Cause: a VM without figures of its home region sent the flow home, against I4. A returned region took its whole flow back at once. A shed choice allocated 9 times.

Change: the policy stands without home figures; what services add to a link is split beforehand; a VM without memory of a region that returns takes shares from another region's VMs; capacity that nobody owns for 10 s counts as missing.

--- /dev/null
+++ b/steering/comparison/figure_test.go
@@ -0,0 +1,117 @@
+package comparison
+
+import (
+	"io"
+	"math"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"oleandervane.example/figure"
+)
+
+func runAll(t *testing.T, directory string, strategies ...Strategy) []*Result {
+	t.Helper()
+	cases, err := ReadCases(os.DirFS(directory))
+	assert.NilError(t, err)
+	results, err := RunAll(cases, strategies)
+	assert.NilError(t, err)
+	for _, result := range results {
+		assert.Equal(t, len(result.Violations), 0, "%s: %v", result.Case.Name, result.Violations)
+	}
+	var table strings.Builder
+	assert.NilError(t, WriteTable(&table, results))
+	t.Logf("\n%s", table.String())
+	return results
+}
+
+func require(t *testing.T, name string, value float64, unit string, bound float64) {
+	t.Helper()
+	figure.Require(t, figure.Figure{Name: "steering_" + name, Value: value, Unit: unit, Bound: bound})
+}
+
+// Guards against overload, a broken cap or a planned drain that fails requests in the cases that compare strategies.
+func TestFigureCases(t *testing.T) {
+	for _, result := range runAll(t, "testdata", Grants) {
+		name := result.Case.Name
+		require(t, name+"_peak_overload", 100*result.PeakOverload, "percent", 0)
+		figure.Require(t, figure.Figure{
+			Name: "steering_" + name + "_headroom_p1", Value: math.Round(1e8*result.LeastHeadroom) / 1e6, Unit: "percent",
+			Direction: figure.AtLeast, Bound: 100 * headroomOf(t, result),
+		})
+		require(t, name+"_missed_objective", 100*result.Missed, "percent", 0.1)
+		if result.DrainedAfter != 0 {
+			shed := 0.0
+			for _, share := range result.Shed {
+				shed = max(shed, share)
+			}
+			require(t, name+"_failed_requests", 100*shed, "percent", 1e-9)
+			require(t, name+"_seconds", result.DrainedAfter.Seconds(), "s", drainBound.Seconds())
+			assert.Assert(t, result.DrainedAfter > 0, "%s never drained", name)
+		}
+	}
+}
+
+// drainBound is the time from the beginning of a region's drain to its stated end at a cap of 5% per 10 s: 308 s at
+// the pace of plans and the margin of 30 s.
+const drainBound = 338 * time.Second
+
+func headroomOf(t *testing.T, result *Result) float64 {
+	t.Helper()
+	deployment, err := NewDeployment(result.Case.Deployment)
+	assert.NilError(t, err)
+	return deployment.Configuration.Services[deployment.Services[0]].Headroom
+}
+
+// Guards against oscillation (I3): after a step shares settle within 60 s and three ages of the figures, with less
+// than 5% overshoot. The steps shift up to a fifth of a flow, which takes four windows and their delays at the cap.
+func TestFigureStepsSettle(t *testing.T) {
+	for _, result := range runAll(t, "testdata/step", Grants) {
+		name := result.Case.Name
+		require(t, name+"_overshoot", 100*result.Overshoot, "percent", 5)
+		require(t, name+"_peak_overload", 100*result.PeakOverload, "percent", 0)
+		assert.Assert(t, result.SteadyAfter >= 0, "%s never settles", name)
+		if strings.Contains(name, "_up_") {
+			bound := 60*time.Second + 3*time.Duration(result.Case.MeasurementAge)
+			require(t, name+"_settled", result.SteadyAfter.Seconds(), "s", bound.Seconds())
+		}
+	}
+}
+
+// Guards against a restart or a lost region after which the fleet does not steer well again. Bounds are from the last
+// event: a restart of part of the fleet costs at most the shift that it took away, at one cap per 14 s.
+func TestFigureRecovery(t *testing.T) {
+	bounds := map[string]time.Duration{
+		"restart_one": 5 * time.Second, "restart_third": 90 * time.Second, "restart_all_store_down": 90 * time.Second,
+		"region_lost": 60 * time.Second, "region_returns": 300 * time.Second,
+	}
+	for _, result := range runAll(t, "testdata/recovery", Grants) {
+		events := result.Case.Events
+		last := time.Duration(events[len(events)-1].At)
+		require(t, result.Case.Name+"_peak_overload", 100*result.PeakOverload, "percent", 0)
+		assert.Assert(t, result.SteadyAfter >= 0, "%s never settles", result.Case.Name)
+		recovered := max(0, time.Duration(events[0].At)+result.SteadyAfter-last)
+		require(t, result.Case.Name+"_recovered", recovered.Seconds(), "s", bounds[result.Case.Name].Seconds())
+	}
+}
+
+// Guards against a strategy that cannot be run, and keeps the figures of the alternatives in the log.
+func TestFigureAlternatives(t *testing.T) {
+	results := runAll(t, "testdata", Budgets, Planner, Nearest, LeastLoaded)
+	assert.NilError(t, WriteLoadPlot(io.Discard, results[0], "ledger"))
+}
+
+// Guards against decision code that only works with a few VMs: hundreds of instances are stepped in one plain loop.
+func TestFigureHundredsOfVMs(t *testing.T) {
+	scripted := Case{
+		Name: "large", Deployment: "jubilar", Duration: Duration(25 * time.Second), EntryVMs: 210, MeasurementAge: Duration(5 * time.Second),
+		Events: []Event{{At: Duration(2 * time.Second), Do: SetDemand, Region: "centro", Factor: 1.9}, {At: Duration(8 * time.Second), Do: Restart, Count: 70}},
+	}
+	result, err := Run(scripted, Grants, withWarmUp(historyWarmUp))
+	assert.NilError(t, err)
+	assert.Equal(t, len(result.Violations), 0, "%v", result.Violations)
+	require(t, "large_peak_overload", 100*result.PeakOverload, "percent", 0)
+}
--- a/steering/comparison/vm.go
+++ b/steering/comparison/vm.go
@@ -91,7 +91,7 @@
 func (vm *vm) Peers() []share.PeerShares {
 	var peers []share.PeerShares
 	for _, heard := range vm.heard {
-		if heard != nil && heard.vm.region == vm.region && heard.shares.Shares != nil {
+		if heard != nil && heard.shares.Shares != nil {
 			shares := heard.shares
 			shares.At = heard.heardAt.Add(vm.skew)
 			peers = append(peers, shares)
@@ -100,6 +100,14 @@
 	return peers
 }
 
+// HomePart returns what the VMs of the region own of its capacity.
+func (vm *vm) HomePart() float64 {
+	if decider, holds := vm.decider.(*grantDecider); holds {
+		return decider.keeper.PartInForce()
+	}
+	return 1
+}
+
 // Snapshot returns the region's snapshot.
 func (vm *vm) Snapshot() (share.Snapshot, bool) {
 	if vm.fleet.storeDown || vm.fleet.snapshots[vm.region] == nil {
--- a/steering/grant/keeper.go
+++ b/steering/grant/keeper.go
@@ -51,6 +51,7 @@
 // state is what a keeper publishes. Its maps are immutable; accounts and counters are carried over between states.
 type state struct {
 	part     float64
+	inForce  float64
 	count    PeerCount
 	services map[oleandervane.ServiceName]*serviceGate
 	grants   []oleandervane.Grant
@@ -113,6 +114,11 @@
 	return keeper.state.Load().part
 }
 
+// PartInForce returns the share of the region's capacity that its live VMs own, as far as this VM knows.
+func (keeper *Keeper) PartInForce() float64 {
+	return keeper.state.Load().inForce
+}
+
 // Count returns whom this VM counts, for its peers.
 func (keeper *Keeper) Count() PeerCount {
 	return keeper.state.Load().count
@@ -177,6 +183,7 @@
 	before := keeper.state.Load()
 	next := &state{
 		part:     keeper.roster.Part(),
+		inForce:  keeper.roster.PartInForce(now),
 		count:    PeerCount{VM: keeper.self.ID, Counted: keeper.roster.Counted(), Borrowed: keeper.roster.Borrowed(), Holds: keeper.roster.Holds(), HeardAt: now},
 		services: make(map[oleandervane.ServiceName]*serviceGate, len(configuration.Services)),
 	}
--- a/steering/grant/roster.go
+++ b/steering/grant/roster.go
@@ -275,3 +275,15 @@
 func (roster Roster) Holds() bool {
 	return roster.holds
 }
+
+// PartInForce returns the share of the region's capacity that VMs heard lately and this one own together, as far as
+// this VM knows.
+func (roster Roster) PartInForce(now time.Time) float64 {
+	sum := roster.Part()
+	for _, peer := range roster.lastHeard {
+		if peer.Holds && now.Sub(peer.HeardAt) <= SilenceDelay {
+			sum += 1 / float64(len(peer.Counted))
+		}
+	}
+	return min(1, sum)
+}
--- a/steering/share/policy.go
+++ b/steering/share/policy.go
@@ -237,11 +237,15 @@
 func (policy Policy) aim(scene *scene, plan *plan) {
 	room, home := plan.room, plan.home
 	plan.target = make([]float64, len(scene.regions))
+	if !room.heard[home] && !scene.lost[home] {
+		plan.stand()
+		return
+	}
 	ceiling := make([]float64, len(scene.regions))
 	for region := range ceiling {
 		ceiling[region] = plan.limit[region] * room.drainage[region].Remaining()
 	}
-	if room.heard[home] && room.demand[home] > 0 {
+	if room.demand[home] > 0 {
 		ceiling[home] = min(1, plan.limit[home], room.drainage[home].Usable(room.usable[home], room.demand[home])/room.demand[home])
 	}
 	plan.target[home] = min(1, ceiling[home])
@@ -255,6 +259,18 @@
 	}
 }
 
+// stand keeps the shares in force, because the home region's figures are missing. What a grant's expiry takes away
+// goes home.
+func (plan *plan) stand() {
+	left := 0.0
+	for region, share := range plan.current {
+		plan.target[region] = min(share, plan.limit[region])
+		left += share - plan.target[region]
+	}
+	plan.keep(left)
+	plan.reason = "no figures of the home region are known, and the last decision stands"
+}
+
 // keep puts back what found no place elsewhere, so that a drain that finds no room sheds nothing: home first, then
 // what other regions have now. It returns what remains.
 func (plan *plan) keep(left float64) float64 {
@@ -315,31 +331,44 @@
 	return left - kept - extra
 }
 
-// limitLinks lowers limits and targets so that all flows of the home region together fit each link.
+// limitLinks lowers limits and targets so that all flows of the home region together fit each link. Services move by
+// steps of different size, so what one leaves is free for another only at the next decision.
 func (scene *scene) limitLinks(plans []*plan, home int) {
 	for region := range scene.regions {
-		used, wanted := 0.0, 0.0
-		for _, plan := range plans {
-			bytes := plan.room.demand[home] * float64(plan.room.service.RequestBytes)
-			used += min(plan.current[region], plan.limit[region]) * bytes
-			wanted += plan.target[region] * bytes
-		}
 		capacity := scene.linkBytes[home][region] * linkUse
+		if region == home || capacity <= 0 {
+			continue
+		}
+		used, added := 0.0, 0.0
 		for _, plan := range plans {
-			if region == home || capacity <= 0 {
-				continue
-			}
-			if used > capacity {
-				plan.limit[region] = min(plan.limit[region], plan.current[region]) * capacity / used
-			}
-			if wanted > capacity {
-				plan.target[region] *= capacity / wanted
-				plan.reason = "the link to " + string(scene.regions[region]) + " is full"
-			}
+			held := min(plan.current[region], plan.limit[region])
+			used += held * plan.linkBytes()
+			added += max(0, plan.target[region]-held) * plan.linkBytes()
 		}
+		scene.limitLink(plans, region, min(1, capacity/used), min(1, max(0, capacity-used)/added))
 	}
 }
 
+// limitLink scales what the plans hold of a link, and what they would add.
+func (scene *scene) limitLink(plans []*plan, region int, held, added float64) {
+	for _, plan := range plans {
+		base := min(plan.current[region], plan.limit[region])
+		if held < 1 {
+			plan.limit[region] = base * held
+			plan.target[region] = min(plan.target[region], plan.limit[region])
+		}
+		if added < 1 && plan.target[region] > base {
+			plan.target[region] = base + (plan.target[region]-base)*added
+			plan.reason = "the link to " + string(scene.regions[region]) + " is full"
+		}
+	}
+}
+
+// linkBytes returns the bytes per second of the whole flow.
+func (plan *plan) linkBytes() float64 {
+	return plan.room.demand[plan.home] * float64(plan.room.service.RequestBytes)
+}
+
 // decide sets the next vector: limits act at once, and the way to the target is bounded by the gain and the cap.
 func (policy Policy) decide(scene *scene, plan *plan) {
 	base := make([]float64, len(plan.current))
--- a/steering/share/steerer.go
+++ b/steering/share/steerer.go
@@ -19,6 +19,11 @@
 	peerAge = 10 * time.Second
 	// peerWait is how long a VM without memory waits for a peer's shares before it takes the snapshot.
 	peerWait = 3 * time.Second
+	// freshSnapshot is the age up to which a snapshot is better than the shares of another region's VM.
+	freshSnapshot = 30 * time.Second
+	// partTime is how long a part of the home region's capacity has to be unowned before shares follow. A restart
+	// leaves a part unowned for about 3 s, and shares that followed would come back at the pace of the cap.
+	partTime = 10 * time.Second
 	// snapshotWait is how long it waits for either before it starts with all traffic at home.
 	snapshotWait = 8 * time.Second
 	// snapshotAge is the age up to which a snapshot is taken over. It is written about every 10 s, and an outage of
@@ -46,8 +51,11 @@
 	Grants() []oleandervane.Grant
 	// LostRegions are regions known to be lost.
 	LostRegions() map[oleandervane.Region]bool
-	// Peers are the newest shares heard from VMs of this VM's region.
+	// Peers are the newest shares heard from VMs of this VM's region, and from VMs of others while this VM has no
+	// memory: those steered the region's flows while it was lost.
 	Peers() []PeerShares
+	// HomePart is the share of this region's capacity that its live VMs own (grant.Keeper.PartInForce).
+	HomePart() float64
 	// Snapshot is the region's snapshot in the store, and whether it could be read.
 	Snapshot() (Snapshot, bool)
 }
@@ -63,6 +71,7 @@
 	startedAt time.Time
 	recalled  bool
 	history   []oleandervane.SharesAt
+	parts     []partAt
 	table     atomic.Pointer[table]
 }
 
@@ -116,7 +125,7 @@
 	input := oleandervane.SteeringInput{
 		Now:           now,
 		Configuration: configuration,
-		Summaries:     steerer.sight.Summaries(),
+		Summaries:     steerer.ownedCapacity(now, steerer.sight.Summaries()),
 		Grants:        steerer.sight.Grants(),
 		Shares:        steerer.table.Load().published.Shares,
 		History:       steerer.history,
@@ -129,6 +138,34 @@
 	steerer.publish(now, configuration, decision)
 }
 
+// partAt is the part of the home region's capacity that was owned at a time.
+type partAt struct {
+	at   time.Time
+	part float64
+}
+
+// ownedCapacity lowers the home region's capacity to what its live VMs own, if that has lasted for partTime.
+func (steerer *Steerer) ownedCapacity(now time.Time, summaries []oleandervane.RegionSummary) []oleandervane.RegionSummary {
+	steerer.parts = append(steerer.parts, partAt{at: now, part: steerer.sight.HomePart()})
+	for now.Sub(steerer.parts[0].at) > partTime {
+		steerer.parts = steerer.parts[1:]
+	}
+	part := 0.0
+	for _, earlier := range steerer.parts {
+		part = max(part, earlier.part)
+	}
+	if part <= 0 || part >= 1 {
+		return summaries
+	}
+	result := slices.Clone(summaries)
+	for i := range result {
+		if result[i].Region == steerer.self.Region {
+			result[i].CapacityPerSecond *= part
+		}
+	}
+	return result
+}
+
 // sameShares says whether a decision changed nothing; the newest history then stays in force.
 func sameShares(before, after map[oleandervane.Flow]oleandervane.ShareVector) bool {
 	return maps.EqualFunc(before, after, maps.Equal[oleandervane.ShareVector, oleandervane.ShareVector])
@@ -137,7 +174,7 @@
 // recall takes shares from a peer, then from the snapshot. What a VM takes over counts as in force since the beginning
 // of the window at its floor, so that a restart gives no second use of the shift cap.
 func (steerer *Steerer) recall(now time.Time) {
-	if peer, found := newest(steerer.sight.Peers(), steerer.self, now); found {
+	if peer, found := newest(steerer.sight.Peers(), steerer.self, now, true); found {
 		steerer.takeOver(now, peer.Shares, peer.Floors)
 		return
 	}
@@ -146,6 +183,12 @@
 		return
 	}
 	snapshot, found := steerer.sight.Snapshot()
+	if !found || now.Sub(snapshot.At) > freshSnapshot {
+		if peer, found := newest(steerer.sight.Peers(), steerer.self, now, false); found {
+			steerer.takeOver(now, peer.Shares, peer.Floors)
+			return
+		}
+	}
 	if found && now.Sub(snapshot.At) <= snapshotAge {
 		steerer.takeOver(now, snapshot.Shares, snapshot.Floors)
 		return
@@ -161,10 +204,11 @@
 	steerer.table.Store(&table{recalled: true, published: PeerShares{Shares: shares}})
 }
 
-func newest(peers []PeerShares, self oleandervane.EntryVM, now time.Time) (PeerShares, bool) {
+// newest returns the newest shares of a peer, of this VM's region or of others.
+func newest(peers []PeerShares, self oleandervane.EntryVM, now time.Time, ofRegion bool) (PeerShares, bool) {
 	var result PeerShares
 	for _, peer := range peers {
-		usable := peer.Region == self.Region && peer.VM != self.ID && now.Sub(peer.At) <= peerAge
+		usable := (peer.Region == self.Region) == ofRegion && peer.VM != self.ID && now.Sub(peer.At) <= peerAge
 		if usable && peer.At.After(result.At) {
 			result = peer
 		}
@@ -201,7 +245,7 @@
 		},
 	}
 	for flow, vector := range decision.Shares {
-		next.ladders[flow] = newLadder(configuration, flow.Home, vector)
+		next.ladders[flow] = newLadder(configuration, flow, vector)
 	}
 	steerer.table.Store(next)
 }
@@ -241,9 +285,12 @@
 	regions []oleandervane.Region
 	// upTo has for each region the sum of the shares up to and with it.
 	upTo []float64
+	// full is the error for points beyond the last region. It is made beforehand, because shedding must be cheap.
+	full error
 }
 
-func newLadder(configuration *oleandervane.Configuration, home oleandervane.Region, vector oleandervane.ShareVector) ladder {
+func newLadder(configuration *oleandervane.Configuration, flow oleandervane.Flow, vector oleandervane.ShareVector) ladder {
+	home := flow.Home
 	regions := slices.Sorted(maps.Keys(vector))
 	delay := make(map[oleandervane.Region]time.Duration, len(regions))
 	for _, region := range regions {
@@ -262,7 +309,9 @@
 	if sum > 1-tolerance && len(regions) > 0 {
 		// Rounding must not shed the last requests of a vector that sums to 1.
 		result.upTo[len(regions)-1] = 1
+		return result
 	}
+	result.full = noRegion(flow.Service, home)
 	return result
 }
 
@@ -278,7 +327,10 @@
 			return ladder.regions[i], nil
 		}
 	}
-	return "", noRegion(serviceName, home)
+	if ladder.full == nil {
+		return "", oleandervane.ErrNoRegion
+	}
+	return "", ladder.full
 }
 
 func noRegion(serviceName oleandervane.ServiceName, home oleandervane.Region) error {
