--- a/fleet/gossip/revision.go
+++ b/fleet/gossip/revision.go
@@ -86,7 +86,9 @@
 		return false
 	}
 	pending := revisions.pending
-	if pending == nil || offered.compare(pending.mark) > 0 {
+	// A candidate that nobody can give any more must not keep out an older one that is still newer than what is in
+	// force: the VMs that had accepted it may all be gone.
+	if pending == nil || offered.compare(pending.mark) > 0 || pending.stalled() {
 		pending = &candidate{mark: offered}
 		revisions.pending = pending
 	}
@@ -96,6 +98,11 @@
 	return !pending.busy
 }
 
+// stalled says whether no peer is known that gives the candidate, and none is being asked.
+func (candidate *candidate) stalled() bool {
+	return !candidate.busy && len(candidate.sources) == 0
+}
+
 // setHead takes the encoded head of the pending revision or of a later one.
 func (revisions *revisions) setHead(head []byte, fromStore bool, now time.Time) (*candidate, error) {
 	parsed, err := revisions.decoder.DecodeHead(head)
--- a/fleet/gossip/watch.go
+++ b/fleet/gossip/watch.go
@@ -1,7 +1,9 @@
 package gossip
 
 import (
+	"bytes"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -15,9 +17,6 @@
 	watcherCount = 2
 	// watchDuration is long so that an idle watcher makes few calls.
 	watchDuration = 30 * time.Second
-	// freshReads is the number of watches after which the head is read anew. A store that lost revisions and got
-	// as many new ones has the same version with another content, which a watch does not show.
-	freshReads = 10
 	// retryFirst and retryLast bound the wait after a failed call. All watchers together retry often enough that a
 	// store that is back is seen within a fraction of a second.
 	retryFirst = 250 * time.Millisecond
@@ -34,9 +33,11 @@
 
 // watch is the state of a VM as a watcher of the store's head.
 type watch struct {
-	waiting   bool
-	version   uint64
-	count     int
+	waiting bool
+	version uint64
+	// reread says that the next watch starts with a read. A store that lost revisions and got as many new ones has
+	// the same version with another content, which a watch does not show.
+	reread    bool
 	failures  int
 	retryAt   time.Time
 	checkedAt time.Time
@@ -76,9 +77,8 @@
 		return nil
 	}
 	watch.waiting = true
-	watch.count++
 	version := watch.version
-	if watch.count%freshReads == 0 {
+	if watch.reread {
 		version = 0
 	}
 	return []action{func() { node.settings.Store.Watch(HeadKey, version, watchDuration, node.watched) }}
@@ -96,6 +96,7 @@
 	} else {
 		watch.failures = 0
 		watch.checkedAt = now
+		watch.reread = !changed
 		if changed {
 			watch.version = entry.Version
 			actions = node.headRead(entry, now)
@@ -150,6 +151,9 @@
 	if len(entry.Value) == 0 {
 		return nil
 	}
+	if current := node.revisions.current; current != nil && bytes.Equal(current.head, entry.Value) {
+		return node.checkChunk(current)
+	}
 	pending, err := node.revisions.setHead(entry.Value, true, now)
 	if err != nil {
 		node.settings.Log.WithError(err).Error("cannot read the head in the store")
@@ -224,8 +228,12 @@
 // restore writes the revision in force over an older head: first the chunks that the older head does not name,
 // then the head, if nobody wrote it since it was read.
 func (node *Node) restore(entry oleandervane.StoreEntry, err error) {
+	if err != nil {
+		node.restored(entry, err)
+		return
+	}
 	node.mutex.Lock()
-	if err != nil || node.stopped || !node.storeOlder(entry) {
+	if node.stopped || !node.storeOlder(entry) {
 		node.watch.restoring = false
 		node.mutex.Unlock()
 		return
@@ -245,37 +253,67 @@
 	}
 	slices.Sort(digests)
 	node.mutex.Unlock()
-	node.restoreChunks(current, digests, entry.Version)()
+	node.writeChunks(current, digests, func() {
+		node.settings.Store.CompareAndSwap(HeadKey, entry.Version, current.head, func(entry oleandervane.StoreEntry, err error) {
+			node.headRestored(current, entry, err)
+		})
+	})
 }
 
-// restoreChunks writes the chunks one after the other, then the head.
-func (node *Node) restoreChunks(current *accepted, digests []string, version uint64) action {
+// headRestored writes all chunks once more where they are absent: a store that loses revisions twice may have lost
+// some while the head was on its way.
+func (node *Node) headRestored(current *accepted, entry oleandervane.StoreEntry, err error) {
+	if err != nil {
+		node.restored(entry, err)
+		return
+	}
+	node.writeChunks(current, slices.Sorted(maps.Keys(current.chunks)), func() { node.restored(entry, nil) })
+}
+
+// writeChunks writes chunks that are absent, one after the other, and calls next.
+func (node *Node) writeChunks(current *accepted, digests []string, next action) {
 	if len(digests) == 0 {
-		return func() {
-			node.settings.Store.CompareAndSwap(HeadKey, version, current.head, node.restored)
-		}
+		next()
+		return
 	}
 	digest := digests[0]
-	return func() {
-		node.settings.Store.CompareAndSwap(chunkKeyPrefix+digest, 0, current.chunks[digest], func(_ oleandervane.StoreEntry, err error) {
-			if err != nil && !errors.Is(err, oleandervane.ErrVersionConflict) {
-				node.restored(oleandervane.StoreEntry{}, err)
-				return
+	node.settings.Store.CompareAndSwap(chunkKeyPrefix+digest, 0, current.chunks[digest], func(entry oleandervane.StoreEntry, err error) {
+		if err != nil && !errors.Is(err, oleandervane.ErrVersionConflict) {
+			node.restored(entry, err)
+			return
+		}
+		node.writeChunks(current, digests[1:], next)
+	})
+}
+
+// checkChunk reads one random chunk of a head that is in force and writes it when the store lacks it. A store can lose
+// chunks under a head that stays when it loses revisions while an older head is being brought forward.
+func (node *Node) checkChunk(current *accepted) []action {
+	digests := slices.Sorted(maps.Keys(current.chunks))
+	if len(digests) == 0 {
+		return nil
+	}
+	digest := digests[node.settings.Random.IntN(len(digests))]
+	return []action{func() {
+		node.settings.Store.Get(chunkKeyPrefix+digest, func(entry oleandervane.StoreEntry, err error) {
+			if err == nil && entry.Version == 0 {
+				node.writeChunks(current, []string{digest}, func() {})
 			}
-			node.restoreChunks(current, digests[1:], version)()
 		})
-	}
+	}}
 }
 
-// restored ends an attempt. After a conflict or a lost response the next read of the head shows what is there.
+// restored ends an attempt. After a conflict or a lost response the head is read again, which shows what is there.
 func (node *Node) restored(_ oleandervane.StoreEntry, err error) {
+	now := node.settings.TimerService.Now()
 	node.mutex.Lock()
 	node.watch.restoring = false
-	if err != nil {
-		// A watch from version 0 reads the head at once.
-		node.watch.version = 0
+	var actions []action
+	if err != nil && !node.stopped {
+		actions = node.scheduleRestore(now)
 	}
 	node.mutex.Unlock()
+	run(actions)
 	if err != nil {
 		node.settings.Log.WithError(err).Warn("could not bring the store's head forward")
 	}
--- a/fleet/peer/limits.go
+++ b/fleet/peer/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 )
 
@@ -192,3 +193,21 @@
 	}
 	return nil
 }
+
+// Check returns an error unless the summary may be used.
+func (record *SummaryRecord) Check() error {
+	if err := checkNames(record.GetService()); err != nil {
+		return err
+	}
+	return checkRates(record.CapacityPerSecond, record.UsedPerSecond, record.DemandPerSecond, record.Coverage)
+}
+
+// checkRates refuses numbers that are negative, infinite or no numbers.
+func checkRates(rates ...float32) error {
+	for _, rate := range rates {
+		if !(rate >= 0 && rate <= math.MaxFloat32) {
+			return fmt.Errorf("a rate is %v", rate)
+		}
+	}
+	return nil
+}
