Count requests against objectives and report service-level burn

Cause: operators need to see how fast each service uses its error budget, from counters of entry VMs that have no disk and restart at any time. Ruled out: one running total per VM (a restart would make it go back, and a copy received twice would count twice); folding minutes into hours when they expire (two copies of different age would overlap): both widths count every request and are never mixed; dropping empty buckets when they close (a request that had read the bucket was lost). Change: operator/burn with the recorder (one map read and two atomic adds a request), the joined collection, and the report in text and JSON; operator/burn/page with the HTML page and its SVG plots; the report command.

--- a/cmd/oleandervane/run.go
+++ b/cmd/oleandervane/run.go
@@ -82,6 +82,7 @@
 		{"history", "list accepted revisions", "Lists the last accepted revisions; with --collect it removes chunks that none of them uses.", &historyCommand{terminal: terminal}},
 		{"status", "show what entry VMs know", "Asks entry VMs for their state, revision, peers, shares and view of the store.", &statusCommand{terminal: terminal}},
 		{"explain", "explain the shares of a flow", "Asks entry VMs why the traffic of a service from a home region goes where it goes.", &explainCommand{terminal: terminal}},
+		{"report", "report service-level burn", "Adds up the counters of entry VMs and reports error budgets, burn rates and alerts.", &reportCommand{terminal: terminal}},
 	} {
 		if _, err := parser.AddCommand(command.name, command.short, command.long, command.data); err != nil {
 			fmt.Fprintln(errorOutput, err)
--- /dev/null
+++ b/operator/burn/burn_test.go
@@ -0,0 +1,172 @@
+package burn_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"oleandervane.example"
+	"oleandervane.example/figure"
+	"oleandervane.example/operator/burn"
+	"oleandervane.example/operator/burn/page"
+	"oleandervane.example/operator/check"
+	"oleandervane.example/operator/folder"
+	"oleandervane.example/timer"
+)
+
+var start = time.Date(2027, 1, 10, 0, 0, 0, 0, time.UTC)
+
+func association(tb testing.TB) oleandervane.Configuration {
+	tb.Helper()
+	result, err := folder.Read("../folder/testdata/association", check.Circumstances{})
+	assert.NilError(tb, err)
+	return result.Configuration.WithRevision(3)
+}
+
+// Guards against requests that are counted twice or lost when VMs restart, buckets arrive twice, in any order or as
+// older copies.
+func TestFiguresAddUp(t *testing.T) {
+	configuration := association(t)
+	manual := timer.NewManual(start)
+	random := rand.New(rand.NewPCG(1, 1))
+	var responses []burn.Response
+	want := burn.Counts{}
+	for incarnation := range oleandervane.Incarnation(3) {
+		recorder := burn.NewRecorder("entry-1", incarnation, manual)
+		recorder.SetConfiguration(&configuration)
+		for range 90 {
+			for range random.IntN(20) {
+				recorder.Record("ledger", "filing", oleandervane.Answered, time.Millisecond)
+				want.Good++
+			}
+			recorder.Record("ledger", "filing", oleandervane.Answered, 2*time.Second)
+			recorder.Record("ledger", "filing", oleandervane.NotRun, 0)
+			recorder.Record("ledger", "filing", oleandervane.Unknown, 0)
+			want.Late, want.NotRun, want.Unknown = want.Late+1, want.NotRun+1, want.Unknown+1
+			if random.IntN(10) == 0 {
+				responses = append(responses, recorder.Response())
+			}
+			manual.Advance(20 * time.Second)
+		}
+		responses = append(responses, recorder.Response())
+		recorder.Close()
+	}
+	for range 20 {
+		random.Shuffle(len(responses), func(i, j int) { responses[i], responses[j] = responses[j], responses[i] })
+		var collection, half burn.Collection
+		for index, response := range responses {
+			assert.NilError(t, response.Valid())
+			collection.Add(response.Buckets)
+			if index%2 == 0 {
+				half.Add(response.Buckets)
+			}
+		}
+		collection.Add(half.Buckets())
+		assert.Equal(t, collection.Window("ledger", "filing", manual.Now(), 24*time.Hour), want)
+		assert.Equal(t, collection.Window("ledger", "filing", manual.Now(), 2*time.Hour), want)
+	}
+}
+
+// Guards against a request lost between two buckets when a bucket closes while requests are counted.
+func TestRecordWhileBucketsClose(t *testing.T) {
+	configuration := association(t)
+	manual := timer.NewManual(start)
+	recorder := burn.NewRecorder("entry-1", 1, manual)
+	recorder.SetConfiguration(&configuration)
+	var workers sync.WaitGroup
+	const each = 20_000
+	for range 4 {
+		workers.Go(func() {
+			for range each {
+				recorder.Record("ledger", "lookup", oleandervane.Answered, 0)
+			}
+		})
+	}
+	for range 60 {
+		manual.Advance(time.Minute)
+		recorder.SetConfiguration(&configuration)
+	}
+	workers.Wait()
+	var collection burn.Collection
+	collection.Add(recorder.Response().Buckets)
+	total := collection.Window("ledger", "lookup", manual.Now(), 3*time.Hour).Total()
+	assert.Assert(t, total == 4*each, "%d of %d", total, 4*each)
+}
+
+// Guards against a report that gives another figure, misses an alert or an event, or hides what it could not see.
+func TestReport(t *testing.T) {
+	configuration := association(t)
+	manual := timer.NewManual(start)
+	recorder := burn.NewRecorder("entry-1", 1, manual)
+	recorder.SetConfiguration(&configuration)
+	for minute := range 60 {
+		if minute == 50 {
+			recorder.Note("region huye lost")
+		}
+		for request := range 100 {
+			outcome := oleandervane.Answered
+			if minute >= 52 && request < 20 {
+				outcome = oleandervane.NotRun
+			}
+			recorder.Record("ledger", "filing", outcome, 0)
+			recorder.Record("ledger", "lookup", oleandervane.Answered, 0)
+		}
+		recorder.Record("ledger", "audit", oleandervane.Answered, 0)
+		manual.Advance(time.Minute)
+	}
+	input := burn.Input{
+		Now: manual.Now(), Configuration: configuration, Responses: []burn.Response{recorder.Response()}, Silent: []string{"10.0.0.2:80"},
+		Events: []burn.Event{{At: start.Add(49 * time.Minute), Text: "revision 3 by alice"}, {At: start, Text: "revision 2 by bob"}},
+	}
+	report := burn.Make(input)
+	golden, err := os.ReadFile("testdata/report.txt")
+	assert.NilError(t, err)
+	assert.Equal(t, report.String(), string(golden))
+	assert.DeepEqual(t, report.Firing(), []string{"ledger filing: fast", "ledger filing: slow"})
+	content, err := json.Marshal(report)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(content), `"burns_since":"2027-01-10T00:52:00Z"`))
+	var html bytes.Buffer
+	assert.NilError(t, page.Write(&html, report))
+	assert.Equal(t, strings.Count(html.String(), "<svg"), 2)
+	assert.Assert(t, !strings.Contains(html.String(), "src=") && !strings.Contains(html.String(), "<?xml"), "the page must need no other file")
+}
+
+// Guards against a response of an entry VM that cannot be right being added up, or making the reader panic.
+func FuzzResponse(f *testing.F) {
+	f.Add([]byte(`{"vm":"a","buckets":[{"vm":"a","service":"ledger","kind":"filing","start_seconds":60,"width_seconds":60,"good":3}]}`))
+	f.Add([]byte(`{"buckets":[{"width_seconds":0}]}`))
+	configuration := association(f)
+	f.Fuzz(func(t *testing.T, content []byte) {
+		var response burn.Response
+		if json.Unmarshal(content, &response) != nil || response.Valid() != nil {
+			return
+		}
+		report := burn.Make(burn.Input{Now: start, Configuration: configuration, Responses: []burn.Response{response}})
+		assert.Assert(t, report.String() != "")
+	})
+}
+
+// recordBound is the time of one record: 1.3% of a core at 310,000 requests/s over 450 nodes leaves 18 us a request for
+// all of control; counting may take 1% of that.
+const recordBound = 180
+
+// Guards against counting that takes memory or noticeable time on the request path.
+func BenchmarkFigureRecord(b *testing.B) {
+	configuration := association(b)
+	recorder := burn.NewRecorder("entry-1", 1, timer.NewManual(start))
+	recorder.SetConfiguration(&configuration)
+	record := func() { recorder.Record("ledger", "filing", oleandervane.Answered, time.Millisecond) }
+	for b.Loop() {
+		record()
+	}
+	figure.Report(b, figure.Figure{Name: "operator_burn_record", Value: float64(b.Elapsed().Nanoseconds()) / float64(b.N), Unit: "ns/op", Bound: recordBound})
+	figure.Require(b, figure.Figure{Name: "operator_burn_record_allocations", Value: testing.AllocsPerRun(1000, record), Unit: "allocs/op", Bound: 0})
+}
