Join steering, grants, measurement, balance and burn in the entry VM

Cause: entry VMs chose backend servers round robin, kept every request at home and measured nothing, although the libraries for all of it were there.

Ruled out: sharing each VM's grants and shares with the whole fleet, which at 450 VMs would cost several hundred KB/s for each VM.

Change: sight and topics over gossip, load probes, loads from response headers, slot-based admission, drains by configuration, quarantine exchange, operations endpoints status, explain and burn. Requests of the own region are bounded by slots and not refused by the grant account. A request that was admitted waits shortly for a slot.

--- a/cmd/oleandervane-demo/sender.go
+++ b/cmd/oleandervane-demo/sender.go
@@ -31,7 +31,9 @@
 // Send sends one request.
 func (sender *sender) Send(ctx context.Context, request load.Request) (oleandervane.Outcome, error) {
 	header := http.Header{}
-	header.Set(backendstandin.HeaderFiling, request.Identity)
+	if !request.Idempotent {
+		header.Set(backendstandin.HeaderFiling, request.Identity)
+	}
 	response, err := sender.client.Do(ctx, caller.Request{
 		Service:    request.Service,
 		Kind:       request.Kind,
--- a/cmd/oleandervane-demo/verdict.go
+++ b/cmd/oleandervane-demo/verdict.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"text/tabwriter"
 	"time"
@@ -16,6 +17,8 @@
 type ledger struct {
 	mutex    sync.Mutex
 	outcomes map[string]oleandervane.Outcome
+	// failed are the idempotent requests that were not answered.
+	failed []string
 	// unanswered describes the filings that were not answered, for the log.
 	unanswered []string
 }
@@ -25,11 +28,14 @@
 }
 
 func (ledger *ledger) record(completion load.Completion) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
 	if completion.Request.Idempotent {
+		if completion.Outcome != oleandervane.Answered {
+			ledger.failed = append(ledger.failed, completion.Request.Identity)
+		}
 		return
 	}
-	ledger.mutex.Lock()
-	defer ledger.mutex.Unlock()
 	ledger.outcomes[completion.Request.Identity] = completion.Outcome
 	if completion.Outcome != oleandervane.Answered {
 		ledger.unanswered = append(ledger.unanswered, fmt.Sprintf("%s %s after %s: %v", time.Now().Format(time.TimeOnly), completion.Request.Identity, seconds(completion.Latency), completion.Err))
@@ -67,7 +73,8 @@
 			answered.detail = identity
 		}
 	}
-	return []promise{atMostOnce, notRun, answered}
+	idempotent := promise{text: "every idempotent request is answered", broken: len(ledger.failed), detail: strings.Join(ledger.failed, " ")}
+	return []promise{atMostOnce, notRun, answered, idempotent}
 }
 
 // journals adds up the runs of all backend servers that still live.
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"time"
@@ -37,8 +36,15 @@
 // Observer is told of every look-up and request. Its methods are called on the path of a request and must not block.
 type Observer interface {
 	LookedUp(serviceName oleandervane.ServiceName)
-	Arrived(serviceName oleandervane.ServiceName, home oleandervane.Region)
+	Arrived(serviceName oleandervane.ServiceName, kind oleandervane.Kind, home oleandervane.Region)
 	Finished(completion Completion)
+	// LoadSeen is called with the load that a backend server reported with a response.
+	LoadSeen(serviceName oleandervane.ServiceName, report oleandervane.LoadReport)
+}
+
+// Points gives the point in [0, 1) at which a request is looked up in the shares of its flow.
+type Points interface {
+	Point(serviceName oleandervane.ServiceName, kind oleandervane.Kind) float64
 }
 
 // Completion is what became of one request. It is immutable.
@@ -78,8 +84,7 @@
 	OutcomeRelay  OutcomeRelay
 	Observer      Observer
 	TimerService  oleandervane.TimerService
-	// Random gives points in [0, 1) that select a region by its share; nil takes a random source.
-	Random func() float64
+	Points        Points
 }
 
 // Gateway serves callers and relayed requests. It is safe for concurrent use.
@@ -91,9 +96,6 @@
 
 // New returns a gateway of the given parts.
 func New(settings Settings, parts Parts) *Gateway {
-	if parts.Random == nil {
-		parts.Random = rand.Float64
-	}
 	return &Gateway{settings: settings, parts: parts}
 }
 
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -43,7 +43,7 @@
 	}
 	var entryVMs [lookup.MaxEntryVMs]oleandervane.EntryVM
 	exchange.home = gateway.parts.Lookup.Decide(gateway.callerAddress(request), entryVMs[:1]).Home
-	gateway.parts.Observer.Arrived(exchange.service, exchange.home)
+	gateway.parts.Observer.Arrived(exchange.service, exchange.kind, exchange.home)
 	if !exchange.kind.Idempotent && !exchange.beginTicket() {
 		return
 	}
@@ -197,11 +197,14 @@
 func (exchange *exchange) forward(ctx context.Context) (forward.Result, oleandervane.Region) {
 	parts := exchange.gateway.parts
 	self := parts.Membership.Self().Region
-	region, err := parts.Regions.ChooseRegion(exchange.service, exchange.home, parts.Random())
+	region, err := parts.Regions.ChooseRegion(exchange.service, exchange.home, parts.Points.Point(exchange.service, exchange.kind))
 	if err != nil {
 		return forward.Result{Outcome: oleandervane.NotRun, Reason: "no_region", Err: err}, ""
 	}
 	if region == self {
+		// The account of this VM's part counts its own region's requests first; they are not refused by it, because
+		// slots bound them, and the headroom is there for them.
+		parts.Grants.Take(exchange.start, exchange.service, exchange.home)
 		return exchange.forwardLocally(ctx), self
 	}
 	return exchange.relay(ctx, region), region
@@ -215,7 +218,12 @@
 		return forward.Result{Outcome: oleandervane.NotRun, Reason: admissionReason(err), Err: err}
 	}
 	exchange.releaseAdmission = release
-	return parts.Forwarder.Forward(ctx, exchange.forwardRequest(), forward.BackendServers(parts.Backends, exchange.service))
+	chooser := waitingChooser{
+		TargetChooser: forward.BackendServers(parts.Backends, exchange.service),
+		ctx:           ctx,
+		timerService:  parts.TimerService,
+	}
+	return parts.Forwarder.Forward(ctx, exchange.forwardRequest(), chooser)
 }
 
 func admissionReason(err error) forward.Reason {
@@ -249,6 +257,7 @@
 func (exchange *exchange) respond(result forward.Result, servedIn oleandervane.Region) {
 	header := exchange.writer.Header()
 	header.Set(oleandervane.HeaderServedBy, string(exchange.gateway.parts.Membership.Self().ID))
+	exchange.observeLoad(result)
 	if result.Outcome != oleandervane.Answered {
 		exchange.finishRun(result.Outcome, nil)
 		refusal := refuseBy(result.Outcome, result.Reason, detailOf(result))
--- a/entryvm/entryvm.go
+++ b/entryvm/entryvm.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,14 +14,19 @@
 
 	"oleandervane.example"
 	"oleandervane.example/entry/admission"
+	"oleandervane.example/entry/balance"
 	"oleandervane.example/entry/forward"
 	"oleandervane.example/entry/gateway"
 	"oleandervane.example/entry/lookup"
 	"oleandervane.example/entry/ticket"
 	"oleandervane.example/fleet/gossip"
+	"oleandervane.example/fleet/measurement"
 	"oleandervane.example/fleet/transport"
-	"oleandervane.example/platform/store"
+	"oleandervane.example/operator/burn"
 	"oleandervane.example/platform/vmlist"
+	"oleandervane.example/steering/drain"
+	"oleandervane.example/steering/grant"
+	"oleandervane.example/steering/share"
 )
 
 // EntryVM is one entry VM: all parts, joined and ready to run.
@@ -35,9 +40,20 @@
 	tickets      *ticket.Ledger
 	admission    *admission.Controller
 	forwarder    *forward.Forwarder
-	backends     *roundRobin
-	daemon       *transport.Daemon
-	gateway      *gateway.Gateway
+	recorder     *burn.Recorder
+	vmList       *listReader
+	plans        atomic.Pointer[drain.Plans]
+
+	// The parts below need the node, which Run starts.
+	daemon      *transport.Daemon
+	measurement *measurement.Measurement
+	backends    *balance.Chooser
+	sight       *sight
+	keeper      *grant.Keeper
+	steerer     *share.Steerer
+	mix         *mix
+	gateway     *gateway.Gateway
+	cancels     []func()
 }
 
 // New returns an entry VM with the given settings. It opens no connection before Run.
@@ -53,10 +69,10 @@
 			FieldRegion:        self.Region,
 			FieldFailureDomain: self.FailureDomain,
 		}),
-		observer:  newObserver(metrics.NewSet()),
 		lookup:    lookup.New(self),
 		forwarder: forward.New(forward.Settings{}, timerService),
-		backends:  &roundRobin{},
+		recorder:  burn.NewRecorder(self.ID, self.Incarnation, timerService),
+		vmList:    &listReader{vmList: gossip.AsynchronousVMList(vmlist.NewClient(settings.VMListURL, timerService))},
 		tickets: ticket.NewLedger(ticket.Settings{
 			VM:          self.ID,
 			Incarnation: self.Incarnation,
@@ -64,10 +80,11 @@
 		}, timerService),
 		admission: admission.New(admission.Settings{
 			TimerService: timerService,
-			DefaultLimit: settings.Queue.Length,
+			DefaultLimit: 1,
 			QueueLimit:   settings.Queue.Length,
 		}),
 	}
+	entryVM.plans.Store(&drain.Plans{})
 	return entryVM
 }
 
@@ -76,9 +93,11 @@
 	if err := entryVM.startNode(); err != nil {
 		return err
 	}
-	stopBackends := entryVM.timerService.Every(time.Second, func(time.Time) { entryVM.readBackends() })
-	defer stopBackends()
+	entryVM.startMeasurement()
+	entryVM.startSteering()
+	entryVM.observer = newObserver(metrics.NewSet(), partsObserver{entryVM})
 	entryVM.gateway = entryVM.newGateway()
+	entryVM.startRefresh()
 	app := kratos.New(
 		kratos.ID(string(entryVM.self.ID)),
 		kratos.Name("oleandervane-entry"),
@@ -100,46 +119,6 @@
 	return nil
 }
 
-func (entryVM *EntryVM) startNode() error {
-	daemon, err := transport.Start(gossip.Settings{
-		Self:         entryVM.self,
-		TimerService: entryVM.timerService,
-		Store:        gossip.Asynchronous(store.NewClient(entryVM.settings.StoreURL, entryVM.timerService)),
-		Decoder:      decoder{},
-		Random:       rand.New(rand.NewPCG(uint64(entryVM.self.Incarnation), 0)),
-		VMList:       gossip.AsynchronousVMList(vmlist.NewClient(entryVM.settings.VMListURL, entryVM.timerService)),
-		Accepted:     entryVM.acceptConfiguration,
-		VMsChanged:   entryVM.publishEntryVMs,
-		Log:          entryVM.log.WithField(FieldPart, "gossip"),
-	}, nil, nil)
-	if err != nil {
-		return eris.Wrap(err, "starting the node for peers")
-	}
-	entryVM.daemon = daemon
-	entryVM.publishEntryVMs()
-	return nil
-}
-
-func (entryVM *EntryVM) newGateway() *gateway.Gateway {
-	return gateway.New(gateway.Settings{
-		MaxBodyBytes:             entryVM.settings.Requests.MaxBodyBytes,
-		TrustCallerAddressHeader: entryVM.settings.TrustCallerAddressHeader,
-	}, gateway.Parts{
-		Membership:    entryVM.daemon.Node.Membership(),
-		Configuration: entryVM.daemon.Node,
-		Lookup:        entryVM.lookup,
-		Tickets:       entryVM.tickets,
-		Admission:     entryVM.admission,
-		Regions:       homeRegion{self: entryVM.self.Region},
-		Backends:      entryVM.backends,
-		Forwarder:     entryVM.forwarder,
-		Grants:        noGrants{},
-		OutcomeRelay:  noOutcomeRelay{},
-		Observer:      entryVM.observer,
-		TimerService:  entryVM.timerService,
-	})
-}
-
 func (entryVM *EntryVM) callerHandler() http.Handler {
 	callers, relays := entryVM.gateway.CallerHandler(), entryVM.gateway.RelayHandler()
 	return gateway.PrefixHandler(gateway.RelayPrefix, relays, callers)
@@ -155,30 +134,6 @@
 	)
 }
 
-// acceptConfiguration puts a revision into force in all parts.
-func (entryVM *EntryVM) acceptConfiguration(configuration *oleandervane.Configuration) {
-	entryVM.lookup.PublishConfiguration(*configuration)
-	table, err := lookup.NewTable(configuration.ClientBlocks)
-	if err != nil {
-		entryVM.log.WithError(err).WithField(FieldRevision, configuration.Revision).Error("client blocks cannot be used")
-		return
-	}
-	entryVM.lookup.PublishTable(table)
-	entryVM.log.WithField(FieldRevision, configuration.Revision).Info("configuration is in force")
-}
-
-func (entryVM *EntryVM) publishEntryVMs() {
-	if entryVM.daemon == nil {
-		return
-	}
-	entryVM.lookup.PublishEntryVMs(entryVM.daemon.Node.Membership().EntryVMs())
-}
-
-func (entryVM *EntryVM) readBackends() {
-	backendServers, _ := entryVM.daemon.Node.BackendServers()
-	entryVM.backends.publish(backendServers)
-}
-
 // drain announces that this VM leaves, serves on while callers still hold its name, and then waits for requests in
 // flight.
 func (entryVM *EntryVM) drain() error {
@@ -213,11 +168,17 @@
 }
 
 func (entryVM *EntryVM) close() {
+	for _, cancel := range entryVM.cancels {
+		cancel()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	if err := entryVM.daemon.Stop(ctx); err != nil {
-		entryVM.log.WithError(err).Warn("the node for peers did not stop cleanly")
+		entryVM.log.WithError(err).Debug("the node for peers did not stop cleanly")
 	}
+	entryVM.measurement.Stop()
+	entryVM.backends.Close()
 	entryVM.forwarder.Close()
 	entryVM.admission.Close()
+	entryVM.recorder.Close()
 }
--- a/entryvm/observer.go
+++ b/entryvm/observer.go
@@ -52,13 +52,13 @@
 }
 
 // Arrived counts a request of a caller.
-func (observer *observer) Arrived(serviceName oleandervane.ServiceName, home oleandervane.Region) {
+func (observer *observer) Arrived(serviceName oleandervane.ServiceName, kind oleandervane.Kind, home oleandervane.Region) {
 	flow := oleandervane.Flow{Service: serviceName, Home: home}
 	cached(&observer.arrivals, flow, func() *metrics.Counter {
 		return observer.set.GetOrCreateCounter(fmt.Sprintf("oleandervane_arrivals_total{service=%q,home=%q}", serviceName, home))
 	}).Inc()
 	for _, next := range observer.next {
-		next.Arrived(serviceName, home)
+		next.Arrived(serviceName, kind, home)
 	}
 }
 
@@ -80,6 +80,13 @@
 	}
 }
 
+// LoadSeen passes on the load that a backend server reported.
+func (observer *observer) LoadSeen(serviceName oleandervane.ServiceName, report oleandervane.LoadReport) {
+	for _, next := range observer.next {
+		next.LoadSeen(serviceName, report)
+	}
+}
+
 func (observer *observer) newRequestMetrics(series requestSeries) *requestMetrics {
 	labels := fmt.Sprintf("{service=%q,kind=%q,outcome=%q,reason=%q,relayed=\"%t\"}",
 		series.service, series.kind, series.outcome, series.reason, series.relayed)
--- a/entryvm/operations.go
+++ b/entryvm/operations.go
@@ -1,8 +1,17 @@
 package entryvm
 
-import "net/http"
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
 
-// operationsHandler serves operators: health and metrics.
+	"oleandervane.example"
+	"oleandervane.example/operator/status"
+)
+
+// operationsHandler serves operators: health, metrics, status, explanations and the counters of the burn report.
 func (entryVM *EntryVM) operationsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health/live", func(writer http.ResponseWriter, _ *http.Request) {
@@ -13,9 +22,29 @@
 		writer.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		entryVM.observer.Write(writer)
 	})
+	mux.HandleFunc("GET /v1/status", func(writer http.ResponseWriter, _ *http.Request) {
+		writeJSON(writer, entryVM.status())
+	})
+	mux.HandleFunc("GET /v1/explain", func(writer http.ResponseWriter, request *http.Request) {
+		query := request.URL.Query()
+		flow := oleandervane.Flow{
+			Service: oleandervane.ServiceName(query.Get("service")),
+			Home:    oleandervane.Region(query.Get("home")),
+		}
+		writeJSON(writer, entryVM.explain(flow))
+	})
+	mux.HandleFunc("GET /v1/burn", func(writer http.ResponseWriter, _ *http.Request) {
+		writeJSON(writer, entryVM.recorder.Response())
+	})
 	return mux
 }
 
+func writeJSON(writer http.ResponseWriter, body any) {
+	writer.Header().Set("Content-Type", "application/json")
+	// The connection is gone when this fails, and there is nobody left to tell.
+	_ = json.NewEncoder(writer).Encode(body)
+}
+
 // serveReady answers 204 when this VM can serve callers, and 503 with the reason when it cannot.
 func (entryVM *EntryVM) serveReady(writer http.ResponseWriter, _ *http.Request) {
 	if reason := entryVM.unready(); reason != "" {
@@ -24,3 +53,76 @@
 	}
 	writer.WriteHeader(http.StatusNoContent)
 }
+
+// unready returns why this VM cannot serve callers, or an empty text.
+func (entryVM *EntryVM) unready() string {
+	node := entryVM.daemon.Node
+	if node.Configuration() == nil {
+		return "no configuration is in force"
+	}
+	if backendServers, _ := node.BackendServers(); len(backendServers) == 0 {
+		return "no backend server of this region is known"
+	}
+	if !entryVM.steerer.Recalled() {
+		return "the shares of this region are not known yet"
+	}
+	return ""
+}
+
+func (entryVM *EntryVM) status() status.Status {
+	node := entryVM.daemon.Node
+	self := node.Membership().Self()
+	result := status.Status{
+		ID:            self.ID,
+		Incarnation:   self.Incarnation,
+		Region:        self.Region,
+		FailureDomain: self.FailureDomain,
+		State:         self.State.String(),
+		Peers:         map[string]int{},
+		Store:         entryVM.storeHealth(),
+	}
+	if configuration := node.Configuration(); configuration != nil {
+		result.Revision = configuration.Revision
+	}
+	for _, other := range node.Membership().EntryVMs() {
+		if other.ID != self.ID {
+			result.Peers[other.State.String()]++
+		}
+	}
+	for flow, shares := range entryVM.steerer.PeerShares().Shares {
+		result.Shares = append(result.Shares, status.FlowShares{Service: flow.Service, Home: flow.Home, Shares: shares})
+	}
+	slices.SortFunc(result.Shares, func(a, b status.FlowShares) int {
+		return strings.Compare(string(a.Service)+" "+string(a.Home), string(b.Service)+" "+string(b.Home))
+	})
+	return result
+}
+
+// storeFresh is the age up to which a read of the store shows that it is reachable. Watchers read it each minute or
+// more often.
+const storeFresh = 2 * time.Minute
+
+func (entryVM *EntryVM) storeHealth() status.StoreHealth {
+	age, known := entryVM.daemon.Node.StoreCheckAge()
+	if !known {
+		return status.StoreHealth{AgeSeconds: -1, Detail: "no read of the store is known"}
+	}
+	return status.StoreHealth{Reachable: age <= storeFresh, AgeSeconds: age.Seconds()}
+}
+
+func (entryVM *EntryVM) explain(flow oleandervane.Flow) status.Explanation {
+	explanation := status.Explanation{
+		ID:      entryVM.self.ID,
+		Service: flow.Service,
+		Home:    flow.Home,
+		Shares:  entryVM.steerer.PeerShares().Shares[flow],
+		Reasons: []string{"no decision has been made for this flow yet"},
+	}
+	if configuration := entryVM.daemon.Node.Configuration(); configuration != nil {
+		explanation.Revision = configuration.Revision
+	}
+	if reason, found := entryVM.steerer.Explain()[flow]; found {
+		explanation.Reasons = []string{reason}
+	}
+	return explanation
+}
--- /dev/null
+++ b/entryvm/outcomerelay.go
@@ -0,0 +1,48 @@
+package entryvm
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"oleandervane.example"
+	"oleandervane.example/entry/gateway"
+)
+
+const (
+	outcomeTimeout  = time.Second
+	maxOutcomeBytes = 4 << 10
+)
+
+// outcomeRelay asks other entry VMs for outcomes, over the address that serves callers.
+type outcomeRelay struct {
+	client *http.Client
+}
+
+func newOutcomeRelay() outcomeRelay {
+	return outcomeRelay{client: &http.Client{Timeout: outcomeTimeout}}
+}
+
+// Outcome asks the VM that issued a ticket for its outcome.
+func (outcomeRelay outcomeRelay) Outcome(ctx context.Context, issuer oleandervane.EntryVM, ticketText string) (gateway.OutcomeBody, error) {
+	location := "http://" + issuer.CallerAddress.String() + "/v1/outcome/" + url.PathEscape(ticketText)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, location, nil)
+	if err != nil {
+		return gateway.OutcomeBody{}, eris.Wrapf(err, "asking %s for an outcome", issuer.ID)
+	}
+	response, err := outcomeRelay.client.Do(request)
+	if err != nil {
+		return gateway.OutcomeBody{}, eris.Wrapf(err, "asking %s for an outcome", issuer.ID)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var body gateway.OutcomeBody
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxOutcomeBytes)).Decode(&body); err != nil {
+		return gateway.OutcomeBody{}, eris.Wrapf(err, "reading the outcome that %s gave", issuer.ID)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/entryvm/parts.go
@@ -0,0 +1,249 @@
+package entryvm
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"oleandervane.example"
+	"oleandervane.example/entry/balance"
+	"oleandervane.example/entry/gateway"
+	"oleandervane.example/entry/lookup"
+	"oleandervane.example/fleet/gossip"
+	"oleandervane.example/fleet/measurement"
+	"oleandervane.example/fleet/transport"
+	"oleandervane.example/platform/store"
+	"oleandervane.example/steering/drain"
+	"oleandervane.example/steering/grant"
+	"oleandervane.example/steering/share"
+)
+
+const (
+	// refreshPeriod is how often parts take over what others have learned.
+	refreshPeriod = time.Second
+	// quarantinePeriod is how often refused request fingerprints are exchanged.
+	quarantinePeriod = 5 * time.Second
+	// borrowFactor is how many requests this VM admits at a time for each slot that it owns. Up to as many again as
+	// it owns may borrow slots that other VMs leave idle.
+	borrowFactor = 2
+)
+
+// startNode starts the node for peers. A call before the other parts exist must not reach them, so callbacks only
+// use what New made.
+func (entryVM *EntryVM) startNode() error {
+	daemon, err := transport.Start(gossip.Settings{
+		Self:         entryVM.self,
+		TimerService: entryVM.timerService,
+		Store:        gossip.Asynchronous(store.NewClient(entryVM.settings.StoreURL, entryVM.timerService)),
+		Decoder:      decoder{},
+		Random:       entryVM.random(1),
+		VMList:       entryVM.vmList,
+		Accepted:     entryVM.acceptConfiguration,
+		Snapshot:     entryVM.snapshot,
+		Log:          entryVM.log.WithField(FieldPart, "gossip"),
+	}, nil, nil)
+	if err != nil {
+		return eris.Wrap(err, "starting the node for peers")
+	}
+	entryVM.daemon = daemon
+	return nil
+}
+
+// random returns a random source of its own for one part.
+func (entryVM *EntryVM) random(part uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(uint64(entryVM.self.Incarnation), part))
+}
+
+func (entryVM *EntryVM) startMeasurement() {
+	node := entryVM.daemon.Node
+	entryVM.measurement = measurement.New(measurement.Settings{
+		TimerService:  entryVM.timerService,
+		Gossip:        node,
+		Prober:        newProber(entryVM.self.ID, entryVM.timerService),
+		Configuration: node,
+		Random:        entryVM.random(2),
+	})
+	entryVM.measurement.Start()
+	entryVM.backends = balance.New(balance.Settings{
+		Membership:   node.Membership(),
+		LoadSource:   entryVM.measurement,
+		TimerService: entryVM.timerService,
+		Seed:         uint64(entryVM.self.Incarnation),
+	})
+}
+
+func (entryVM *EntryVM) startSteering() {
+	entryVM.sight = &sight{
+		self:         entryVM.self,
+		node:         entryVM.daemon.Node,
+		measurement:  entryVM.measurement,
+		timerService: entryVM.timerService,
+		vmList:       entryVM.vmList,
+		log:          entryVM.log.WithField(FieldPart, "steering"),
+	}
+	entryVM.keeper = grant.NewKeeper(entryVM.self, entryVM.sight, entryVM.drainage)
+	entryVM.sight.keeper = entryVM.keeper
+	steerer := share.NewSteerer(entryVM.self, entryVM.sight, share.NewPolicy(entryVM.drainage))
+	entryVM.steerer = steerer
+	entryVM.mix = newMix(entryVM.daemon.Node)
+	entryVM.cancels = append(entryVM.cancels,
+		entryVM.keeper.Run(entryVM.timerService),
+		entryVM.steerer.Run(entryVM.timerService),
+		entryVM.timerService.Every(mixPeriod, entryVM.mix.renew),
+	)
+}
+
+// startRefresh keeps the parts in step with what gossip brings.
+func (entryVM *EntryVM) startRefresh() {
+	entryVM.refresh(entryVM.timerService.Now())
+	entryVM.cancels = append(entryVM.cancels,
+		entryVM.timerService.Every(refreshPeriod, entryVM.refresh),
+		entryVM.timerService.Every(quarantinePeriod, func(time.Time) {
+			entryVM.sight.exchangeQuarantine(entryVM.forwarder.Quarantine())
+		}),
+	)
+}
+
+func (entryVM *EntryVM) refresh(now time.Time) {
+	entryVM.publishEntryVMs(now)
+	backendServers, readAt := entryVM.daemon.Node.BackendServers()
+	if !readAt.IsZero() {
+		entryVM.backends.Update(backendServers)
+		entryVM.limitAdmission(backendServers)
+	}
+	entryVM.sight.publish(now)
+}
+
+// publishEntryVMs tells the look-up which entry VMs there are. Those of a planned drain count as leaving from the
+// start of the drain.
+func (entryVM *EntryVM) publishEntryVMs(now time.Time) {
+	entryVMs := entryVM.daemon.Node.Membership().EntryVMs()
+	drained := entryVM.drainedEntryVMs(now)
+	if len(drained) == 0 {
+		entryVM.lookup.PublishEntryVMs(entryVMs)
+		return
+	}
+	marked := make([]oleandervane.EntryVM, 0, len(entryVMs))
+	for _, other := range entryVMs {
+		if drained[other.ID] {
+			other = other.WithState(oleandervane.VMLeaving)
+		}
+		marked = append(marked, other)
+	}
+	entryVM.lookup.PublishEntryVMs(marked)
+}
+
+func (entryVM *EntryVM) drainedEntryVMs(now time.Time) map[oleandervane.VMID]bool {
+	drained := map[oleandervane.VMID]bool{}
+	for _, plan := range *entryVM.plans.Load() {
+		if now.Before(plan.Start) || !now.Before(plan.Drain.ReturnAt) {
+			continue
+		}
+		for _, vmID := range plan.Drain.EntryVMs {
+			drained[vmID] = true
+		}
+	}
+	return drained
+}
+
+// limitAdmission admits as many requests at a time as this VM's part of the region's slots allows.
+func (entryVM *EntryVM) limitAdmission(backendServers []oleandervane.BackendServer) {
+	vms := max(1, len(entryVM.daemon.Node.Membership().View().Region(entryVM.self.Region)))
+	slots := map[oleandervane.ServiceName]int{}
+	for _, backendServer := range backendServers {
+		if !backendServer.Leaving {
+			slots[backendServer.Service] += backendServer.Slots
+		}
+	}
+	for serviceName, count := range slots {
+		entryVM.admission.SetLimit(serviceName, max(1, (borrowFactor*count+vms-1)/vms))
+	}
+}
+
+// acceptConfiguration puts a revision into force in all parts.
+func (entryVM *EntryVM) acceptConfiguration(configuration *oleandervane.Configuration) {
+	log := entryVM.log.WithField(FieldRevision, configuration.Revision)
+	entryVM.lookup.PublishConfiguration(*configuration)
+	table, err := lookup.NewTable(configuration.ClientBlocks)
+	if err != nil {
+		log.WithError(err).Error("client blocks cannot be used; the former ones stay in force")
+	} else {
+		entryVM.lookup.PublishTable(table)
+	}
+	// Drains were checked when they were published; a VM that starts later must not refuse one that has begun.
+	plans, refusals := drain.New(configuration, drain.Figures{}, time.Time{})
+	entryVM.plans.Store(&plans)
+	for _, refusal := range refusals {
+		log.WithError(refusal.Reason).WithField("drain", refusal.Drain.Name).Warn("a drain is not carried out")
+	}
+	entryVM.recorder.SetConfiguration(configuration)
+	log.Info("configuration is in force")
+}
+
+func (entryVM *EntryVM) drainage(now time.Time, region oleandervane.Region, serviceName oleandervane.ServiceName) share.Drainage {
+	return entryVM.plans.Load().Drainage(now, region, serviceName)
+}
+
+// snapshot returns the shares in force for the region's snapshot, or nil before there are any.
+func (entryVM *EntryVM) snapshot() []byte {
+	if entryVM.steerer == nil {
+		return nil
+	}
+	snapshot, known := entryVM.steerer.Snapshot()
+	if !known {
+		return nil
+	}
+	encoded, err := snapshot.Encode()
+	if err != nil {
+		entryVM.log.WithError(err).Error("the steering snapshot cannot be written")
+		return nil
+	}
+	return encoded
+}
+
+func (entryVM *EntryVM) newGateway() *gateway.Gateway {
+	return gateway.New(gateway.Settings{
+		MaxBodyBytes:             entryVM.settings.Requests.MaxBodyBytes,
+		TrustCallerAddressHeader: entryVM.settings.TrustCallerAddressHeader,
+	}, gateway.Parts{
+		Membership:    entryVM.daemon.Node.Membership(),
+		Configuration: entryVM.daemon.Node,
+		Lookup:        entryVM.lookup,
+		Tickets:       entryVM.tickets,
+		Admission:     entryVM.admission,
+		Regions:       entryVM.steerer,
+		Backends:      entryVM.backends,
+		Forwarder:     entryVM.forwarder,
+		Grants:        entryVM.keeper,
+		OutcomeRelay:  newOutcomeRelay(),
+		Observer:      entryVM.observer,
+		Points:        entryVM.mix,
+		TimerService:  entryVM.timerService,
+	})
+}
+
+// partsObserver passes what the gateway sees to the parts that learn from it.
+type partsObserver struct {
+	entryVM *EntryVM
+}
+
+func (partsObserver) LookedUp(oleandervane.ServiceName) {}
+
+func (partsObserver partsObserver) Arrived(serviceName oleandervane.ServiceName, kind oleandervane.Kind, home oleandervane.Region) {
+	partsObserver.entryVM.measurement.CountRequest(serviceName, home)
+	partsObserver.entryVM.mix.count(serviceName, kind.Name)
+}
+
+func (partsObserver partsObserver) Finished(completion gateway.Completion) {
+	if completion.Relayed {
+		// The VM that received the request from its caller counts it.
+		return
+	}
+	partsObserver.entryVM.recorder.Record(completion.Service, completion.Kind.Name, completion.Outcome, completion.Latency)
+}
+
+func (partsObserver partsObserver) LoadSeen(serviceName oleandervane.ServiceName, report oleandervane.LoadReport) {
+	partsObserver.entryVM.measurement.Observe(report)
+	partsObserver.entryVM.backends.Observe(serviceName, report)
+}
