--- a/fleet/gossip/fabric_test.go
+++ b/fleet/gossip/fabric_test.go
@@ -54,6 +54,8 @@
 	live    bool
 	paused  bool
 	waiting []func()
+	// forge takes the place of all peers in fuzz tests.
+	forge *forging
 	// sent and received count protobuf bytes.
 	sent, received, messages int
 }
@@ -236,6 +238,10 @@
 		}
 	}
 	cancelTimeout = fabric.clock.After(timeout, func(time.Time) { finish(nil, errTimeout) })
+	if run.forge != nil {
+		fabric.clock.After(time.Millisecond, func(time.Time) { forged(*run.forge, finish) })
+		return
+	}
 	target := fabric.at[to]
 	if target == nil || fabric.lost(run.self, target.self) {
 		return
--- a/fleet/gossip/node.go
+++ b/fleet/gossip/node.go
@@ -21,10 +21,10 @@
 	// pushFanOut is the number of peers that a new revision or an urgent value goes to.
 	pushFanOut  = 4
 	pushTimeout = 400 * time.Millisecond
-	// A VM that starts asks peersBeforeStore peers for what they hold before it believes the store, which may
-	// give it an old answer; without as many peers it waits for startWait.
+	// A VM that starts asks peers for what they hold before it believes the store, which may give it an old
+	// answer: it waits for peersBeforeStore peers that have a revision, or for startWait.
 	peersBeforeStore = 3
-	startWait        = 2 * time.Second
+	startWait        = 3 * time.Second
 )
 
 // Transport carries messages to peers, as membership.Transport does.
@@ -69,7 +69,7 @@
 	watch     watch
 	snapshot  snapshot
 	listing   listing
-	// heardFrom has the first peers that answered, until the store may be read.
+	// heardFrom has the first peers with a revision, until the store may be read.
 	heardFrom map[oleandervane.VMID]bool
 	accepted  []*oleandervane.Configuration
 	telling   bool
@@ -288,7 +288,7 @@
 	node := rider.node
 	now := node.settings.TimerService.Now()
 	node.mutex.Lock()
-	if len(node.heardFrom) < peersBeforeStore {
+	if packet.Revision != nil && len(node.heardFrom) < peersBeforeStore {
 		node.heardFrom[from.ID] = true
 	}
 	if age := packet.StoreCheckAgeMillis; age > 0 {
