--- a/operator/burn/bucket.go
+++ b/operator/burn/bucket.go
@@ -16,8 +16,8 @@
 
 // The widths of buckets and how many are kept: minutes for fast alert windows, hours for the objective's window.
 const (
-	minuteWidth      = time.Minute
-	hourWidth        = time.Hour
+	minuteWidth = time.Minute
+	hourWidth   = time.Hour
 	keptMinutes = 2 * 60
 	keptHours   = 31 * 24
 	// minuteReach is the longest window that minutes answer; longer ones take hours.
