Test a collector that is paused while a publisher needs its chunks

Change: a test in which five publishes need dropped chunks while the collector waits before it empties them. Conclusion: the order announce, then empty at the version read, is now held by a test.

--- a/operator/revision/publish.go
+++ b/operator/revision/publish.go
@@ -233,13 +233,11 @@
 	}
 	draft.head.History = historyChunk.Digest
 	chunks = append(chunks, historyChunk)
+	// Chunks of the head in force that are being collected were written again by whoever published that head.
 	stored := map[Digest]bool{}
 	for _, digest := range before.AllChunks() {
 		stored[digest] = true
 	}
-	for _, digest := range before.Collecting {
-		delete(stored, digest)
-	}
 	for _, chunk := range chunks {
 		if !stored[chunk.Digest] {
 			stored[chunk.Digest] = true
--- a/operator/revision/revision_test.go
+++ b/operator/revision/revision_test.go
@@ -458,3 +458,49 @@
 	_, err = revision.Load(context.Background(), store, head, nil)
 	assert.NilError(t, err)
 }
+
+// pausedCollector calls meanwhile once, before the first chunk is emptied.
+type pausedCollector struct {
+	oleandervane.Store
+	meanwhile func()
+}
+
+func (pausedCollector *pausedCollector) CompareAndSwap(ctx context.Context, key string, version uint64, value []byte) (oleandervane.StoreEntry, error) {
+	if value == nil && pausedCollector.meanwhile != nil {
+		meanwhile := pausedCollector.meanwhile
+		pausedCollector.meanwhile = nil
+		meanwhile()
+	}
+	return pausedCollector.Store.CompareAndSwap(ctx, key, version, value)
+}
+
+// Guards against a collector that was paused and then empties a chunk that a publisher has come to need meanwhile.
+func TestCollectMeetsPublisher(t *testing.T) {
+	manual := timer.NewManual(start)
+	store := storestandin.New(manual)
+	configuration := association(t)
+	alice := newDesk("alice", store, manual)
+	for round := range 110 {
+		alice.files["a.toml"] = fmt.Sprint(round)
+		_, err := alice.publish(t, withLifetime(configuration, round+2))
+		assert.NilError(t, err)
+	}
+	published := 0
+	paused := &pausedCollector{Store: store, meanwhile: func() {
+		for round := range 5 {
+			alice.files["a.toml"] = fmt.Sprint(round)
+			_, err := alice.publish(t, withLifetime(configuration, round+2))
+			assert.NilError(t, err)
+			published++
+		}
+	}}
+	_, err := revision.NewPublisher(paused, manual).Collect(context.Background(), 0)
+	assert.NilError(t, err)
+	assert.Equal(t, published, 5)
+	for round := range oleandervane.Revision(5) {
+		head, err := revision.ReadRevision(context.Background(), store, 111+round)
+		assert.NilError(t, err)
+		_, err = revision.Load(context.Background(), store, head, nil)
+		assert.NilError(t, err)
+	}
+}
