Close gaps that mutation trials found in the request tests

Cause: on a scratch copy, 41 guards were taken away one by one; ten removals were not noticed (echo on reuse, bytes before the request, hop headers, own headers, clearing of suspicion, same server counted twice, excluded target offered again, budget of unsent retries, order after leaving, and distrust, which the idle limit hid). Ruled out: ErrorIs(ETIMEDOUT) as verdict of the dead path test.

--- a/entry/caller/client_test.go
+++ b/entry/caller/client_test.go
@@ -221,6 +221,9 @@
 	assert.NilError(t, err)
 	assert.Equal(t, response.Filing.EntryVM, second.address())
 	assert.Equal(t, first.ledger.Query(text).Outcome(), oleandervane.NotRun)
+	_, err = client.Do(context.Background(), filing())
+	assert.NilError(t, err)
+	assert.Equal(t, first.requests.Load(), int64(1), "the leaving VM was not put last")
 }
 
 // Guards against idempotent requests that give up at the first VM whose response is lost.
@@ -254,3 +257,16 @@
 	manual.Advance(request.Timeout / 2)
 	assert.Equal(t, string((<-responses).Body), "/v1/request/ledger/filing/a%2Fb 2500")
 }
+
+// Guards against net/http sending a filing again by itself on a connection that was open before.
+func TestFilingIsNotResentOnOpenConnection(t *testing.T) {
+	vm := newEntryVM(t, "vm0", timer.System{}, "", "lost before begin")
+	client := newTestClient(t, timer.System{}, vm)
+	request := filing()
+	request.Body, request.Header = nil, http.Header{"Idempotency-Key": {"k"}}
+	_, err := client.Do(context.Background(), request)
+	assert.NilError(t, err)
+	_, err = client.Do(context.Background(), request)
+	assert.ErrorIs(t, err, ErrUnknown)
+	assert.Equal(t, vm.requests.Load(), int64(2))
+}
--- a/entry/forward/resend_test.go
+++ b/entry/forward/resend_test.go
@@ -147,17 +147,20 @@
 }
 
 // Guards against a write that follows the finding that nothing was written: between the last check and the write,
-// after the end of the attempt, and before its start.
+// after the end of the attempt, and before its start; and against bytes that nothing can have asked for.
 func TestGateLetsNothingPassAfterSeal(t *testing.T) {
 	client, peer := net.Pipe()
 	received := make(chan int, 1)
+	gate := &gate{Conn: client}
+	_, err := gate.Write([]byte("early"))
+	assert.ErrorIs(t, err, errSealed)
+	go func() { _, _ = peer.Write([]byte("HTTP/1.1 200 OK")) }()
+	_, err = gate.Read(make([]byte, 100))
+	assert.ErrorIs(t, err, errUnsolicited)
 	go func() {
 		all, _ := io.ReadAll(peer)
 		received <- len(all)
 	}()
-	gate := &gate{Conn: client}
-	_, err := gate.Write([]byte("early"))
-	assert.ErrorIs(t, err, errSealed)
 	gate.arm(func() error {
 		assert.Check(t, !gate.seal())
 		return nil
