Test how the ledger's clock counts a pause and a step

Cause: a mutation trial showed that ignoring the wall clock was not noticed, because time.Time cannot be made with a stopped monotonic clock. Ruled out: another interface for the clock; the choice is now a function of two durations with a table test. Change: function passed in entry/ticket.

--- a/entry/ticket/clock.go
+++ b/entry/ticket/clock.go
@@ -27,7 +27,12 @@
 	reading := clock.timerService.Now()
 	monotonic := reading.Sub(clock.last)
 	wall := reading.Round(0).Sub(clock.last.Round(0))
-	clock.elapsed += max(0, monotonic, wall)
+	clock.elapsed += passed(monotonic, wall)
 	clock.last = reading
 	return clock.elapsed
 }
+
+// passed returns the time to count between two readings, given what each clock says.
+func passed(monotonic, wall time.Duration) time.Duration {
+	return max(0, monotonic, wall)
+}
--- a/entry/ticket/ledger_test.go
+++ b/entry/ticket/ledger_test.go
@@ -110,6 +110,13 @@
 	assert.Assert(t, run == nil && answer.State == Forgotten && answer.Outcome() == oleandervane.Unknown)
 }
 
+// Guards against a pause that stops the monotonic clock, and against steps back of the wall clock.
+func TestPassed(t *testing.T) {
+	for _, row := range [][3]time.Duration{{5, 5, 5}, {0, 30, 30}, {5, -60, 5}, {5, 60, 60}, {-1, -1, 0}} {
+		assert.Equal(t, passed(row[0], row[1]), row[2])
+	}
+}
+
 // Measures what a ticket costs on the request path.
 func BenchmarkFigureTicket(b *testing.B) {
 	ledger := NewLedger(Settings{VM: "kigali-a-1", Incarnation: 7, MaxTickets: 1 << 40}, timer.System{})
