Tell the effect of a changed home by the flow it leaves, and check drains that are under way

Ruled out: leaving the start of a drain unchecked. Conclusion: diff and check agree with how the cap is defined.

--- a/cmd/oleandervane/folder.go
+++ b/cmd/oleandervane/folder.go
@@ -40,6 +40,8 @@
 	terminal *terminal
 	jsonOption
 	atOption
+	// Store is not taken from the environment, so that a check needs no network unless it is asked for.
+	Store string `long:"store" description:"base URL of the platform's store: drains that are in force there are not refused for starting too late" value-name:"URL"`
 	folderArgument
 }
 
@@ -49,7 +51,14 @@
 	if err != nil {
 		return err
 	}
-	result, err := folder.Read(string(command.Arguments.Folder), check.Circumstances{Now: now})
+	circumstances := check.Circumstances{Now: now}
+	if command.Store != "" {
+		_, circumstances.InForce, err = inForce(context.Background(), storeOption{command.Store}.open(command.terminal))
+		if err != nil {
+			return err
+		}
+	}
+	result, err := folder.Read(string(command.Arguments.Folder), circumstances)
 	if err != nil {
 		return err
 	}
--- a/operator/revision/diff.go
+++ b/operator/revision/diff.go
@@ -54,7 +54,7 @@
 	difference := Difference{From: before.Revision, Changes: changes(flatten(before), flatten(after))}
 	moves := difference.blocks(before, after)
 	difference.capacity(before, after)
-	difference.homes(after, moves)
+	difference.homes(before, after, moves)
 	difference.drains(before, after)
 	difference.removed(before, after)
 	return difference
@@ -203,16 +203,21 @@
 	}
 }
 
-// homes tells of client blocks whose callers get another home region. Blocks count as equal.
-func (difference *Difference) homes(after oleandervane.Configuration, moves map[move]int) {
-	total := max(1, len(after.ClientBlocks))
+// homes tells of client blocks whose callers get another home region. The cap holds for the flow of the region that
+// they leave, of which all blocks count as equal.
+func (difference *Difference) homes(before, after oleandervane.Configuration, moves map[move]int) {
+	homes := siteHomes(before)
+	blocks := map[oleandervane.Region]int{}
+	for _, block := range before.ClientBlocks {
+		blocks[homes[block.Site]]++
+	}
 	pairs := slices.SortedFunc(maps.Keys(moves), func(a, b move) int { return cmp.Or(cmp.Compare(a.from, b.from), cmp.Compare(a.to, b.to)) })
 	for _, pair := range pairs {
-		share := float64(moves[pair]) / float64(total)
+		share := float64(moves[pair]) / float64(blocks[pair.from])
 		for _, name := range slices.Sorted(maps.Keys(after.Services)) {
 			takes := atCap(after.Services[name], share)
 			difference.effect(Effect{Service: name, Home: pair.from, Share: share, AtCapSeconds: takes.Seconds()},
-				"service %s: %d client blocks (%s of all) move home from %s to %s, over %s at the cap",
+				"service %s: %d client blocks, %s of those of %s, move home to %s, over %s at the cap",
 				name, moves[pair], check.Percent(share), pair.from, pair.to, check.Duration(takes))
 		}
 	}
