--- a/operator/burn/burn_test.go
+++ b/operator/burn/burn_test.go
@@ -74,6 +74,20 @@
 	}
 }
 
+// Guards against copies for peers that grow without bound, or that drop newer counts before older ones.
+func TestTrim(t *testing.T) {
+	var collection burn.Collection
+	for index := range int64(10) {
+		collection.Add([]burn.Bucket{
+			{Key: burn.Key{Service: "ledger", Kind: "filing", StartSeconds: index * 60, WidthSeconds: 60}, Counts: burn.Counts{Good: 1}},
+		})
+	}
+	assert.Equal(t, collection.Trim(3), 7)
+	assert.Equal(t, collection.Trim(3), 0)
+	assert.Equal(t, collection.Window("ledger", "filing", time.Unix(600, 0), 10*time.Minute).Good, uint64(3))
+	assert.Equal(t, collection.Window("ledger", "filing", time.Unix(600, 0), 2*time.Minute).Good, uint64(2))
+}
+
 // Guards against a request lost between two buckets when a bucket closes while requests are counted.
 func TestRecordWhileBucketsClose(t *testing.T) {
 	configuration := association(t)
--- a/operator/burn/collection.go
+++ b/operator/burn/collection.go
@@ -1,6 +1,9 @@
 package burn
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"oleandervane.example"
@@ -31,6 +34,24 @@
 	return buckets
 }
 
+// Trim drops the oldest buckets until at most the given number is left, minutes before hours of the same age, and
+// returns how many it dropped. It bounds what an entry VM holds for its peers.
+func (collection *Collection) Trim(most int) int {
+	excess := len(collection.buckets) - most
+	if excess <= 0 {
+		return 0
+	}
+	keys := slices.SortedFunc(maps.Keys(collection.buckets), func(a, b Key) int {
+		return cmp.Or(cmp.Compare(a.StartSeconds, b.StartSeconds), cmp.Compare(a.WidthSeconds, b.WidthSeconds),
+			cmp.Compare(a.VM, b.VM), cmp.Compare(a.Incarnation, b.Incarnation),
+			cmp.Compare(a.Service, b.Service), cmp.Compare(a.Kind, b.Kind))
+	})
+	for _, key := range keys[:excess] {
+		delete(collection.buckets, key)
+	}
+	return excess
+}
+
 // Window returns the counts of a kind in the window that ends now. Windows of up to two hours are made of minutes and
 // longer ones of hours; a bucket that the window cuts counts in full.
 func (collection *Collection) Window(service oleandervane.ServiceName, kind oleandervane.KindName, now time.Time, window time.Duration) Counts {
