Authenticate entry VMs to each other with TLS and relay over it

Cause: a relayed request is served without a ticket of the receiving VM, and any caller could send one to the callers' address; gossip believed whoever reached its port.

Ruled out: checking source addresses, because VMs are replaced at any time and loopback callers share one; a shared secret, which cannot be replaced step by step.

Change: package keys (authority, certificates, identity that follows changed files), commands authority and certificate, TLS 1.3 with client certificates between entry VMs, relays on the address for peers only. The TLS handshake is done below the forwarder's gate, and a failed write on an encrypted connection counts as written. Commands lookup and request for a caller. The demo makes its own keys.

--- /dev/null
+++ b/cmd/oleandervane-demo/identity.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"time"
+
+	"oleandervane.example"
+	"oleandervane.example/entryvm"
+	"oleandervane.example/operator/keys"
+)
+
+// keysValidFor is long enough for a run of the demo.
+const keysValidFor = time.Hour
+
+// makeAuthority makes the authority of the deployment's entry VMs.
+func (scenario *scenario) makeAuthority() (err error) {
+	scenario.authority, err = keys.NewAuthority(time.Now(), keysValidFor)
+	return err
+}
+
+// identity writes a certificate and key for an entry VM and returns the settings that name them.
+func (scenario *scenario) identity(vmID oleandervane.VMID) (entryvm.PeerTLS, error) {
+	pair, err := scenario.authority.Issue(vmID, time.Now(), keysValidFor)
+	if err != nil {
+		return entryvm.PeerTLS{}, err
+	}
+	peerTLS := entryvm.PeerTLS{
+		CertificateFile: filepath.Join(scenario.folder, string(vmID)+"-certificate.pem"),
+		KeyFile:         filepath.Join(scenario.folder, string(vmID)+"-key.pem"),
+		AuthorityFile:   filepath.Join(scenario.folder, "authority.pem"),
+	}
+	for path, text := range map[string][]byte{
+		peerTLS.CertificateFile: pair.Certificate,
+		peerTLS.KeyFile:         pair.Key,
+		peerTLS.AuthorityFile:   scenario.authority.Certificate,
+	} {
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			return entryvm.PeerTLS{}, err
+		}
+	}
+	return peerTLS, nil
+}
--- a/cmd/oleandervane-demo/scenario.go
+++ b/cmd/oleandervane-demo/scenario.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"oleandervane.example"
+	"oleandervane.example/operator/keys"
 	"oleandervane.example/standin/backendstandin"
 	"oleandervane.example/standin/load"
 	"oleandervane.example/timer"
@@ -36,6 +37,7 @@
 	deployment deployment
 	folder     string
 	launcher   *launcher
+	authority  keys.Pair
 	ledger     *ledger
 	promises   []promise
 	notes      []string
@@ -50,6 +52,9 @@
 	if err := scenario.publish(); err != nil {
 		return 0, err
 	}
+	if err := scenario.makeAuthority(); err != nil {
+		return 0, err
+	}
 	if err := scenario.startEntryVMs(); err != nil {
 		return 0, err
 	}
--- a/cmd/oleandervane-demo/start.go
+++ b/cmd/oleandervane-demo/start.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"oleandervane.example"
+	"oleandervane.example/entryvm"
 	"oleandervane.example/platform/vmlist"
 	"oleandervane.example/standin/backendstandin"
 )
@@ -100,6 +101,10 @@
 }
 
 func (scenario *scenario) startEntryVM(entryVM oleandervane.EntryVM) error {
+	identity, err := scenario.identity(entryVM.ID)
+	if err != nil {
+		return err
+	}
 	text, err := toml.Marshal(struct {
 		ID                string `toml:"id"`
 		Region            string `toml:"region"`
@@ -112,6 +117,7 @@
 		Shutdown          struct {
 			LookupGrace string `toml:"lookup_grace"`
 		} `toml:"shutdown"`
+		PeerTLS entryvm.PeerTLS `toml:"peer_tls"`
 	}{
 		ID:                string(entryVM.ID),
 		Region:            string(entryVM.Region),
@@ -124,6 +130,7 @@
 		Shutdown: struct {
 			LookupGrace string `toml:"lookup_grace"`
 		}{"1s"},
+		PeerTLS: identity,
 	})
 	if err != nil {
 		return err
--- a/cmd/oleandervane/run.go
+++ b/cmd/oleandervane/run.go
@@ -83,6 +83,10 @@
 		{"status", "show what entry VMs know", "Asks entry VMs for their state, revision, peers, shares and view of the store.", &statusCommand{terminal: terminal}},
 		{"explain", "explain the shares of a flow", "Asks entry VMs why the traffic of a service from a home region goes where it goes.", &explainCommand{terminal: terminal}},
 		{"report", "report service-level burn", "Adds up the counters of entry VMs and reports error budgets, burn rates and alerts.", &reportCommand{terminal: terminal}},
+		{"lookup", "ask which entry VMs to use", "Asks an entry VM, as a caller does, which entry VMs to use for a kind of request.", &lookupCommand{terminal: terminal}},
+		{"request", "send a request as a caller", "Sends one request through entry VMs and prints its outcome. With --once it gets a ticket, so that the request runs at most once.", &requestCommand{terminal: terminal}},
+		{"authority", "make an authority for peers", "Makes the authority that signs the certificates of entry VMs.", &authorityCommand{terminal: terminal}},
+		{"certificate", "make a certificate for an entry VM", "Makes a certificate and key, signed by the authority, that an entry VM shows to its peers.", &certificateCommand{terminal: terminal}},
 	} {
 		if _, err := parser.AddCommand(command.name, command.short, command.long, command.data); err != nil {
 			fmt.Fprintln(errorOutput, err)
--- a/entry/forward/attempt.go
+++ b/entry/forward/attempt.go
@@ -63,12 +63,20 @@
 	return stop
 }
 
+// pool returns the connections to targets of this kind.
+func (attempt *attempt) pool() *pool {
+	if attempt.target.Relay {
+		return attempt.forwarder.relays
+	}
+	return attempt.forwarder.pool
+}
+
 // run sends the request and reads the response, or its beginning.
 func (attempt *attempt) run() attemptOutcome {
 	if err := attempt.beforeWrite(); err != nil {
 		return attempt.fail(oleandervane.NotRun, err)
 	}
-	connection, reused, err := attempt.forwarder.pool.take(attempt.ctx, attempt.target.Address, attempt.needsFresh())
+	connection, reused, err := attempt.pool().take(attempt.ctx, attempt.target.Address, attempt.needsFresh())
 	if err != nil {
 		return attempt.fail(oleandervane.NotRun, err)
 	}
@@ -148,7 +156,7 @@
 	}
 	reason, attemptResult := explain(outcome, err)
 	if reason == ReasonSilent || reason == ReasonBroken {
-		attempt.forwarder.pool.distrust(attempt.target.Address)
+		attempt.pool().distrust(attempt.target.Address)
 	}
 	if reason == ReasonBroken && outcome == oleandervane.Unknown {
 		attempt.noteBroken()
@@ -194,7 +202,7 @@
 // receive checks a response and reads its body, or the beginning of a large one.
 func (attempt *attempt) receive(response *http.Response) attemptOutcome {
 	if !belongsTo(response, attempt.id, attempt.reused) {
-		attempt.forwarder.pool.distrust(attempt.target.Address)
+		attempt.pool().distrust(attempt.target.Address)
 		return attempt.failAfterTake(ErrMismatch)
 	}
 	attempt.echoed = response.Header.Get(oleandervane.HeaderRequestID) != ""
@@ -266,5 +274,5 @@
 		attempt.connection.close()
 		return
 	}
-	attempt.forwarder.pool.put(attempt.connection)
+	attempt.pool().put(attempt.connection)
 }
--- a/entry/forward/forwarder.go
+++ b/entry/forward/forwarder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -27,6 +28,8 @@
 	MaxIdle          int
 	IdleLimit        time.Duration
 	QuarantinePeriod time.Duration
+	// RelayTLS is for connections to entry VMs of other regions; nil sends in the clear.
+	RelayTLS *tls.Config
 }
 
 func (settings Settings) withDefaults() Settings {
@@ -52,7 +55,9 @@
 type Forwarder struct {
 	settings     Settings
 	timerService oleandervane.TimerService
+	// pool has the connections to backend servers, relays those to entry VMs; without TLS they are the same.
 	pool         *pool
+	relays       *pool
 	budget       *budget
 	quarantine   *Quarantine
 	firstBytes   *firstByteTimes
@@ -64,16 +69,24 @@
 // New returns a forwarder. It must be closed.
 func New(settings Settings, timerService oleandervane.TimerService) *Forwarder {
 	settings = settings.withDefaults()
-	pool := newPool(timerService, settings.IdleLimit, settings.MaxIdle)
+	pool := newPool(timerService, settings.IdleLimit, settings.MaxIdle, nil)
+	relays := pool
+	if settings.RelayTLS != nil {
+		relays = newPool(timerService, settings.IdleLimit, settings.MaxIdle, settings.RelayTLS)
+	}
 	return &Forwarder{
 		settings:     settings,
 		timerService: timerService,
 		pool:         pool,
+		relays:       relays,
 		budget:       newBudget(timerService),
 		quarantine:   newQuarantine(timerService, settings.QuarantinePeriod),
 		firstBytes:   &firstByteTimes{times: map[kindKey]time.Duration{}},
 		idPrefix:     rand.Text(),
-		stopRetiring: timerService.Every(settings.IdleLimit, pool.retire),
+		stopRetiring: timerService.Every(settings.IdleLimit, func(now time.Time) {
+			pool.retire(now)
+			relays.retire(now)
+		}),
 	}
 }
 
@@ -81,6 +94,7 @@
 func (forwarder *Forwarder) Close() {
 	forwarder.stopRetiring()
 	forwarder.pool.closeIdle()
+	forwarder.relays.closeIdle()
 }
 
 // Quarantine returns the quarantine, to exchange it with peers.
--- a/entry/forward/gate.go
+++ b/entry/forward/gate.go
@@ -29,6 +29,8 @@
 	state       atomic.Int32
 	beforeWrite atomic.Pointer[func() error]
 	refusal     atomic.Pointer[error]
+	// encrypted says that Conn encrypts: it may have sent a part of a record when it reports that nothing was written.
+	encrypted bool
 }
 
 // arm starts an attempt. beforeWrite is called immediately before its first byte is written.
@@ -76,7 +78,7 @@
 		return 0, errSealed
 	}
 	count, err := gate.Conn.Write(buffer)
-	if count == 0 && err != nil {
+	if count == 0 && err != nil && !gate.encrypted {
 		// The operating system took nothing, for example after a reset by the peer.
 		gate.state.CompareAndSwap(gateWritten, gateSealed)
 	}
--- a/entry/forward/pool.go
+++ b/entry/forward/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/http"
@@ -42,12 +43,12 @@
 	idle       []*connection
 }
 
-func newPool(timerService oleandervane.TimerService, idleLimit time.Duration, maxIdle int) *pool {
+func newPool(timerService oleandervane.TimerService, idleLimit time.Duration, maxIdle int, tlsConfig *tls.Config) *pool {
 	return &pool{
 		timerService: timerService,
 		idleLimit:    idleLimit,
 		maxIdle:      maxIdle,
-		open:         newOpener(),
+		open:         newOpener(tlsConfig),
 		targets:      map[netip.AddrPort]*targetPool{},
 	}
 }
@@ -55,8 +56,9 @@
 type gateKey struct{}
 
 // newOpener returns a function that opens connections. They speak HTTP/1.1 only: an HTTP/2 connection would carry
-// several requests, and a GOAWAY would make net/http send one of them again.
-func newOpener() func(ctx context.Context, address netip.AddrPort) (*connection, error) {
+// several requests, and a GOAWAY would make net/http send one of them again. With a TLS configuration the handshake is
+// done below the gate, so that its bytes do not count as bytes of a request.
+func newOpener(tlsConfig *tls.Config) func(ctx context.Context, address netip.AddrPort) (*connection, error) {
 	dialer := newDialer()
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
@@ -69,7 +71,16 @@
 				return nil, err
 			}
 			gate := ctx.Value(gateKey{}).(*gate)
-			gate.Conn = conn
+			gate.Conn, gate.encrypted = conn, tlsConfig != nil
+			if tlsConfig == nil {
+				return gate, nil
+			}
+			tlsConn := tls.Client(conn, tlsConfig)
+			if err := tlsConn.HandshakeContext(ctx); err != nil {
+				_ = conn.Close()
+				return nil, err
+			}
+			gate.Conn = tlsConn
 			return gate, nil
 		},
 	}
--- a/entry/forward/target.go
+++ b/entry/forward/target.go
@@ -26,7 +26,7 @@
 // RelayTarget returns the target of an entry VM of another region, for example with path prefix
 // "/v1/relay/ledger/filing".
 func RelayTarget(entryVM oleandervane.EntryVM, pathPrefix string) Target {
-	return Target{ID: string(entryVM.ID), Address: entryVM.CallerAddress, PathPrefix: pathPrefix, Relay: true}
+	return Target{ID: string(entryVM.ID), Address: entryVM.PeerAddress, PathPrefix: pathPrefix, Relay: true}
 }
 
 // classify returns the outcome that a complete response states. An entry VM that states none is not believed to
--- a/entryvm/entryvm.go
+++ b/entryvm/entryvm.go
@@ -39,13 +39,13 @@
 	lookup       *lookup.Lookup
 	tickets      *ticket.Ledger
 	admission    *admission.Controller
-	forwarder    *forward.Forwarder
 	recorder     *burn.Recorder
 	vmList       *listReader
 	plans        atomic.Pointer[drain.Plans]
 
 	// The parts below need the node, which Run starts.
 	daemon      *transport.Daemon
+	forwarder   *forward.Forwarder
 	measurement *measurement.Measurement
 	backends    *balance.Chooser
 	sight       *sight
@@ -53,6 +53,7 @@
 	steerer     *share.Steerer
 	mix         *mix
 	gateway     *gateway.Gateway
+	relay       atomic.Pointer[http.Handler]
 	cancels     []func()
 }
 
@@ -69,10 +70,9 @@
 			FieldRegion:        self.Region,
 			FieldFailureDomain: self.FailureDomain,
 		}),
-		lookup:    lookup.New(self),
-		forwarder: forward.New(forward.Settings{}, timerService),
-		recorder:  burn.NewRecorder(self.ID, self.Incarnation, timerService),
-		vmList:    &listReader{vmList: gossip.AsynchronousVMList(vmlist.NewClient(settings.VMListURL, timerService))},
+		lookup:   lookup.New(self),
+		recorder: burn.NewRecorder(self.ID, self.Incarnation, timerService),
+		vmList:   &listReader{vmList: gossip.AsynchronousVMList(vmlist.NewClient(settings.VMListURL, timerService))},
 		tickets: ticket.NewLedger(ticket.Settings{
 			VM:          self.ID,
 			Incarnation: self.Incarnation,
@@ -97,13 +97,15 @@
 	entryVM.startSteering()
 	entryVM.observer = newObserver(metrics.NewSet(), partsObserver{entryVM})
 	entryVM.gateway = entryVM.newGateway()
+	relay := entryVM.gateway.RelayHandler()
+	entryVM.relay.Store(&relay)
 	entryVM.startRefresh()
 	app := kratos.New(
 		kratos.ID(string(entryVM.self.ID)),
 		kratos.Name("oleandervane-entry"),
 		kratos.Logger(kratosLogger{entry: entryVM.log}),
 		kratos.Server(
-			newServer(entryVM.settings.CallerAddress.String(), entryVM.callerHandler()),
+			newServer(entryVM.settings.CallerAddress.String(), entryVM.gateway.CallerHandler()),
 			newServer(entryVM.settings.OperationsAddress.String(), entryVM.operationsHandler()),
 		),
 		kratos.StopTimeout(time.Duration(entryVM.settings.Shutdown.DrainLimit)),
@@ -119,11 +121,6 @@
 	return nil
 }
 
-func (entryVM *EntryVM) callerHandler() http.Handler {
-	callers, relays := entryVM.gateway.CallerHandler(), entryVM.gateway.RelayHandler()
-	return gateway.PrefixHandler(gateway.RelayPrefix, relays, callers)
-}
-
 // newServer returns a kratos HTTP server that passes every request to the handler as it is: the kratos router
 // would redirect paths that it cleans, and its timeout would cut long requests.
 func newServer(address string, handler http.Handler) *khttp.Server {
--- a/entryvm/parts.go
+++ b/entryvm/parts.go
@@ -1,18 +1,22 @@
 package entryvm
 
 import (
+	"crypto/tls"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"oleandervane.example"
 	"oleandervane.example/entry/balance"
+	"oleandervane.example/entry/forward"
 	"oleandervane.example/entry/gateway"
 	"oleandervane.example/entry/lookup"
 	"oleandervane.example/fleet/gossip"
 	"oleandervane.example/fleet/measurement"
 	"oleandervane.example/fleet/transport"
+	"oleandervane.example/operator/keys"
 	"oleandervane.example/platform/store"
 	"oleandervane.example/steering/drain"
 	"oleandervane.example/steering/grant"
@@ -32,6 +36,10 @@
 // startNode starts the node for peers. A call before the other parts exist must not reach them, so callbacks only
 // use what New made.
 func (entryVM *EntryVM) startNode() error {
+	serverTLS, clientTLS, err := entryVM.loadIdentity()
+	if err != nil {
+		return err
+	}
 	daemon, err := transport.Start(gossip.Settings{
 		Self:         entryVM.self,
 		TimerService: entryVM.timerService,
@@ -42,7 +50,7 @@
 		Accepted:     entryVM.acceptConfiguration,
 		Snapshot:     entryVM.snapshot,
 		Log:          entryVM.log.WithField(FieldPart, "gossip"),
-	}, nil, nil)
+	}, serverTLS, clientTLS, http.HandlerFunc(entryVM.serveRelay))
 	if err != nil {
 		return eris.Wrap(err, "starting the node for peers")
 	}
@@ -50,6 +58,43 @@
 	return nil
 }
 
+// loadIdentity returns the TLS configurations for peers, which are nil when the settings name no certificate. Relayed
+// requests use the same identity.
+func (entryVM *EntryVM) loadIdentity() (serverTLS, clientTLS *tls.Config, err error) {
+	files := entryVM.settings.PeerTLS
+	forwarderSettings := forward.Settings{}
+	if files.CertificateFile != "" {
+		identity, err := keys.LoadIdentity(keys.Files{
+			Certificate: files.CertificateFile,
+			Key:         files.KeyFile,
+			Authorities: files.AuthorityFile,
+		}, entryVM.timerService, func(err error) {
+			entryVM.log.WithError(err).Error("changed keys cannot be used; the former ones stay in force")
+		})
+		if err != nil {
+			return nil, nil, eris.Wrap(err, "loading the identity for peers")
+		}
+		entryVM.cancels = append(entryVM.cancels, identity.Close)
+		serverTLS, clientTLS = identity.ServerTLS(), identity.ClientTLS("h2")
+		forwarderSettings.RelayTLS = identity.ClientTLS("http/1.1")
+	}
+	entryVM.forwarder = forward.New(forwarderSettings, entryVM.timerService)
+	return serverTLS, clientTLS, nil
+}
+
+// serveRelay serves requests that entry VMs of other regions relay to the address for peers.
+func (entryVM *EntryVM) serveRelay(writer http.ResponseWriter, request *http.Request) {
+	relay := entryVM.relay.Load()
+	if relay == nil {
+		// The VM is still starting; nothing was run.
+		writer.Header().Set(oleandervane.HeaderOutcome, string(oleandervane.NotRun))
+		writer.Header().Set(oleandervane.HeaderReason, "starting")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	(*relay).ServeHTTP(writer, request)
+}
+
 // random returns a random source of its own for one part.
 func (entryVM *EntryVM) random(part uint64) *rand.Rand {
 	return rand.New(rand.NewPCG(uint64(entryVM.self.Incarnation), part))
--- a/fleet/transport/daemon.go
+++ b/fleet/transport/daemon.go
@@ -19,8 +19,9 @@
 }
 
 // Start listens on the peer address of the settings and starts a node there. It sets the settings' Transport.
-// The TLS configurations are nil for connections without TLS.
-func Start(settings gossip.Settings, serverTLS, clientTLS *tls.Config) (*Daemon, error) {
+// The TLS configurations are nil for connections without TLS. Other, which may be nil, serves paths that are not of the
+// peer service.
+func Start(settings gossip.Settings, serverTLS, clientTLS *tls.Config, other http.Handler) (*Daemon, error) {
 	listener, err := net.Listen("tcp", settings.Self.PeerAddress.String())
 	if err != nil {
 		return nil, fmt.Errorf("listening for peers: %w", err)
@@ -28,7 +29,7 @@
 	client := NewClient(clientTLS)
 	settings.Transport = client
 	node := gossip.New(settings)
-	daemon := &Daemon{Node: node, client: client, server: NewServer(node, serverTLS), served: make(chan error, 1)}
+	daemon := &Daemon{Node: node, client: client, server: NewServer(node, serverTLS, other), served: make(chan error, 1)}
 	go func() { daemon.served <- Serve(daemon.server, listener) }()
 	node.Start()
 	return daemon, nil
--- a/fleet/transport/server.go
+++ b/fleet/transport/server.go
@@ -41,17 +41,24 @@
 }
 
 // NewServer returns an HTTP server for a node, which speaks HTTP/2 without TLS, or with TLS if tlsConfig is given.
-func NewServer(node *gossip.Node, tlsConfig *tls.Config) *http.Server {
+// Paths that are not of the peer service go to other, if it is given, over HTTP/1.1 as well.
+func NewServer(node *gossip.Node, tlsConfig *tls.Config, other http.Handler) *http.Server {
 	mux := http.NewServeMux()
-	mux.Handle(NewHandler(node))
+	path, handler := NewHandler(node)
+	mux.Handle(path, http.MaxBytesHandler(handler, peer.MaxPacketBytes))
+	protocols := protocols(tlsConfig)
+	if other != nil {
+		mux.Handle("/", other)
+		protocols.SetHTTP1(true)
+	}
 	return &http.Server{
-		Handler:           http.MaxBytesHandler(mux, peer.MaxPacketBytes),
+		Handler:           mux,
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		TLSConfig:         tlsConfig,
-		Protocols:         protocols(tlsConfig),
+		Protocols:         protocols,
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
 	}
 }
--- a/fleet/transport/transport_test.go
+++ b/fleet/transport/transport_test.go
@@ -117,7 +117,7 @@
 		Random:       rand.New(rand.NewPCG(1, uint64(index))),
 		Seeds:        seeds,
 		Log:          silentLog(),
-	}, nil, nil)
+	}, nil, nil, nil)
 	assert.NilError(t, err)
 	return daemon
 }
