--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,7 @@
 
 fuzz:
 	.ci/fuzz
+
+# Writes a table and plots of the steering policy against its baselines.
+compare: build
+	bin/oleandervane-compare
