--- a/standin/backendstandin/server.go
+++ b/standin/backendstandin/server.go
@@ -133,12 +133,19 @@
 
 // Handler serves /load, /fault, /runs and, on every other path, work.
 func (server *Server) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /load", server.serveLoad)
-	mux.HandleFunc("POST /fault", server.serveFault)
-	mux.HandleFunc("GET /runs", server.serveRuns)
-	mux.HandleFunc("/", server.serveWork)
-	return mux
+	own := map[string]http.HandlerFunc{
+		"GET /load":   server.serveLoad,
+		"POST /fault": server.serveFault,
+		"GET /runs":   server.serveRuns,
+	}
+	// A mux would redirect the paths of work that it cleans.
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if handle, found := own[request.Method+" "+request.URL.Path]; found {
+			handle(writer, request)
+			return
+		}
+		server.serveWork(writer, request)
+	})
 }
 
 func (server *Server) silenceConnections() {
@@ -253,6 +260,7 @@
 	writer.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	if faults.TruncateResponses {
 		_, _ = io.WriteString(writer, answer[:len(answer)/2])
+		_ = http.NewResponseController(writer).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = io.WriteString(writer, answer)
