Plan drains by the number of entry VMs, and keep a demo running

Cause: entry VMs planned drains without knowing how many entry VMs a region has, so a drain of entry VMs was refused by every VM.

Ruled out: planning once at acceptance, because a VM that has just started does not know its peers yet.

Conclusion: drains of entry VMs are carried out.

--- a/cmd/oleandervane-demo/main.go
+++ b/cmd/oleandervane-demo/main.go
@@ -8,16 +8,18 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 )
 
 type options struct {
-	Programs   string `long:"programs" default:"bin" description:"folder of the built programs"`
-	Folders    string `long:"folders" default:"examples" description:"folder that has one folder of TOML files for each deployment"`
-	Output     string `long:"output" default:"out/demo" description:"folder for settings and logs"`
-	Deployment string `long:"deployment" choice:"association" choice:"jubilar" choice:"both" default:"both" description:"deployment to start"`
-	Seed       uint64 `long:"seed" default:"1" description:"seed of arrivals"`
+	Programs   string        `long:"programs" default:"bin" description:"folder of the built programs"`
+	Folders    string        `long:"folders" default:"examples" description:"folder that has one folder of TOML files for each deployment"`
+	Output     string        `long:"output" default:"out/demo" description:"folder for settings and logs"`
+	Deployment string        `long:"deployment" choice:"association" choice:"jubilar" choice:"both" default:"both" description:"deployment to start"`
+	Keep       time.Duration `long:"keep" description:"only start the deployment and keep it for this time, to try the commands on it"`
+	Seed       uint64        `long:"seed" default:"1" description:"seed of arrivals"`
 }
 
 func main() {
--- a/cmd/oleandervane-demo/scenario.go
+++ b/cmd/oleandervane-demo/scenario.go
@@ -61,6 +61,10 @@
 	if err := scenario.waitUntilReady(); err != nil {
 		return 0, err
 	}
+	if scenario.options.Keep > 0 {
+		scenario.keep()
+		return 0, nil
+	}
 	results, err := scenario.playLoad()
 	if err != nil {
 		return 0, err
@@ -68,6 +72,24 @@
 	return scenario.report(results)
 }
 
+// keep leaves the deployment running for the time asked for, and says where it is.
+func (scenario *scenario) keep() {
+	first := scenario.deployment.entryVMs()[0]
+	fmt.Printf("%s runs for %s\n", scenario.deployment.name, scenario.options.Keep)
+	fmt.Printf("store:      export OLEANDERVANE_STORE=%s\n", scenario.deployment.storeURL())
+	fmt.Printf("operations: export OLEANDERVANE_ENTRY_VMS=%s\n", scenario.operationsAddresses())
+	fmt.Printf("callers:    export OLEANDERVANE_CALLER_ENTRY_VMS=%s\n", first.CallerAddress)
+	time.Sleep(scenario.options.Keep)
+}
+
+func (scenario *scenario) operationsAddresses() string {
+	var addresses []string
+	for _, entryVM := range scenario.deployment.entryVMs() {
+		addresses = append(addresses, operationsAddress(entryVM).String())
+	}
+	return strings.Join(addresses, ",")
+}
+
 func (scenario *scenario) playLoad() ([]load.Result, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), loadTime)
 	defer cancel()
--- a/entryvm/entryvm.go
+++ b/entryvm/entryvm.go
@@ -42,6 +42,8 @@
 	recorder     *burn.Recorder
 	vmList       *listReader
 	plans        atomic.Pointer[drain.Plans]
+	// plannedRevision is the revision whose drains were logged; only the refresh uses it.
+	plannedRevision oleandervane.Revision
 
 	// The parts below need the node, which Run starts.
 	daemon      *transport.Daemon
--- a/entryvm/parts.go
+++ b/entryvm/parts.go
@@ -151,6 +151,7 @@
 }
 
 func (entryVM *EntryVM) refresh(now time.Time) {
+	entryVM.planDrains()
 	entryVM.publishEntryVMs(now)
 	backendServers, readAt := entryVM.daemon.Node.BackendServers()
 	if !readAt.IsZero() {
@@ -160,6 +161,33 @@
 	entryVM.sight.publish(now)
 }
 
+// planDrains plans the drains of the configuration in force. They were checked when they were published: a VM that
+// starts later must not refuse one that has begun, so it plans them as from the beginning of time. The plans of drains
+// of entry VMs depend on how many there are, so they follow the membership.
+func (entryVM *EntryVM) planDrains() {
+	configuration := entryVM.daemon.Node.Configuration()
+	if configuration == nil || (len(configuration.Drains) == 0 && len(*entryVM.plans.Load()) == 0) {
+		return
+	}
+	view := entryVM.daemon.Node.Membership().View()
+	figures := drain.Figures{EntryVMs: map[oleandervane.Region]int{}}
+	for region := range configuration.Regions {
+		figures.EntryVMs[region] = len(view.Region(region))
+	}
+	plans, refusals := drain.New(configuration, figures, time.Time{})
+	entryVM.plans.Store(&plans)
+	if entryVM.plannedRevision == configuration.Revision {
+		return
+	}
+	entryVM.plannedRevision = configuration.Revision
+	for _, refusal := range refusals {
+		entryVM.log.WithError(refusal.Reason).WithField("drain", refusal.Drain.Name).Warn("a drain is not carried out")
+	}
+	for _, plan := range plans {
+		entryVM.log.WithField("drain", plan.Drain.Name).Info(plan.String())
+	}
+}
+
 // publishEntryVMs tells the look-up which entry VMs there are. Those of a planned drain count as leaving from the
 // start of the drain.
 func (entryVM *EntryVM) publishEntryVMs(now time.Time) {
@@ -216,12 +244,6 @@
 	} else {
 		entryVM.lookup.PublishTable(table)
 	}
-	// Drains were checked when they were published; a VM that starts later must not refuse one that has begun.
-	plans, refusals := drain.New(configuration, drain.Figures{}, time.Time{})
-	entryVM.plans.Store(&plans)
-	for _, refusal := range refusals {
-		log.WithError(refusal.Reason).WithField("drain", refusal.Drain.Name).Warn("a drain is not carried out")
-	}
 	entryVM.recorder.SetConfiguration(configuration)
 	log.Info("configuration is in force")
 }
