Tell the usable slots and the connection limit

Cause: admission needs the slots that this VM may use as its limit, and the transport the connections that it may open.

Change: Chooser.Usable and Chooser.ConnectionLimit; tests of both, of the shed rate against the retry budget and of an instance that hides its load.

--- a/entry/balance/balance_test.go
+++ b/entry/balance/balance_test.go
@@ -1,10 +1,13 @@
 package balance
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"oleandervane.example/figure"
 )
 
 // Guards against an instance that fails at once, and so is always idle, attracting the traffic of the others.
@@ -30,3 +33,42 @@
 		assert.Equal(t, share(true) <= 2*fair, !answers, "unguarded share %.3f", share(true))
 	}
 }
+
+// Guards against an instance that works but reports no load attracting the traffic of the others.
+func TestUnderstatedLoadAttractsLittle(t *testing.T) {
+	region := run(scenario{
+		deployment: ledger(5, 6), reportCase: reportCases[0], policy: Owned, load: 0.7, duration: 20 * time.Second, seed: 2,
+		change: func(region *simulatedRegion) { region.servers[0].liesIdle = true },
+	})
+	total := 0
+	for _, server := range region.servers {
+		total += server.started
+	}
+	assert.Assert(t, float64(region.servers[0].started) <= 2.0/5*float64(total), "%d of %d", region.servers[0].started, total)
+}
+
+// Guards against shed attempts beyond the retry budget of 10%, whatever the reports say.
+func TestFigureShedRate(t *testing.T) {
+	for _, deployment := range []deployment{ledger(5, 6), ledger(5, 6).withoutQueue(), pronostico(6, 6), pronostico(6, 6).withoutQueue()} {
+		for _, load := range []float64{0.7, 0.85} {
+			worst := 0.0
+			for _, reportCase := range reportCases {
+				outcome := run(scenario{deployment: deployment, reportCase: reportCase, policy: Owned, load: load, duration: 10 * time.Second, seed: 1}).outcome
+				worst = max(worst, outcome.shedRate())
+			}
+			name := fmt.Sprintf("balance_shed_rate_%s_%.0f", deployment.name, 100*load)
+			figure.Require(t, figure.Figure{Name: name, Value: worst, Unit: "share", Bound: 0.1})
+		}
+	}
+}
+
+// Guards against an admission limit that differs from the slots that a VM can hold, and against a lost limit of
+// connections.
+func TestUsable(t *testing.T) {
+	servers := regionServers(3, 4)
+	servers[2] = servers[2].WithLeaving(true)
+	bench := newBench(Owned, servers)
+	assert.Equal(t, bench.chooser.Usable(testService), 2*4+borrowLimit)
+	assert.Equal(t, bench.chooser.ConnectionLimit(servers[0]), 650/assumedRegionVMs)
+	assert.Equal(t, bench.chooser.Usable("unknown"), 0)
+}
--- a/entry/balance/chooser.go
+++ b/entry/balance/chooser.go
@@ -97,6 +97,25 @@
 	return &reservation{chooser: chooser, group: group, instance: instance, server: server, started: now}, nil
 }
 
+// Usable returns how many slots of the service this VM may use at a time: the concurrency limit for admission. It
+// changes with the list, the membership, leaving marks and cold starts; a caller reads it about once a second.
+func (chooser *Chooser) Usable(serviceName oleandervane.ServiceName) int {
+	group, known := (*chooser.groups.Load())[serviceName]
+	if !known {
+		return 0
+	}
+	return group.slotsFor(chooser.settings.TimerService.Now(), chooser.settings.Policy)
+}
+
+// ConnectionLimit returns how many connections this VM may have to a backend server, zero for one that is not listed.
+func (chooser *Chooser) ConnectionLimit(server oleandervane.BackendServer) int {
+	group, known := (*chooser.groups.Load())[server.Service]
+	if !known {
+		return 0
+	}
+	return group.connectionLimitOf(server.ID)
+}
+
 func (chooser *Chooser) newGroup(number int) *group {
 	created := &group{unguarded: chooser.settings.unguarded}
 	random := rand.New(rand.NewPCG(chooser.settings.Seed, uint64(number)))
--- a/entry/balance/group.go
+++ b/entry/balance/group.go
@@ -88,6 +88,39 @@
 	}
 }
 
+// slotsFor returns how many slots this VM may use at a time: with ownership its own and those it may borrow,
+// otherwise all.
+func (group *group) slotsFor(now time.Time, policy Policy) int {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	total := 0
+	for _, instance := range group.instances {
+		if !instance.listed || instance.leaving.leaving() || instance.ejection.ejected {
+			continue
+		}
+		if policy == Owned {
+			total += instance.ownedOpen(now)
+		} else {
+			total += instance.ramp.open(now, instance.server.Slots)
+		}
+	}
+	if policy == Owned && len(group.instances) > 0 {
+		total += borrowLimit
+	}
+	return total
+}
+
+func (group *group) connectionLimitOf(id oleandervane.BackendServerID) int {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	for _, instance := range group.instances {
+		if instance.server.ID == id {
+			return instance.connectionLimit
+		}
+	}
+	return 0
+}
+
 // choose reserves a slot of an instance that is not in excluded, and returns it as the list describes it.
 func (group *group) choose(now time.Time, loadSource oleandervane.LoadSource, excluded []oleandervane.BackendServerID) (*instance, oleandervane.BackendServer, error) {
 	group.mutex.Lock()
