Count each report of a cold instance once

Cause: when reports stop after one that says cold, the same report started the ramp again with each choice, so that the instance stayed at one slot for ever.

Change: only a newer report starts the ramp.

Conclusion: reports that stop no longer hold an instance back.

--- a/entry/balance/group.go
+++ b/entry/balance/group.go
@@ -147,7 +147,11 @@
 func (instance *instance) observe(now time.Time, report oleandervane.LoadReport) {
 	wasLeaving := instance.leaving.byReport
 	instance.leaving.observe(report)
-	if report.Cold || (wasLeaving && !instance.leaving.byReport) {
+	newlyCold := report.Cold && report.MeasuredAt.After(instance.coldAt)
+	if newlyCold {
+		instance.coldAt = report.MeasuredAt
+	}
+	if newlyCold || (wasLeaving && !instance.leaving.byReport) {
 		instance.ramp.start(now)
 	}
 	instance.load.observe(report)
--- a/entry/balance/instance.go
+++ b/entry/balance/instance.go
@@ -15,9 +15,12 @@
 	absentFrom time.Time
 	leaving    leavingState
 	ramp       rampState
-	ejection   ejection
-	load       loadState
-	hold       movingMean
+	// coldAt is when the newest report that called the instance cold was measured. Each report counts once, so that
+	// the instance ramps up when reports stop.
+	coldAt   time.Time
+	ejection ejection
+	load     loadState
+	hold     movingMean
 	// inFlight counts attempts of this VM; paced counts slots that stay closed for a while after a fast end.
 	inFlight int
 	paced    int
--- a/entry/balance/instance_test.go
+++ b/entry/balance/instance_test.go
@@ -118,7 +118,7 @@
 	figure.Require(t, figure.Figure{Name: "balance_leaving_last_attempt", Value: seconds, Unit: "s", Bound: 3})
 }
 
-// Guards against full load on an instance that is new, is cold, came back after a gap, or was ejected for long.
+// Guards against full load on an instance that is new, is cold, or came back after a gap.
 func TestColdStartRampsUp(t *testing.T) {
 	const id = oleandervane.BackendServerID("instance-01")
 	servers := regionServers(2, 10)
@@ -147,6 +147,14 @@
 			bench.manual.Advance(rampDuration / 5)
 		}
 	}
+	// The last report before reports stop says that the instance is cold; that must not hold for ever.
+	stopped := newBench(Owned, servers)
+	stopped.reports[id] = oleandervane.LoadReport{BackendServer: id, Cold: true, MeasuredAt: stopped.manual.Now()}
+	for range 12 {
+		releaseAll(stopped.fill(), oleandervane.AttemptCancelled)
+		stopped.manual.Advance(rampDuration / 10)
+	}
+	assert.Equal(t, len(stopped.fill()[id]), 10)
 	// A list that misses an instance for a moment makes it neither cold nor forgets its attempts.
 	bench := newBench(Owned, servers)
 	held := bench.fill()
