Try ejected instances when nothing else is left

Cause: with one instance ejected and the others leaving, there was no work for up to a minute; the share of ejected instances is checked only when one is ejected. TestEjectedIsTriedWhenNothingElseIsLeft failed on it first.

Change: when all instances that are not leaving are ejected, ejection does not count.

--- a/entry/balance/group.go
+++ b/entry/balance/group.go
@@ -126,11 +126,12 @@
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
 	usable := group.usable[:0]
+	everyEjected := group.everyEjected()
 	for _, instance := range group.instances {
 		if report, known := loadSource.LoadReport(instance.server.ID); known {
 			instance.observe(now, report)
 		}
-		if instance.mayTake(now) && !slices.Contains(excluded, instance.server.ID) {
+		if instance.mayTake(now, everyEjected) && !slices.Contains(excluded, instance.server.ID) {
 			usable = append(usable, instance)
 		}
 	}
@@ -157,10 +158,20 @@
 	instance.load.observe(report)
 }
 
+// everyEjected says whether all instances that are not leaving are ejected. They are then tried all the same.
+func (group *group) everyEjected() bool {
+	for _, instance := range group.instances {
+		if instance.listed && !instance.leaving.leaving() && !instance.ejection.ejected {
+			return false
+		}
+	}
+	return true
+}
+
 // mayTake says whether the instance may get one more attempt of this VM, whatever the policy.
-func (instance *instance) mayTake(now time.Time) bool {
-	return instance.listed && !instance.leaving.leaving() &&
-		instance.inFlight < instance.connectionLimit && instance.ejection.mayTry(now, instance.inFlight)
+func (instance *instance) mayTake(now time.Time, despiteEjection bool) bool {
+	return instance.listed && !instance.leaving.leaving() && instance.inFlight < instance.connectionLimit &&
+		(despiteEjection || instance.ejection.mayTry(now, instance.inFlight))
 }
 
 // release ends an attempt that began at started. It returns how long the slot must stay closed; reopen ends that.
--- a/entry/balance/instance_test.go
+++ b/entry/balance/instance_test.go
@@ -209,6 +209,24 @@
 	}
 }
 
+// Guards against no work at all when the only instance that is not leaving is ejected.
+func TestEjectedIsTriedWhenNothingElseIsLeft(t *testing.T) {
+	servers := regionServers(2, 3)
+	bench := newBench(Owned, servers)
+	for range 2 {
+		for id, reservations := range bench.fill() {
+			result := oleandervane.AttemptAnswered
+			if id == servers[0].ID {
+				result = oleandervane.AttemptBroken
+			}
+			releaseAll(map[oleandervane.BackendServerID][]oleandervane.Reservation{id: reservations}, result)
+		}
+	}
+	assert.Equal(t, len(bench.fill()[servers[0].ID]), 0)
+	bench.chooser.Update([]oleandervane.BackendServer{servers[0], servers[1].WithLeaving(true)})
+	assert.Assert(t, len(bench.fill()[servers[0].ID]) > 0)
+}
+
 // Guards against more connections to an instance than it allows, over all VMs, while each sees only a part of them.
 func TestConnectionsStayBelowLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
