--- a/entry/balance/group.go
+++ b/entry/balance/group.go
@@ -88,16 +88,50 @@
 	}
 }
 
+// slotsFor returns how many slots this VM may use at a time: with ownership its own and those it may borrow,
+// otherwise all.
+func (group *group) slotsFor(now time.Time, policy Policy) int {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	total := 0
+	for _, instance := range group.instances {
+		if !instance.listed || instance.leaving.leaving() || instance.ejection.ejected {
+			continue
+		}
+		if policy == Owned {
+			total += instance.ownedOpen(now)
+		} else {
+			total += instance.ramp.open(now, instance.server.Slots)
+		}
+	}
+	if policy == Owned && len(group.instances) > 0 {
+		total += borrowLimit
+	}
+	return total
+}
+
+func (group *group) connectionLimitOf(id oleandervane.BackendServerID) int {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	for _, instance := range group.instances {
+		if instance.server.ID == id {
+			return instance.connectionLimit
+		}
+	}
+	return 0
+}
+
 // choose reserves a slot of an instance that is not in excluded, and returns it as the list describes it.
 func (group *group) choose(now time.Time, loadSource oleandervane.LoadSource, excluded []oleandervane.BackendServerID) (*instance, oleandervane.BackendServer, error) {
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
 	usable := group.usable[:0]
+	everyEjected := group.everyEjected()
 	for _, instance := range group.instances {
 		if report, known := loadSource.LoadReport(instance.server.ID); known {
 			instance.observe(now, report)
 		}
-		if instance.mayTake(now) && !slices.Contains(excluded, instance.server.ID) {
+		if instance.mayTake(now, everyEjected) && !slices.Contains(excluded, instance.server.ID) {
 			usable = append(usable, instance)
 		}
 	}
@@ -114,16 +148,30 @@
 func (instance *instance) observe(now time.Time, report oleandervane.LoadReport) {
 	wasLeaving := instance.leaving.byReport
 	instance.leaving.observe(report)
-	if report.Cold || (wasLeaving && !instance.leaving.byReport) {
+	newlyCold := report.Cold && report.MeasuredAt.After(instance.coldAt)
+	if newlyCold {
+		instance.coldAt = report.MeasuredAt
+	}
+	if newlyCold || (wasLeaving && !instance.leaving.byReport) {
 		instance.ramp.start(now)
 	}
 	instance.load.observe(report)
 }
 
+// everyEjected says whether all instances that are not leaving are ejected. They are then tried all the same.
+func (group *group) everyEjected() bool {
+	for _, instance := range group.instances {
+		if instance.listed && !instance.leaving.leaving() && !instance.ejection.ejected {
+			return false
+		}
+	}
+	return true
+}
+
 // mayTake says whether the instance may get one more attempt of this VM, whatever the policy.
-func (instance *instance) mayTake(now time.Time) bool {
-	return instance.listed && !instance.leaving.leaving() &&
-		instance.inFlight < instance.connectionLimit && instance.ejection.mayTry(now, instance.inFlight)
+func (instance *instance) mayTake(now time.Time, despiteEjection bool) bool {
+	return instance.listed && !instance.leaving.leaving() && instance.inFlight < instance.connectionLimit &&
+		(despiteEjection || instance.ejection.mayTry(now, instance.inFlight))
 }
 
 // release ends an attempt that began at started. It returns how long the slot must stay closed; reopen ends that.
