Limit admission by the slots that this VM may use

Cause: admission allowed twice this VM's part of all slots; package balance now tells how many slots the VM may use. The demo could fail to start because it wrote the authority's file once for each VM while others read it.

Ruled out: reading the file again after a failed start; a VM that starts with half a file should say so.

Change: the limit is Chooser.Usable, read each second; the demo writes the authority once.

Conclusion: the limit follows cold starts and leaving marks now.

--- a/cmd/oleandervane-demo/identity.go
+++ b/cmd/oleandervane-demo/identity.go
@@ -16,7 +16,14 @@
 // makeAuthority makes the authority of the deployment's entry VMs.
 func (scenario *scenario) makeAuthority() (err error) {
 	scenario.authority, err = keys.NewAuthority(time.Now(), keysValidFor)
-	return err
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(scenario.authorityFile(), scenario.authority.Certificate, 0o600)
+}
+
+func (scenario *scenario) authorityFile() string {
+	return filepath.Join(scenario.folder, "authority.pem")
 }
 
 // identity writes a certificate and key for an entry VM and returns the settings that name them.
@@ -28,12 +35,11 @@
 	peerTLS := entryvm.PeerTLS{
 		CertificateFile: filepath.Join(scenario.folder, string(vmID)+"-certificate.pem"),
 		KeyFile:         filepath.Join(scenario.folder, string(vmID)+"-key.pem"),
-		AuthorityFile:   filepath.Join(scenario.folder, "authority.pem"),
+		AuthorityFile:   scenario.authorityFile(),
 	}
 	for path, text := range map[string][]byte{
 		peerTLS.CertificateFile: pair.Certificate,
 		peerTLS.KeyFile:         pair.Key,
-		peerTLS.AuthorityFile:   scenario.authority.Certificate,
 	} {
 		if err := os.WriteFile(path, text, 0o600); err != nil {
 			return entryvm.PeerTLS{}, err
--- a/entryvm/parts.go
+++ b/entryvm/parts.go
@@ -28,9 +28,6 @@
 	refreshPeriod = time.Second
 	// quarantinePeriod is how often refused request fingerprints are exchanged.
 	quarantinePeriod = 5 * time.Second
-	// borrowFactor is how many requests this VM admits at a time for each slot that it owns. Up to as many again as
-	// it owns may borrow slots that other VMs leave idle.
-	borrowFactor = 2
 )
 
 // startNode starts the node for peers. A call before the other parts exist must not reach them, so callbacks only
@@ -156,7 +153,7 @@
 	backendServers, readAt := entryVM.daemon.Node.BackendServers()
 	if !readAt.IsZero() {
 		entryVM.backends.Update(backendServers)
-		entryVM.limitAdmission(backendServers)
+		entryVM.limitAdmission(entryVM.daemon.Node.Configuration())
 	}
 	entryVM.sight.publish(now)
 }
@@ -220,17 +217,13 @@
 	return drained
 }
 
-// limitAdmission admits as many requests at a time as this VM's part of the region's slots allows.
-func (entryVM *EntryVM) limitAdmission(backendServers []oleandervane.BackendServer) {
-	vms := max(1, len(entryVM.daemon.Node.Membership().View().Region(entryVM.self.Region)))
-	slots := map[oleandervane.ServiceName]int{}
-	for _, backendServer := range backendServers {
-		if !backendServer.Leaving {
-			slots[backendServer.Service] += backendServer.Slots
-		}
+// limitAdmission admits as many requests at a time as this VM may use slots.
+func (entryVM *EntryVM) limitAdmission(configuration *oleandervane.Configuration) {
+	if configuration == nil {
+		return
 	}
-	for serviceName, count := range slots {
-		entryVM.admission.SetLimit(serviceName, max(1, (borrowFactor*count+vms-1)/vms))
+	for serviceName := range configuration.Services {
+		entryVM.admission.SetLimit(serviceName, entryVM.backends.Usable(serviceName))
 	}
 }
 
