--- a/steering/comparison/case.go
+++ b/steering/comparison/case.go
@@ -43,6 +43,8 @@
 	MeasurementAge Duration `toml:"measurement_age"`
 	// Utilization is demand as a share of capacity; 0 stands for 0.55.
 	Utilization float64 `toml:"utilization"`
+	// OnlyService leaves the deployment's other services out.
+	OnlyService oleandervane.ServiceName `toml:"only_service"`
 	// NoisePart is the largest random deviation of reported figures, as a share of them.
 	NoisePart float64 `toml:"noise_part"`
 	Events    []Event `toml:"event"`
--- a/steering/comparison/deployment.go
+++ b/steering/comparison/deployment.go
@@ -145,6 +145,16 @@
 	deployment.Mix[figures.name] = mix
 }
 
+// keepOnly leaves out all services but one, unless the name is empty.
+func (deployment *Deployment) keepOnly(name oleandervane.ServiceName) {
+	service, known := deployment.Configuration.Services[name]
+	if !known {
+		return
+	}
+	deployment.Configuration.Services = map[oleandervane.ServiceName]oleandervane.Service{name: service}
+	deployment.Services = []oleandervane.ServiceName{name}
+}
+
 // capacity returns the requests per second that a region serves of a service when nothing is wrong.
 func (deployment Deployment) capacity(name oleandervane.ServiceName, region int) float64 {
 	service := deployment.Configuration.Services[name]
--- a/steering/comparison/fleet.go
+++ b/steering/comparison/fleet.go
@@ -86,6 +86,7 @@
 	if scripted.EntryVMs > 0 {
 		deployment.EntryVMs = scripted.EntryVMs
 	}
+	deployment.keepOnly(scripted.OnlyService)
 	if scripted.Utilization == 0 {
 		scripted.Utilization = usualUtilization
 	}
--- /dev/null
+++ b/steering/grant/keeper_test.go
@@ -0,0 +1,88 @@
+package grant
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"oleandervane.example"
+	"oleandervane.example/timer"
+)
+
+// fakeSight is the sight of the only VM of huye, with one source region.
+type fakeSight struct{ manual *timer.Manual }
+
+func (sight fakeSight) Configuration() *oleandervane.Configuration {
+	return &oleandervane.Configuration{
+		Regions: map[oleandervane.Region]oleandervane.RegionSettings{"huye": {}, "kigali": {}},
+		Services: map[oleandervane.ServiceName]oleandervane.Service{"ledger": {
+			Name: "ledger", Headroom: 0.2, ShiftCap: 0.05, FailoverCap: 0.5, ShiftWindow: 10 * time.Second,
+		}},
+		Links: []oleandervane.Link{{From: "kigali", To: "huye", Delay: time.Millisecond, BytesPerSecond: 1e9}},
+	}
+}
+
+func (sight fakeSight) Summaries() []oleandervane.RegionSummary {
+	return []oleandervane.RegionSummary{
+		{Region: "huye", Service: "ledger", CapacityPerSecond: 1000, DemandPerSecond: 500, MeasuredAt: sight.manual.Now()},
+		{Region: "kigali", Service: "ledger", CapacityPerSecond: 1000, DemandPerSecond: 1000, MeasuredAt: sight.manual.Now()},
+	}
+}
+
+func (sight fakeSight) Roster() RosterView {
+	return RosterView{Now: sight.manual.Now(), Alive: []oleandervane.VMID{"huye-000"}, Listed: []oleandervane.VMID{"huye-000"}}
+}
+
+func (sight fakeSight) LostRegions() map[oleandervane.Region]bool { return nil }
+
+// Guards against a keeper that admits more than the region's capacity less headroom, or more from a source than the
+// shift cap allows, when many goroutines ask at once while allotments change.
+func TestKeeperKeepsRatesUnderConcurrentTakes(t *testing.T) {
+	const seconds, steps, workers, attempts = 25, 20, 4, 25
+	manual := timer.NewManual(start)
+	keeper := NewKeeper(oleandervane.EntryVM{ID: "huye-000", Region: "huye"}, fakeSight{manual}, nil)
+	defer keeper.Run(manual)()
+	manual.Advance(ViewLag + 2*time.Second)
+	admitted := map[oleandervane.Region]int{}
+	guests := make([]int, seconds)
+	var mutex sync.Mutex
+	for second := range seconds {
+		for range steps {
+			now := manual.Now()
+			var group sync.WaitGroup
+			for range workers {
+				group.Go(func() {
+					for attempt := range attempts {
+						for _, home := range []oleandervane.Region{"huye", "kigali"} {
+							if home == "huye" && attempt%4 > 0 {
+								continue
+							}
+							if keeper.Take(now, "ledger", home) {
+								mutex.Lock()
+								admitted[home]++
+								if home == "kigali" {
+									guests[second]++
+								}
+								mutex.Unlock()
+							}
+						}
+					}
+				})
+			}
+			group.Wait()
+			manual.Advance(time.Second / steps)
+		}
+	}
+	const usable, burst = 800, 80 + 1
+	assert.Assert(t, admitted["huye"]+admitted["kigali"] <= usable*seconds+burst, "%v", admitted)
+	for second, rate := range guests {
+		lowest := 0
+		if second >= 11 {
+			lowest = min(guests[second-11], guests[second-10])
+		}
+		assert.Assert(t, rate <= lowest+50+10, "%d requests of kigali in second %d: %v", rate, second, guests)
+	}
+	assert.Assert(t, guests[seconds-1] > 50, "a source that asks for more does not get it: %v", guests)
+}
--- a/steering/share/doc.go
+++ b/steering/share/doc.go
@@ -17,6 +17,13 @@
 // believe: package grant enforces it on arrival, with the part of the cap that ReceiverPart gives to each
 // receiving region and the part of the region that each of its VMs owns.
 //
-// Demand is the demand that the home region last reported. The cap is Service.ShiftCap, or Service.FailoverCap
-// while a region that serves the flow is lost and for one window after that.
+// Demand is the demand that the receiving VM last heard of from the home region. While demand changes, the bound is
+// relative to the smallest and largest demand known within the window and the age of figures.
+//
+// The cap is Service.ShiftCap. On a VM it is Service.FailoverCap for a flow whose home region is lost, or part of
+// which a lost region serves or served within the window; on arrival it is Service.FailoverCap while any region other
+// than the receiving one is lost.
+//
+// Returns to the home region are bounded on each VM only. Callers that move between VMs of their home region, because a
+// VM dies, take the vector of the VM they move to.
 package share
