--- a/fleet/gossip/topic.go
+++ b/fleet/gossip/topic.go
@@ -21,7 +21,7 @@
 	MaxTopicLife = time.Hour
 	// hotTime and hotSends bound how often a new value is sent to a peer without asking what it holds.
 	hotTime  = 1500 * time.Millisecond
-	hotSends = 2
+	hotSends = 1
 	// requestValueBytes and responseValueBytes bound the values in one packet.
 	requestValueBytes  = 3 << 10
 	responseValueBytes = 12 << 10
