Plan drains by one piece of code, and mark what they drain

Cause: check and diff told operators that the example drain starts 3m20s or 1m40s before its time, while entry VMs begin 5m38s before: two plans of the same drain.

Ruled out: copying the formula; package drain already has it, with the margin for late figures and the part of the cap that can be used.

Figures: example drain, start before its time: 200 s and 100 s in diff before, 338 s after, as on entry VMs.

Conclusion: what operators read is what entry VMs do.

--- a/entryvm/logging.go
+++ b/entryvm/logging.go
@@ -19,6 +19,7 @@
 	FieldKind          = "kind"
 	FieldOutcome       = "outcome"
 	FieldReason        = "reason"
+	FieldDrain         = "drain"
 )
 
 // NewLogger returns a logger for the settings that writes to output.
--- a/entryvm/parts.go
+++ b/entryvm/parts.go
@@ -18,7 +18,6 @@
 	"oleandervane.example/fleet/transport"
 	"oleandervane.example/operator/keys"
 	"oleandervane.example/platform/store"
-	"oleandervane.example/steering/drain"
 	"oleandervane.example/steering/grant"
 	"oleandervane.example/steering/share"
 )
@@ -101,7 +100,7 @@
 	node := entryVM.daemon.Node
 	entryVM.measurement = measurement.New(measurement.Settings{
 		TimerService:  entryVM.timerService,
-		Gossip:        node,
+		Gossip:        drainingNode{node, entryVM},
 		Prober:        newProber(entryVM.self.ID, entryVM.timerService),
 		Configuration: node,
 		Random:        entryVM.random(2),
@@ -151,7 +150,7 @@
 func (entryVM *EntryVM) refresh(now time.Time) {
 	entryVM.planDrains()
 	entryVM.publishEntryVMs(now)
-	backendServers, readAt := entryVM.daemon.Node.BackendServers()
+	backendServers, readAt := drainingNode{entryVM.daemon.Node, entryVM}.BackendServers()
 	if !readAt.IsZero() {
 		entryVM.backends.Update(backendServers)
 		entryVM.limitAdmission(entryVM.daemon.Node.Configuration())
@@ -159,38 +158,11 @@
 	entryVM.sight.publish(now)
 }
 
-// planDrains plans the drains of the configuration in force. They were checked when they were published: a VM that
-// starts later must not refuse one that has begun, so it plans them as from the beginning of time. The plans of drains
-// of entry VMs depend on how many there are, so they follow the membership.
-func (entryVM *EntryVM) planDrains() {
-	configuration := entryVM.daemon.Node.Configuration()
-	if configuration == nil || (len(configuration.Drains) == 0 && len(*entryVM.plans.Load()) == 0) {
-		return
-	}
-	view := entryVM.daemon.Node.Membership().View()
-	figures := drain.Figures{EntryVMs: map[oleandervane.Region]int{}}
-	for region := range configuration.Regions {
-		figures.EntryVMs[region] = len(view.Region(region))
-	}
-	plans, refusals := drain.New(configuration, figures, time.Time{})
-	entryVM.plans.Store(&plans)
-	if entryVM.plannedRevision == configuration.Revision {
-		return
-	}
-	entryVM.plannedRevision = configuration.Revision
-	for _, refusal := range refusals {
-		entryVM.log.WithError(refusal.Reason).WithField("drain", refusal.Drain.Name).Warn("a drain is not carried out")
-	}
-	for _, plan := range plans {
-		entryVM.log.WithField("drain", plan.Drain.Name).Info(plan.String())
-	}
-}
-
 // publishEntryVMs tells the look-up which entry VMs there are. Those of a planned drain count as leaving from the
 // start of the drain.
 func (entryVM *EntryVM) publishEntryVMs(now time.Time) {
 	entryVMs := entryVM.daemon.Node.Membership().EntryVMs()
-	drained := entryVM.drainedEntryVMs(now)
+	drained := drainedEntryVMs(*entryVM.plans.Load(), now)
 	if len(drained) == 0 {
 		entryVM.lookup.PublishEntryVMs(entryVMs)
 		return
@@ -205,19 +177,6 @@
 	entryVM.lookup.PublishEntryVMs(marked)
 }
 
-func (entryVM *EntryVM) drainedEntryVMs(now time.Time) map[oleandervane.VMID]bool {
-	drained := map[oleandervane.VMID]bool{}
-	for _, plan := range *entryVM.plans.Load() {
-		if now.Before(plan.Start) || !now.Before(plan.Drain.ReturnAt) {
-			continue
-		}
-		for _, vmID := range plan.Drain.EntryVMs {
-			drained[vmID] = true
-		}
-	}
-	return drained
-}
-
 // limitAdmission admits as many requests at a time as this VM may use slots.
 func (entryVM *EntryVM) limitAdmission(configuration *oleandervane.Configuration) {
 	if configuration == nil {
@@ -242,10 +201,6 @@
 	log.Info("configuration is in force")
 }
 
-func (entryVM *EntryVM) drainage(now time.Time, region oleandervane.Region, serviceName oleandervane.ServiceName) share.Drainage {
-	return entryVM.plans.Load().Drainage(now, region, serviceName)
-}
-
 // snapshot returns the shares in force for the region's snapshot, or nil before there are any.
 func (entryVM *EntryVM) snapshot() []byte {
 	if entryVM.steerer == nil {
--- a/operator/check/drain.go
+++ b/operator/check/drain.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"oleandervane.example"
+	"oleandervane.example/steering/drain"
 )
 
 // DrainPlan is when and how far a drain moves the flows of one service. It is immutable.
@@ -57,7 +58,7 @@
 		}
 		for _, name := range slices.Sorted(maps.Keys(configuration.Services)) {
 			if drain.Service == "" || drain.Service == name {
-				plans = append(plans, drainPlan(drain, configuration.Services[name], home, share))
+				plans = append(plans, drainPlan(configuration, drain, configuration.Services[name], home, share))
 			}
 		}
 	}
@@ -65,13 +66,27 @@
 	return plans
 }
 
-func drainPlan(drain oleandervane.Drain, service oleandervane.Service, home oleandervane.Region, share float64) DrainPlan {
+// planned returns the start and the end of a drain as entry VMs plan it, or false for one that they refuse.
+func planned(configuration oleandervane.Configuration, planned oleandervane.Drain) (start, end time.Time, ok bool) {
+	alone := configuration.WithDrains([]oleandervane.Drain{planned})
+	plans, _ := drain.New(&alone, drain.Figures{}, time.Time{})
+	if len(plans) == 0 {
+		return time.Time{}, time.Time{}, false
+	}
+	return plans[0].Start, plans[0].ReturnEnd, true
+}
+
+func drainPlan(configuration oleandervane.Configuration, drain oleandervane.Drain, service oleandervane.Service, home oleandervane.Region, share float64) DrainPlan {
 	windows := Windows(share, service.ShiftCap)
 	takes := time.Duration(windows) * service.ShiftWindow
-	return DrainPlan{
+	result := DrainPlan{
 		Drain: drain, Service: service.Name, Home: home, Share: share, Windows: windows,
 		Start: drain.EmptyFrom.Add(-takes), End: drain.ReturnAt.Add(takes),
 	}
+	if start, end, ok := planned(configuration, drain); ok {
+		result.Start, result.End = start, end
+	}
+	return result
 }
 
 // Homes returns the region of each failure domain.
--- a/operator/revision/diff.go
+++ b/operator/revision/diff.go
@@ -237,9 +237,9 @@
 			difference.effect(effect, "drain %s: look-ups stop naming %d entry VMs by %s", plan.Drain.Name, len(plan.Drain.EntryVMs), plan.Start.UTC().Format(time.RFC3339))
 			continue
 		}
-		difference.effect(effect, "drain %s: service %s moves %s of its %s traffic from %s on, is empty from %s, and has returned by %s (%d windows at the cap each way)",
+		difference.effect(effect, "drain %s: service %s moves %s of its %s traffic from %s on, is empty from %s, and has returned by %s (%s each way, within the cap)",
 			plan.Drain.Name, plan.Service, check.Percent(plan.Share), plan.Home, plan.Start.UTC().Format(time.RFC3339),
-			plan.Drain.EmptyFrom.UTC().Format(time.RFC3339), plan.End.UTC().Format(time.RFC3339), plan.Windows)
+			plan.Drain.EmptyFrom.UTC().Format(time.RFC3339), plan.End.UTC().Format(time.RFC3339), check.Duration(plan.Takes()))
 	}
 }
 
--- a/steering/drain/check.go
+++ b/steering/drain/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -62,6 +63,9 @@
 	if !drain.ReturnAt.After(drain.EmptyFrom) {
 		return Plan{}, ErrTimes
 	}
+	if drain.Region == "" {
+		drain.Region = regionOf(configuration, drain.FailureDomain)
+	}
 	region, known := configuration.Regions[drain.Region]
 	if !known {
 		return Plan{}, eris.Wrapf(ErrUnknownTarget, "region %q", drain.Region)
@@ -82,6 +86,16 @@
 	}, nil
 }
 
+// regionOf returns the region of a failure domain; a drain may name the failure domain alone.
+func regionOf(configuration *oleandervane.Configuration, failureDomain oleandervane.FailureDomain) oleandervane.Region {
+	for name, region := range configuration.Regions {
+		if slices.Contains(region.FailureDomains, failureDomain) {
+			return name
+		}
+	}
+	return ""
+}
+
 // parts returns the share of the region's capacity that the drain takes of each service.
 func parts(configuration *oleandervane.Configuration, figures Figures, region oleandervane.RegionSettings, drain oleandervane.Drain) (map[oleandervane.ServiceName]float64, error) {
 	result := map[oleandervane.ServiceName]float64{}
