Bound the opening of connections and send filings on new ones

Cause: a host that vanished refuses nothing, so that one attempt took the whole deadline of a request; and the callers' library sent filings on pooled connections, on which silence makes the outcome unknown. Ruled out: a fixed dial limit; the silence limit, a quarter of the kind's deadline up to 2 s, leaves time for another attempt with every deadline. Change: open limit in the forwarder, response headers bounded to 64 KiB, a second HTTP client without keep-alive in caller. Conclusion: retry elsewhere after 2 s at most, as nothing was written.

--- a/entry/caller/client.go
+++ b/entry/caller/client.go
@@ -56,6 +56,9 @@
 	settings     Settings
 	timerService oleandervane.TimerService
 	httpClient   *http.Client
+	// filingClient opens a connection for each request. On a pooled one that went silent, a filing would be unknown
+	// although a new connection could have served it.
+	filingClient *http.Client
 
 	mutex sync.Mutex
 	lists map[listKey]*vmList
@@ -63,21 +66,27 @@
 
 // New returns a client.
 func New(settings Settings, timerService oleandervane.TimerService) *Client {
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
 	return &Client{
 		settings:     settings.withDefaults(),
 		timerService: timerService,
-		httpClient: &http.Client{
-			Transport: &http.Transport{
-				Protocols:          protocols,
-				DisableCompression: true,
-				IdleConnTimeout:    idleConnectionLimit,
-			},
-			// A redirect would send the request again, to somewhere that the look-up did not name.
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		httpClient:   newHTTPClient(false),
+		filingClient: newHTTPClient(true),
+		lists:        map[listKey]*vmList{},
+	}
+}
+
+func newHTTPClient(newConnections bool) *http.Client {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	return &http.Client{
+		Transport: &http.Transport{
+			Protocols:          protocols,
+			DisableCompression: true,
+			DisableKeepAlives:  newConnections,
+			IdleConnTimeout:    idleConnectionLimit,
 		},
-		lists: map[listKey]*vmList{},
+		// A redirect would send the request again, to somewhere that the look-up did not name.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
--- a/entry/caller/client_test.go
+++ b/entry/caller/client_test.go
@@ -80,6 +80,11 @@
 		return
 	}
 	if request.Method == http.MethodPost {
+		if !request.Close {
+			// The filing came on a connection that may have been open before.
+			writer.WriteHeader(http.StatusBadRequest)
+			return
+		}
 		_, run := vm.ledger.Begin(request.Header.Get(oleandervane.HeaderTicket), "ledger", "filing")
 		if run == nil {
 			writer.Header().Set(oleandervane.HeaderOutcome, string(oleandervane.Unknown))
--- a/entry/caller/request.go
+++ b/entry/caller/request.go
@@ -179,10 +179,12 @@
 	httpRequest.ContentLength = int64(len(request.Body))
 	left := deadline.Sub(client.timerService.Now())
 	httpRequest.Header.Set(oleandervane.HeaderDeadlineMillis, strconv.FormatInt(left.Milliseconds(), 10))
+	httpClient := client.httpClient
 	if ticket != "" {
+		httpClient = client.filingClient
 		httpRequest.Header.Set(oleandervane.HeaderTicket, ticket)
 	}
-	httpResponse, err := client.httpClient.Do(httpRequest)
+	httpResponse, err := httpClient.Do(httpRequest)
 	if err != nil {
 		return failed(err)
 	}
--- a/entry/forward/attempt.go
+++ b/entry/forward/attempt.go
@@ -68,7 +68,9 @@
 	if err := attempt.beforeWrite(); err != nil {
 		return attempt.fail(oleandervane.NotRun, err)
 	}
+	stopOpenLimit := attempt.limit(attempt.silenceLimit(), errOpenLimit)
 	connection, reused, err := attempt.forwarder.pool.take(attempt.ctx, attempt.target.Address, attempt.needsFresh())
+	stopOpenLimit()
 	if err != nil {
 		return attempt.fail(oleandervane.NotRun, err)
 	}
@@ -170,7 +172,7 @@
 		return ReasonRefused, oleandervane.AttemptCancelled
 	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded), errors.Is(err, errClosedEarly):
 		return ReasonCancelled, oleandervane.AttemptCancelled
-	case outcome == oleandervane.NotRun:
+	case errors.Is(err, errOpenLimit), outcome == oleandervane.NotRun:
 		return ReasonUnreachable, oleandervane.AttemptBroken
 	}
 	return ReasonBroken, oleandervane.AttemptBroken
--- a/entry/forward/pool.go
+++ b/entry/forward/pool.go
@@ -52,6 +52,9 @@
 	}
 }
 
+// maxResponseHeaderBytes bounds what a target can make an entry VM hold before the body; net/http allows 10 MiB.
+const maxResponseHeaderBytes = 64 << 10
+
 type gateKey struct{}
 
 // newOpener returns a function that opens connections. They speak HTTP/1.1 only: an HTTP/2 connection would carry
@@ -61,8 +64,9 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	transport := &http.Transport{
-		Protocols:          protocols,
-		DisableCompression: true,
+		Protocols:              protocols,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
--- a/entry/forward/silence.go
+++ b/entry/forward/silence.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -25,6 +26,10 @@
 	firstByteDecay = 0.99
 )
 
+// errOpenLimit says that no connection was opened within the silence limit. A host that has vanished refuses nothing,
+// and the whole deadline would be spent on it.
+var errOpenLimit = errors.New("the connection could not be opened in time")
+
 func silenceLimit(kind oleandervane.Kind) time.Duration {
 	return min(max(kind.Deadline/silenceShare, minSilence), MaxSilence)
 }
--- a/entry/forward/silence_test.go
+++ b/entry/forward/silence_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -58,6 +59,28 @@
 	figure.Require(t, figure.Figure{Name: "request_silent_detection", Value: detection, Unit: "s", Bound: MaxSilence.Seconds()})
 }
 
+// Guards against a vanished host, which refuses no connection, taking the whole deadline of a request.
+func TestVanishedHostLeavesTimeForAnother(t *testing.T) {
+	other := scripted(t, "b2", "read; "+okAction)
+	forwarder, manual := newTestForwarder(t)
+	allowRetries(forwarder)
+	open, opening := forwarder.pool.open, make(chan struct{})
+	forwarder.pool.open = func(ctx context.Context, address netip.AddrPort) (*connection, error) {
+		if address == other.target.Address {
+			return open(ctx, address)
+		}
+		opening <- struct{}{}
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	results := forwardInBackground(forwarder, testRequest(false, "POST", "x"), &targets{list: []Target{{ID: "b1"}, other.target}})
+	<-opening
+	manual.Advance(MaxSilence)
+	result := <-results
+	assert.Equal(t, result.Outcome, oleandervane.Answered, "%v", result.Reason)
+	assert.Equal(t, result.Attempts, 2)
+}
+
 // Guards against a non-idempotent request on a pooled connection: when that is silent, the request would be unknown.
 func TestNonIdempotentTakesNewConnection(t *testing.T) {
 	server := silencedServer(t, "b1", 1)
