--- a/entry/forward/pool.go
+++ b/entry/forward/pool.go
@@ -53,6 +53,9 @@
 	}
 }
 
+// maxResponseHeaderBytes bounds what a target can make an entry VM hold before the body; net/http allows 10 MiB.
+const maxResponseHeaderBytes = 64 << 10
+
 type gateKey struct{}
 
 // newOpener returns a function that opens connections. They speak HTTP/1.1 only: an HTTP/2 connection would carry
@@ -63,8 +66,9 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	transport := &http.Transport{
-		Protocols:          protocols,
-		DisableCompression: true,
+		Protocols:              protocols,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
