Grant room only to regions that need it

Cause: with loads, membership and digests at 7.1 KB/s each way, another 9 KB/s of grants that nobody uses would have passed the budget of 20 KB/s at 450 VMs.

Ruled out: grants only to regions over their capacity; room has to be there when a region comes near it, before a drain starts, and until shares are back home.

Change: a region grants to sources that are near their capacity, lost, unknown or drained, and for ten minutes after.

--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -109,6 +109,7 @@
 	}
 	request := httptest.NewRequest(method, path, strings.NewReader("hours=8"))
 	request.Header.Set(backendstandin.HeaderFiling, "filing-7")
+	request.Header.Set(oleandervane.HeaderRequestID, "attempt-7")
 	if ticketText != "" {
 		request.Header.Set(oleandervane.HeaderTicket, ticketText)
 	}
@@ -168,6 +169,9 @@
 			assert.Equal(t, strconv.Itoa(response.Code), fields[5], response.Body.String())
 			assert.Equal(t, response.Header().Get(oleandervane.HeaderOutcome), fields[6])
 			assert.Equal(t, response.Header().Get(oleandervane.HeaderReason), strings.Trim(fields[7], "-"))
+			if strings.HasPrefix(path, gateway.RelayPrefix) && response.Code == http.StatusOK {
+				assert.Equal(t, response.Header().Get(oleandervane.HeaderRequestID), "attempt-7")
+			}
 			_, total := world.backend.Runs()
 			assert.Equal(t, strconv.Itoa(total), fields[8])
 		})
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -258,6 +258,10 @@
 	header := exchange.writer.Header()
 	header.Set(oleandervane.HeaderServedBy, string(exchange.gateway.parts.Membership.Self().ID))
 	exchange.observeLoad(result)
+	if exchange.relayed {
+		// The relaying VM reuses a connection only if the response names its attempt.
+		header.Set(oleandervane.HeaderRequestID, exchange.request.Header.Get(oleandervane.HeaderRequestID))
+	}
 	if result.Outcome != oleandervane.Answered {
 		exchange.finishRun(result.Outcome, nil)
 		refusal := refuseBy(result.Outcome, result.Reason, detailOf(result))
--- a/entryvm/parts.go
+++ b/entryvm/parts.go
@@ -122,6 +122,7 @@
 		timerService: entryVM.timerService,
 		vmList:       entryVM.vmList,
 		counts:       newCountTopic(),
+		grantFilter:  newGrantFilter(entryVM.drainage),
 		log:          entryVM.log.WithField(FieldPart, "steering"),
 	}
 	entryVM.keeper = grant.NewKeeper(entryVM.self, entryVM.sight, entryVM.drainage)
--- a/entryvm/sight.go
+++ b/entryvm/sight.go
@@ -28,6 +28,7 @@
 	vmList       *listReader
 	keeper       *grant.Keeper
 	counts       *countTopic
+	grantFilter  *grantFilter
 	publishedAt  time.Time
 	log          logrus.FieldLogger
 }
@@ -187,7 +188,12 @@
 	if !sight.node.Chosen(grantSpeaker) {
 		return
 	}
+	configuration := sight.node.Configuration()
+	if configuration == nil {
+		return
+	}
 	grants := scaleGrants(sight.keeper.Grants(), sight.holders())
+	grants = sight.grantFilter.needed(now, configuration, grants, sight.Summaries(), sight.LostRegions())
 	sight.node.PublishForRegion(topicGrant, gossip.FleetScope, encodeGrants(sight.self.Region, grants, now), grantLife)
 }
 
