Keep client blocks encoded on entry VMs

Cause: a decoded client block takes 48 bytes, so the configuration of 1.5 million blocks took 72 MB on an entry VM, beside the chunks and the look-up table, and each revision decoded all blocks and built the whole table again.

Ruled out: reading removed blocks back from the table, which needs a range query in entry/lookup; building the table while gossip holds its lock, which would keep peers waiting longer.

Change: revision.DecodeCompact checks all that Decode checks but returns the chunks of blocks encoded, and does not decode chunks that were checked before. The entry VM's decoder keeps those of the last revision; acceptConfiguration changes the table by the difference of old and new chunks, in steps of bounded memory. With most chunks changed, or no room for more sites, it builds the table anew. Decode, which the operators' commands use, stays.

--- /dev/null
+++ b/entryvm/blocktable_test.go
@@ -0,0 +1,272 @@
+package entryvm
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"runtime"
+	"runtime/debug"
+	"runtime/metrics"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"oleandervane.example"
+	"oleandervane.example/entry/lookup"
+	"oleandervane.example/figure"
+	"oleandervane.example/operator/check"
+	"oleandervane.example/operator/folder"
+	"oleandervane.example/operator/revision"
+)
+
+// randomBlocks returns ordered blocks at 69 sites, three quarters of them IPv4 of /16 to /28 and the rest IPv6 of /32
+// to /64.
+func randomBlocks(random *rand.Rand, count int) []oleandervane.ClientBlock {
+	blocks := make([]oleandervane.ClientBlock, 0, count+count/8)
+	for len(blocks) < count {
+		for range count - len(blocks) + count/16 {
+			word := random.Uint64()
+			prefix := netip.PrefixFrom(netip.AddrFrom4([4]byte{1 + byte(word)%200, byte(word >> 8), byte(word >> 16), byte(word >> 24)}), 16+random.IntN(13))
+			if word>>62 == 0 {
+				prefix = netip.PrefixFrom(netip.AddrFrom16([16]byte{0x20, byte(word), byte(word >> 8), byte(word >> 16), byte(word >> 24), byte(word >> 32)}), 32+4*random.IntN(9))
+			}
+			blocks = append(blocks, oleandervane.ClientBlock{Prefix: prefix.Masked(), Site: siteName(random.IntN(69))})
+		}
+		slices.SortFunc(blocks, func(a, b oleandervane.ClientBlock) int { return check.ComparePrefixes(a.Prefix, b.Prefix) })
+		blocks = slices.CompactFunc(blocks, func(a, b oleandervane.ClientBlock) bool { return a.Prefix == b.Prefix })
+	}
+	return blocks[:count]
+}
+
+func siteName(index int) oleandervane.Site {
+	return oleandervane.Site("site-" + strconv.Itoa(index))
+}
+
+// encoded returns the head and the chunks of a revision of the association with other client blocks.
+func encoded(tb testing.TB, number oleandervane.Revision, blocks []oleandervane.ClientBlock) (head []byte, chunks map[string][]byte) {
+	tb.Helper()
+	result, err := folder.Read("../operator/folder/testdata/association", check.Circumstances{})
+	assert.NilError(tb, err)
+	configuration := result.Configuration
+	for index := range 400 {
+		region := configuration.Regions["kigali"]
+		region.Sites[siteName(index)] = region.FailureDomains[0]
+	}
+	configuration.ClientBlocks = blocks
+	content, err := revision.Encode(configuration)
+	assert.NilError(tb, err)
+	decoded := revision.Head{Format: 1, Revision: number}
+	chunks = map[string][]byte{}
+	for _, chunk := range content.Settings {
+		decoded.Settings = append(decoded.Settings, chunk.Digest)
+		chunks[chunk.Digest.String()] = slices.Clone(chunk.Content)
+	}
+	for _, chunk := range content.Blocks {
+		decoded.Blocks = append(decoded.Blocks, chunk.Digest)
+		chunks[chunk.Digest.String()] = slices.Clone(chunk.Content)
+	}
+	head, err = decoded.Encode()
+	assert.NilError(tb, err)
+	return head, chunks
+}
+
+// changedBlocks returns blocks after a random change of a kind: some at new sites, some removed, some added, a long
+// run removed, or all replaced. Each round has new sites and drops the former new ones, so that an edited table runs
+// out of room for sites that a new table has.
+func changedBlocks(random *rand.Rand, blocks []oleandervane.ClientBlock, round int) []oleandervane.ClientBlock {
+	blocks = slices.Clone(blocks)
+	at := random.IntN(len(blocks) - 20)
+	switch kind := random.IntN(20); {
+	case kind < 10:
+		for index := range blocks {
+			if len(blocks[index].Site) > len("site-99") {
+				blocks[index].Site = siteName(0)
+			}
+		}
+		for index := range 20 {
+			blocks[at+index].Site = siteName(100 + (round*20+index)%300)
+		}
+	case kind < 13:
+		blocks = slices.Delete(blocks, at, at+1+random.IntN(20))
+	case kind < 17:
+		blocks = append(blocks, randomBlocks(random, 1+random.IntN(30))...)
+		slices.SortStableFunc(blocks, func(a, b oleandervane.ClientBlock) int { return check.ComparePrefixes(a.Prefix, b.Prefix) })
+		blocks = slices.CompactFunc(blocks, func(a, b oleandervane.ClientBlock) bool { return a.Prefix == b.Prefix })
+	case kind < 19:
+		blocks = slices.Delete(blocks, at, at+random.IntN(len(blocks)-at)/3)
+	default:
+		blocks = randomBlocks(random, 30_000)
+	}
+	return blocks
+}
+
+// Guards against a table that differs after changes from one that is built at once, and against a decoder that needs
+// chunks again that it has checked.
+func TestBlockTableFollowsChanges(t *testing.T) {
+	const rounds = 40
+	for seed := range uint64(2) {
+		random := rand.New(rand.NewPCG(seed, 7))
+		decoder, table, blocks := newDecoder(), blockTable{}, randomBlocks(random, 30_000)
+		for round := range rounds {
+			head, chunks := encoded(t, oleandervane.Revision(round+1), blocks)
+			for digest := range decoder.known {
+				delete(chunks, digest.String())
+			}
+			configuration, err := decoder.Decode(head, chunks)
+			assert.NilError(t, err)
+			assert.Equal(t, len(configuration.ClientBlocks), 0)
+			taken := decoder.takeBlocks(configuration)
+			table, err = table.with(taken)
+			assert.NilError(t, err)
+			full, err := newBlockTable(taken)
+			assert.NilError(t, err)
+			reference, err := lookup.NewTable(blocks)
+			assert.NilError(t, err)
+			for _, built := range []*lookup.Table{table.table, full.table, reference} {
+				assert.Equal(t, built.Len(), len(blocks), "seed %d round %d", seed, round)
+				assert.Assert(t, slices.Equal(slices.Collect(built.All()), blocks), "seed %d round %d", seed, round)
+			}
+			for range 2000 {
+				address := blocks[random.IntN(len(blocks))].Prefix.Addr().Next()
+				found, _ := table.table.Find(address)
+				expected, _ := reference.Find(address)
+				assert.Equal(t, found, expected, "seed %d round %d", seed, round)
+			}
+			blocks = changedBlocks(random, blocks, round)
+		}
+	}
+}
+
+// cost is what a piece of work took and what it left on the heap.
+type cost struct {
+	processor  time.Duration
+	held, peak float64
+}
+
+// measure runs work. The peak is sampled, and with the usual pace of collections; both count from base bytes on.
+func measure(base float64, work func()) cost {
+	heapInUse()
+	stop, peak := make(chan struct{}), atomic.Uint64{}
+	sampled := make(chan struct{})
+	sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+	go func() {
+		defer close(sampled)
+		for {
+			metrics.Read(sample)
+			peak.Store(max(peak.Load(), sample[0].Value.Uint64()))
+			select {
+			case <-stop:
+				return
+			case <-time.After(100 * time.Microsecond):
+			}
+		}
+	}()
+	before := processorTime()
+	work()
+	result := cost{processor: processorTime() - before}
+	close(stop)
+	<-sampled
+	result.peak = float64(peak.Load()) - base
+	result.held = heapInUse() - base
+	return result
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func heapInUse() float64 {
+	debug.FreeOSMemory()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapInuse)
+}
+
+const (
+	manyBlocks = 1_500_000
+	// controlBytes is the memory that an entry VM may use for control.
+	controlBytes = 64e6
+	// changeSeconds is 1.3% of a core over the 254 s between two of 340 changes a day.
+	changeSeconds = 3.3
+	// coldSeconds is the time in which a revision comes into force everywhere.
+	coldSeconds = 4
+)
+
+// put decodes a revision and makes its table, as an entry VM does.
+type put func(head []byte, chunks map[string][]byte) (inForce any)
+
+// compact is how an entry VM puts revisions into force.
+func compact(tb testing.TB) put {
+	decoder, table := newDecoder(), blockTable{}
+	return func(head []byte, chunks map[string][]byte) any {
+		configuration, err := decoder.Decode(head, chunks)
+		assert.NilError(tb, err)
+		table, err = table.with(decoder.takeBlocks(configuration))
+		assert.NilError(tb, err)
+		return []any{configuration, decoder, &table}
+	}
+}
+
+// decoded is how an entry VM did it before it kept blocks encoded, for comparison.
+func decoded(tb testing.TB) put {
+	return func(content []byte, chunks map[string][]byte) any {
+		head, err := revision.DecodeHead(content)
+		assert.NilError(tb, err)
+		configuration, err := revision.Decode(head, func(digest revision.Digest) ([]byte, bool) {
+			chunk, found := chunks[digest.String()]
+			return chunk, found
+		})
+		assert.NilError(tb, err)
+		table, err := lookup.NewTable(configuration.ClientBlocks)
+		assert.NilError(tb, err)
+		return []any{&configuration, table}
+	}
+}
+
+// Guards against client blocks that take more memory or time on an entry VM than it has for control.
+func TestFigureBlocks(t *testing.T) {
+	base := heapInUse()
+	blocks := randomBlocks(rand.New(rand.NewPCG(1, 2)), manyBlocks)
+	head, chunks := encoded(t, 1, blocks)
+	blocks[manyBlocks/2].Site = siteName(68 - manyBlocks%69)
+	nextHead, nextChunks := encoded(t, 2, blocks)
+	blocks = nil
+	for digest := range nextChunks {
+		if content, found := chunks[digest]; found {
+			nextChunks[digest] = content
+		}
+	}
+	figures := func(put put, rounds int) (cold, change, changes cost) {
+		var inForce any
+		cold = measure(base, func() { inForce = put(head, chunks) })
+		change = measure(base, func() { inForce = put(nextHead, nextChunks) })
+		changes = measure(base, func() {
+			for range rounds {
+				inForce = put(head, chunks)
+				inForce = put(nextHead, nextChunks)
+			}
+		})
+		runtime.KeepAlive(inForce)
+		return cold, change, changes
+	}
+	t.Logf("chunks alone: %.4g bytes", heapInUse()-base)
+	cold, change, changes := figures(decoded(t), 2)
+	t.Logf("decoded blocks: cold start %+v, one change %+v, 4 changes %+v", cold, change, changes)
+	cold, change, changes = figures(compact(t), 20)
+	t.Logf("encoded blocks: cold start %+v, one change %+v, 40 changes %+v", cold, change, changes)
+	figure.Require(t, figure.Figure{Name: "operator_blocks_held_bytes", Value: max(cold.held, change.held), Unit: "bytes", Bound: controlBytes})
+	figure.Report(t, figure.Figure{Name: "operator_block_change_time", Value: change.processor.Seconds(), Unit: "s", Bound: changeSeconds})
+	figure.Report(t, figure.Figure{Name: "operator_block_change_peak_bytes", Value: change.peak, Unit: "bytes", Bound: controlBytes})
+	figure.Report(t, figure.Figure{Name: "operator_block_changes_peak_bytes", Value: changes.peak, Unit: "bytes", Bound: controlBytes})
+	figure.Report(t, figure.Figure{Name: "operator_blocks_cold_start_time", Value: cold.processor.Seconds(), Unit: "s", Bound: coldSeconds})
+	figure.Report(t, figure.Figure{Name: "operator_blocks_cold_start_peak_bytes", Value: cold.peak, Unit: "bytes", Bound: controlBytes})
+	runtime.KeepAlive([]any{chunks, nextChunks})
+}
--- a/entryvm/decoder.go
+++ b/entryvm/decoder.go
@@ -1,6 +1,8 @@
 package entryvm
 
 import (
+	"sync"
+
 	"github.com/rotisserie/eris"
 
 	"oleandervane.example"
@@ -11,11 +13,22 @@
 // typicalChunkBytes stands for the sizes of chunks, which a head does not state. It is used only to group fetches.
 const typicalChunkBytes = 20 << 10
 
-// decoder reads encoded revisions for the gossip among entry VMs.
-type decoder struct{}
+// decoder reads encoded revisions for the gossip among entry VMs. It keeps client blocks encoded, in the memory that
+// gossip holds anyway to serve peers.
+type decoder struct {
+	mutex sync.Mutex
+	// known has the chunks of client blocks of the revision decoded last.
+	known map[revision.Digest]*revision.BlockChunk
+	// decoded has the client blocks of configurations until takeBlocks asks for them.
+	decoded map[*oleandervane.Configuration][]*revision.BlockChunk
+}
+
+func newDecoder() *decoder {
+	return &decoder{decoded: map[*oleandervane.Configuration][]*revision.BlockChunk{}}
+}
 
 // DecodeHead reads the number and the chunks of a head.
-func (decoder) DecodeHead(content []byte) (gossip.Head, error) {
+func (*decoder) DecodeHead(content []byte) (gossip.Head, error) {
 	head, err := revision.DecodeHead(content)
 	if err != nil {
 		return gossip.Head{}, err
@@ -28,25 +41,45 @@
 }
 
 // CheckChunk returns an error unless the content has the digest.
-func (decoder) CheckChunk(digest string, content []byte) error {
+func (*decoder) CheckChunk(digest string, content []byte) error {
 	if actual := revision.DigestOf(content).String(); actual != digest {
 		return eris.Errorf("checking chunk %s: its content has digest %s", digest, actual)
 	}
 	return nil
 }
 
-// Decode returns the checked configuration.
-func (decoder) Decode(content []byte, chunks map[string][]byte) (*oleandervane.Configuration, error) {
+// Decode returns the checked configuration without its client blocks, which takeBlocks returns. It decodes only chunks
+// of client blocks that the revision decoded before did not have.
+func (decoder *decoder) Decode(content []byte, chunks map[string][]byte) (*oleandervane.Configuration, error) {
 	head, err := revision.DecodeHead(content)
 	if err != nil {
 		return nil, err
 	}
-	configuration, err := revision.Decode(head, func(digest revision.Digest) ([]byte, bool) {
+	decoder.mutex.Lock()
+	defer decoder.mutex.Unlock()
+	configuration, blockChunks, err := revision.DecodeCompact(head, func(digest revision.Digest) ([]byte, bool) {
 		chunk, found := chunks[digest.String()]
 		return chunk, found
+	}, func(digest revision.Digest) (*revision.BlockChunk, bool) {
+		blockChunk, found := decoder.known[digest]
+		return blockChunk, found
 	})
 	if err != nil {
 		return nil, err
 	}
+	decoder.known = make(map[revision.Digest]*revision.BlockChunk, len(blockChunks))
+	for _, blockChunk := range blockChunks {
+		decoder.known[blockChunk.Digest()] = blockChunk
+	}
+	decoder.decoded[&configuration] = blockChunks
 	return &configuration, nil
 }
+
+// takeBlocks returns the client blocks of a configuration that Decode returned, once.
+func (decoder *decoder) takeBlocks(configuration *oleandervane.Configuration) []*revision.BlockChunk {
+	decoder.mutex.Lock()
+	defer decoder.mutex.Unlock()
+	blockChunks := decoder.decoded[configuration]
+	delete(decoder.decoded, configuration)
+	return blockChunks
+}
--- a/entryvm/entryvm.go
+++ b/entryvm/entryvm.go
@@ -42,6 +42,9 @@
 	recorder     *burn.Recorder
 	vmList       *listReader
 	plans        atomic.Pointer[drain.Plans]
+	decoder      *decoder
+	// blockTable is the look-up table in force; only acceptConfiguration uses it.
+	blockTable blockTable
 
 	// The parts below need the node, which Run starts.
 	daemon      *transport.Daemon
@@ -71,6 +74,7 @@
 			FieldFailureDomain: self.FailureDomain,
 		}),
 		lookup:   lookup.New(self),
+		decoder:  newDecoder(),
 		recorder: burn.NewRecorder(self.ID, self.Incarnation, timerService),
 		vmList:   &listReader{vmList: gossip.AsynchronousVMList(vmlist.NewClient(settings.VMListURL, timerService))},
 		tickets: ticket.NewLedger(ticket.Settings{
--- a/entryvm/parts.go
+++ b/entryvm/parts.go
@@ -12,7 +12,6 @@
 	"oleandervane.example/entry/balance"
 	"oleandervane.example/entry/forward"
 	"oleandervane.example/entry/gateway"
-	"oleandervane.example/entry/lookup"
 	"oleandervane.example/fleet/gossip"
 	"oleandervane.example/fleet/measurement"
 	"oleandervane.example/fleet/transport"
@@ -44,7 +43,7 @@
 		Self:         entryVM.self,
 		TimerService: entryVM.timerService,
 		Store:        gossip.Asynchronous(store.NewClient(entryVM.settings.StoreURL, entryVM.timerService)),
-		Decoder:      decoder{},
+		Decoder:      entryVM.decoder,
 		Random:       entryVM.random(1),
 		VMList:       entryVM.vmList,
 		Accepted:     entryVM.acceptConfiguration,
@@ -206,15 +205,16 @@
 	}
 }
 
-// acceptConfiguration puts a revision into force in all parts.
+// acceptConfiguration puts a revision into force in all parts. Gossip calls it for one revision at a time.
 func (entryVM *EntryVM) acceptConfiguration(configuration *oleandervane.Configuration) {
 	log := entryVM.log.WithField(FieldRevision, configuration.Revision)
 	entryVM.lookup.PublishConfiguration(*configuration)
-	table, err := lookup.NewTable(configuration.ClientBlocks)
+	blockTable, err := entryVM.blockTable.with(entryVM.decoder.takeBlocks(configuration))
 	if err != nil {
 		log.WithError(err).Error("client blocks cannot be used; the former ones stay in force")
 	} else {
-		entryVM.lookup.PublishTable(table)
+		entryVM.blockTable = blockTable
+		entryVM.lookup.PublishTable(blockTable.table)
 	}
 	// Drains were checked when they were published; a VM that starts later must not refuse one that has begun.
 	plans, refusals := drain.New(configuration, drain.Figures{}, time.Time{})
--- a/fleet/gossip/decoder.go
+++ b/fleet/gossip/decoder.go
@@ -27,7 +27,9 @@
 	DecodeHead(head []byte) (Head, error)
 	// CheckChunk returns an error unless the content has the digest.
 	CheckChunk(digest string, content []byte) error
-	// Decode returns the checked configuration. chunks has all that the head names, by digest.
+	// Decode returns the checked configuration, which then comes into force. chunks has all that the head names, by
+	// digest; contents stay as they are, so that the decoder may keep them. Configurations are held as long as they are
+	// in force, so they should have no ClientBlocks. Decode is called for one revision at a time.
 	Decode(head []byte, chunks map[string][]byte) (*oleandervane.Configuration, error)
 }
 
--- a/operator/revision/content.go
+++ b/operator/revision/content.go
@@ -33,19 +33,9 @@
 // Decode makes the configuration of a head. The chunks come from the given function; their digests and contents are
 // checked, so that the bytes may come from anywhere.
 func Decode(head Head, chunk func(digest Digest) ([]byte, bool)) (oleandervane.Configuration, error) {
-	configuration := oleandervane.Configuration{
-		Revision: head.Revision,
-		Regions:  map[oleandervane.Region]oleandervane.RegionSettings{},
-		Services: map[oleandervane.ServiceName]oleandervane.Service{},
-	}
-	for _, digest := range head.Settings {
-		content, err := verified(digest, chunk)
-		if err != nil {
-			return oleandervane.Configuration{}, err
-		}
-		if err := decodeSettings(content, &configuration); err != nil {
-			return oleandervane.Configuration{}, eris.Wrapf(err, "chunk %s", digest)
-		}
+	configuration, err := decodeAllSettings(head, chunk)
+	if err != nil {
+		return oleandervane.Configuration{}, err
 	}
 	configuration.ClientBlocks = make([]oleandervane.ClientBlock, 0, min(len(head.Blocks)*blockCutter.most, check.MaxClientBlocks)/2)
 	for _, digest := range head.Blocks {
@@ -67,6 +57,26 @@
 	return configuration, nil
 }
 
+// decodeAllSettings makes the configuration of a head without its client blocks. It does not check that the settings
+// are sound together, as canonical does.
+func decodeAllSettings(head Head, chunk func(digest Digest) ([]byte, bool)) (oleandervane.Configuration, error) {
+	configuration := oleandervane.Configuration{
+		Revision: head.Revision,
+		Regions:  map[oleandervane.Region]oleandervane.RegionSettings{},
+		Services: map[oleandervane.ServiceName]oleandervane.Service{},
+	}
+	for _, digest := range head.Settings {
+		content, err := verified(digest, chunk)
+		if err != nil {
+			return oleandervane.Configuration{}, err
+		}
+		if err := decodeSettings(content, &configuration); err != nil {
+			return oleandervane.Configuration{}, eris.Wrapf(err, "chunk %s", digest)
+		}
+	}
+	return configuration, nil
+}
+
 // canonical refuses settings that are unsound or that the encoder would have written differently.
 func canonical(head Head, configuration oleandervane.Configuration) error {
 	if findings := check.Structure(configuration); len(findings) > 0 {
--- a/operator/revision/revision_test.go
+++ b/operator/revision/revision_test.go
@@ -110,6 +110,62 @@
 	}
 }
 
+// Guards against an entry VM that accepts what the full decoding refuses: blocks given twice or out of order across
+// chunks, sites that the settings no longer have, and content that belongs to another digest.
+func TestDecodeCompactRefuses(t *testing.T) {
+	configuration := association(t)
+	configuration.ClientBlocks = manyBlocks(30_000)
+	content, err := revision.Encode(configuration)
+	assert.NilError(t, err)
+	assert.Assert(t, len(content.Blocks) >= 3)
+	fewer := association(t)
+	delete(fewer.Regions["huye"].Sites, "huye-1")
+	lessSites, err := revision.Encode(fewer)
+	assert.NilError(t, err)
+	chunks := content.Blocks
+	known := map[revision.Digest]*revision.BlockChunk{}
+	for _, chunk := range chunks {
+		known[chunk.Digest], err = revision.ReadBlockChunk(chunk.Digest, chunk.Content)
+		assert.NilError(t, err)
+	}
+	other := revision.Chunk{Digest: chunks[1].Digest, Content: chunks[2].Content}
+	for _, test := range []struct {
+		content  revision.Content
+		expected string
+	}{
+		{revision.Content{Settings: content.Settings, Blocks: []revision.Chunk{chunks[0], chunks[2], chunks[1]}}, "out of order"},
+		{revision.Content{Settings: content.Settings, Blocks: []revision.Chunk{chunks[0], chunks[0]}}, "out of order"},
+		{revision.Content{Settings: lessSites.Settings, Blocks: chunks}, `site "huye-1" does not exist`},
+		{revision.Content{Settings: content.Settings, Blocks: []revision.Chunk{chunks[0], other}}, "other content than its digest says"},
+		{revision.Content{Settings: content.Settings[:len(content.Settings)-1], Blocks: chunks}, "is not sound"},
+	} {
+		_, err := revision.Decode(headOf(test.content), lookup(test.content))
+		assert.ErrorContains(t, err, test.expected)
+		_, _, err = revision.DecodeCompact(headOf(test.content), lookup(test.content), nil)
+		assert.ErrorContains(t, err, test.expected)
+		if test.content.Blocks[len(test.content.Blocks)-1].Digest == other.Digest {
+			// Other content for a chunk that was checked before is not read at all.
+			continue
+		}
+		_, _, err = revision.DecodeCompact(headOf(test.content), lookup(test.content), func(digest revision.Digest) (*revision.BlockChunk, bool) {
+			blockChunk, found := known[digest]
+			return blockChunk, found
+		})
+		assert.ErrorContains(t, err, test.expected)
+	}
+}
+
+// sameAsDecode checks that the compact decoding of a head gives what the full one gave.
+func sameAsDecode(t *testing.T, head revision.Head, chunk func(revision.Digest) ([]byte, bool), decoded oleandervane.Configuration, expected error) {
+	t.Helper()
+	configuration, blockChunks, err := revision.DecodeCompact(head, chunk, nil)
+	assert.Equal(t, err == nil, expected == nil, "compact: %v, full: %v", err, expected)
+	for _, blockChunk := range blockChunks {
+		configuration.ClientBlocks = slices.AppendSeq(configuration.ClientBlocks, blockChunk.All())
+	}
+	assert.DeepEqual(t, configuration, decoded, cmp.Comparer(func(a, b netip.Prefix) bool { return a == b }), cmpopts.EquateEmpty())
+}
+
 // Guards against a decoder that panics or accepts two forms of one configuration.
 func FuzzDecode(f *testing.F) {
 	content, err := revision.Encode(association(f))
@@ -122,6 +178,7 @@
 			Blocks:   []revision.Chunk{{Digest: revision.DigestOf(blocks), Content: blocks}},
 		}
 		decoded, err := revision.Decode(headOf(chunks), lookup(chunks))
+		sameAsDecode(t, headOf(chunks), lookup(chunks), decoded, err)
 		if err != nil {
 			return
 		}
