Make the look-up table in smaller steps and measure a full replacement

Cause: the tests did not reach a build of several steps, an edited table that runs out of sites, or blocks removed at the end; and the step of 32,768 edits made a cold start slower and larger than needed.

Ruled out: other step sizes were not measured.

Change: a step has 8,192 edits. The property test now has more new sites and removes the last blocks; another test checks that a revision with too many sites leaves the table in force as it is. TestFigureBlocks also replaces all blocks.

--- a/entryvm/blocktable.go
+++ b/entryvm/blocktable.go
@@ -12,7 +12,7 @@
 )
 
 // editsPerStep bounds the decoded blocks that are in memory while a table is made: 1.5 million of them take 72 MB.
-const editsPerStep = 1 << 15
+const editsPerStep = 1 << 13
 
 // blockTable is the look-up table of a revision with the chunks that it was made of. It is immutable.
 type blockTable struct {
--- a/entryvm/blocktable_test.go
+++ b/entryvm/blocktable_test.go
@@ -74,12 +74,12 @@
 	return head, chunks
 }
 
-// changedBlocks returns blocks after a random change of a kind: some at new sites, some removed, some added, a long
-// run removed, or all replaced. Each round has new sites and drops the former new ones, so that an edited table runs
+// changedBlocks returns blocks after a random change of a kind: some at new sites, the last or others removed, some
+// added, a long run removed, or all replaced. Each round has new sites and drops the former new ones, so that an edited table runs
 // out of room for sites that a new table has.
 func changedBlocks(random *rand.Rand, blocks []oleandervane.ClientBlock, round int) []oleandervane.ClientBlock {
 	blocks = slices.Clone(blocks)
-	at := random.IntN(len(blocks) - 20)
+	at := random.IntN(len(blocks) - 60)
 	switch kind := random.IntN(20); {
 	case kind < 10:
 		for index := range blocks {
@@ -87,9 +87,11 @@
 				blocks[index].Site = siteName(0)
 			}
 		}
-		for index := range 20 {
-			blocks[at+index].Site = siteName(100 + (round*20+index)%300)
+		for index := range 60 {
+			blocks[at+index].Site = siteName(100 + (round*60+index)%300)
 		}
+	case kind < 11:
+		blocks = blocks[:len(blocks)-10]
 	case kind < 13:
 		blocks = slices.Delete(blocks, at, at+1+random.IntN(20))
 	case kind < 17:
@@ -141,6 +143,33 @@
 	}
 }
 
+// Guards against a revision with more sites than a table holds that changes the table in force.
+func TestBlockTableRefusesSites(t *testing.T) {
+	decoder, table := newDecoder(), blockTable{}
+	blocks := randomBlocks(rand.New(rand.NewPCG(1, 1)), 30_000)
+	put := func() (err error) {
+		head, chunks := encoded(t, 1, blocks)
+		configuration, err := decoder.Decode(head, chunks)
+		assert.NilError(t, err)
+		next, err := table.with(decoder.takeBlocks(configuration))
+		if err == nil {
+			table = next
+		}
+		return err
+	}
+	assert.NilError(t, put())
+	before := slices.Clone(blocks)
+	for index := range 300 {
+		blocks[index].Site = siteName(index)
+	}
+	assert.ErrorIs(t, put(), lookup.ErrTooManySites)
+	assert.Assert(t, slices.Equal(slices.Collect(table.table.All()), before))
+	blocks = before
+	blocks[0].Site = siteName(99)
+	assert.NilError(t, put())
+	assert.Assert(t, slices.Equal(slices.Collect(table.table.All()), blocks))
+}
+
 // cost is what a piece of work took and what it left on the heap.
 type cost struct {
 	processor  time.Duration
@@ -244,8 +273,7 @@
 			nextChunks[digest] = content
 		}
 	}
-	figures := func(put put, rounds int) (cold, change, changes cost) {
-		var inForce any
+	figures := func(put put, rounds int) (cold, change, changes cost, inForce any) {
 		cold = measure(base, func() { inForce = put(head, chunks) })
 		change = measure(base, func() { inForce = put(nextHead, nextChunks) })
 		changes = measure(base, func() {
@@ -255,12 +283,13 @@
 			}
 		})
 		runtime.KeepAlive(inForce)
-		return cold, change, changes
+		return cold, change, changes, inForce
 	}
 	t.Logf("chunks alone: %.4g bytes", heapInUse()-base)
-	cold, change, changes := figures(decoded(t), 2)
+	cold, change, changes, _ := figures(decoded(t), 2)
 	t.Logf("decoded blocks: cold start %+v, one change %+v, 4 changes %+v", cold, change, changes)
-	cold, change, changes = figures(compact(t), 20)
+	put := compact(t)
+	cold, change, changes, inForce := figures(put, 20)
 	t.Logf("encoded blocks: cold start %+v, one change %+v, 40 changes %+v", cold, change, changes)
 	figure.Require(t, figure.Figure{Name: "operator_blocks_held_bytes", Value: max(cold.held, change.held), Unit: "bytes", Bound: controlBytes})
 	figure.Report(t, figure.Figure{Name: "operator_block_change_time", Value: change.processor.Seconds(), Unit: "s", Bound: changeSeconds})
@@ -268,5 +297,10 @@
 	figure.Report(t, figure.Figure{Name: "operator_block_changes_peak_bytes", Value: changes.peak, Unit: "bytes", Bound: controlBytes})
 	figure.Report(t, figure.Figure{Name: "operator_blocks_cold_start_time", Value: cold.processor.Seconds(), Unit: "s", Bound: coldSeconds})
 	figure.Report(t, figure.Figure{Name: "operator_blocks_cold_start_peak_bytes", Value: cold.peak, Unit: "bytes", Bound: controlBytes})
-	runtime.KeepAlive([]any{chunks, nextChunks})
+	// Gossip holds the chunks of both revisions while all blocks are replaced.
+	head, chunks = encoded(t, 3, randomBlocks(rand.New(rand.NewPCG(3, 4)), manyBlocks))
+	replacement := measure(base, func() { inForce = put(head, chunks) })
+	t.Logf("encoded blocks: all replaced %+v", replacement)
+	figure.Report(t, figure.Figure{Name: "operator_blocks_replaced_peak_bytes", Value: replacement.peak, Unit: "bytes", Bound: controlBytes})
+	runtime.KeepAlive([]any{chunks, nextChunks, inForce})
 }
