--- a/entryvm/entryvm.go
+++ b/entryvm/entryvm.go
@@ -44,6 +44,9 @@
 	plans        atomic.Pointer[drain.Plans]
 	// plannedRevision is the revision whose drains were logged; only the refresh uses it.
 	plannedRevision oleandervane.Revision
+	decoder         *decoder
+	// blockTable is the look-up table in force; only acceptConfiguration uses it.
+	blockTable blockTable
 
 	// The parts below need the node, which Run starts.
 	daemon      *transport.Daemon
@@ -56,7 +59,10 @@
 	mix         *mix
 	gateway     *gateway.Gateway
 	relay       atomic.Pointer[http.Handler]
-	cancels     []func()
+	superseded  atomic.Bool
+	// stop ends Run gracefully.
+	stop    func()
+	cancels []func()
 }
 
 // New returns an entry VM with the given settings. It opens no connection before Run.
@@ -73,6 +79,7 @@
 			FieldFailureDomain: self.FailureDomain,
 		}),
 		lookup:   lookup.New(self),
+		decoder:  newDecoder(),
 		recorder: burn.NewRecorder(self.ID, self.Incarnation, timerService),
 		vmList:   &listReader{vmList: gossip.AsynchronousVMList(vmlist.NewClient(settings.VMListURL, timerService))},
 		tickets: ticket.NewLedger(ticket.Settings{
@@ -101,7 +108,6 @@
 	entryVM.gateway = entryVM.newGateway()
 	relay := entryVM.gateway.RelayHandler()
 	entryVM.relay.Store(&relay)
-	entryVM.startRefresh()
 	app := kratos.New(
 		kratos.ID(string(entryVM.self.ID)),
 		kratos.Name("oleandervane-entry"),
@@ -113,6 +119,8 @@
 		kratos.StopTimeout(time.Duration(entryVM.settings.Shutdown.DrainLimit)),
 		kratos.BeforeStop(func(context.Context) error { return entryVM.drain() }),
 	)
+	entryVM.stop = func() { _ = app.Stop() }
+	entryVM.startRefresh()
 	entryVM.log.Info("entry VM starts")
 	err := app.Run()
 	entryVM.close()
--- a/entryvm/operations.go
+++ b/entryvm/operations.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/http/pprof"
 	"slices"
 	"strings"
 	"time"
@@ -11,7 +12,8 @@
 	"oleandervane.example/operator/status"
 )
 
-// operationsHandler serves operators: health, metrics, status, explanations and the counters of the burn report.
+// operationsHandler serves operators: health, metrics, status, explanations, the counters of the burn report and
+// profiles.
 func (entryVM *EntryVM) operationsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health/live", func(writer http.ResponseWriter, _ *http.Request) {
@@ -36,6 +38,9 @@
 	mux.HandleFunc("GET /v1/burn", func(writer http.ResponseWriter, _ *http.Request) {
 		writeJSON(writer, entryVM.recorder.Response())
 	})
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
 	return mux
 }
 
--- a/entryvm/parts.go
+++ b/entryvm/parts.go
@@ -12,7 +12,6 @@
 	"oleandervane.example/entry/balance"
 	"oleandervane.example/entry/forward"
 	"oleandervane.example/entry/gateway"
-	"oleandervane.example/entry/lookup"
 	"oleandervane.example/fleet/gossip"
 	"oleandervane.example/fleet/measurement"
 	"oleandervane.example/fleet/transport"
@@ -40,7 +39,7 @@
 		Self:         entryVM.self,
 		TimerService: entryVM.timerService,
 		Store:        gossip.Asynchronous(store.NewClient(entryVM.settings.StoreURL, entryVM.timerService)),
-		Decoder:      decoder{},
+		Decoder:      entryVM.decoder,
 		Random:       entryVM.random(1),
 		VMList:       entryVM.vmList,
 		Accepted:     entryVM.acceptConfiguration,
@@ -149,6 +148,7 @@
 }
 
 func (entryVM *EntryVM) refresh(now time.Time) {
+	entryVM.stopIfSuperseded()
 	entryVM.planDrains()
 	entryVM.publishEntryVMs(now)
 	backendServers, readAt := drainingNode{entryVM.daemon.Node, entryVM}.BackendServers()
@@ -159,6 +159,17 @@
 	entryVM.sight.publish(now)
 }
 
+// stopIfSuperseded ends this run when peers know of a later one with the same id. Peers ignore what this one says of
+// itself, and callers are sent to the later one.
+func (entryVM *EntryVM) stopIfSuperseded() {
+	later, superseded := entryVM.daemon.Node.Membership().Superseded()
+	if !superseded || entryVM.superseded.Swap(true) {
+		return
+	}
+	entryVM.log.WithField("later_incarnation", later).Error("a later run of this VM's id is in service; this one stops")
+	go entryVM.stop()
+}
+
 // publishEntryVMs tells the look-up which entry VMs there are. Those of a planned drain count as leaving from the
 // start of the drain.
 func (entryVM *EntryVM) publishEntryVMs(now time.Time) {
@@ -188,15 +199,16 @@
 	}
 }
 
-// acceptConfiguration puts a revision into force in all parts.
+// acceptConfiguration puts a revision into force in all parts. Gossip calls it for one revision at a time.
 func (entryVM *EntryVM) acceptConfiguration(configuration *oleandervane.Configuration) {
 	log := entryVM.log.WithField(FieldRevision, configuration.Revision)
 	entryVM.lookup.PublishConfiguration(*configuration)
-	table, err := lookup.NewTable(configuration.ClientBlocks)
+	blockTable, err := entryVM.blockTable.with(entryVM.decoder.takeBlocks(configuration))
 	if err != nil {
 		log.WithError(err).Error("client blocks cannot be used; the former ones stay in force")
 	} else {
-		entryVM.lookup.PublishTable(table)
+		entryVM.blockTable = blockTable
+		entryVM.lookup.PublishTable(blockTable.table)
 	}
 	entryVM.recorder.SetConfiguration(configuration)
 	log.Info("configuration is in force")
