Use eris for errors of the fleet, and one entry to all programs

Cause: the fleet wrapped errors with fmt, against the house style, and four programs had the same code for the command line and exit status.

Ruled out: eris on the path of a request, where it would take a stack trace for each failed attempt; package forward keeps fmt there.

Change: fleet, gateway and parts of caller use eris; cmd/internal/program parses the command line and ends the process.

--- a/cmd/oleandervane-compare/main.go
+++ b/cmd/oleandervane-compare/main.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -11,6 +10,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/rotisserie/eris"
 
+	"oleandervane.example/cmd/internal/program"
 	"oleandervane.example/steering/comparison"
 )
 
@@ -19,31 +19,12 @@
 	Output string `long:"output" default:"out/compare" description:"folder for the table and the plots"`
 }
 
-// Exit statuses, as in the operators' program.
-const (
-	statusFailed = 1
-	statusUsage  = 2
-)
-
 func main() {
 	var options options
 	parser := flags.NewParser(&options, flags.Default)
 	parser.ShortDescription = "Compares the steering policy with its alternatives and baselines."
-	if _, err := parser.Parse(); err != nil {
-		os.Exit(usageStatus(err))
-	}
-	if err := run(options); err != nil {
-		fmt.Fprintln(os.Stderr, "oleandervane-compare:", err)
-		os.Exit(statusFailed)
-	}
-}
-
-func usageStatus(err error) int {
-	var flagsError *flags.Error
-	if errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp {
-		return 0
-	}
-	return statusUsage
+	program.Parse(parser)
+	program.Exit("oleandervane-compare", run(options))
 }
 
 func run(options options) error {
--- a/cmd/oleandervane-demo/main.go
+++ b/cmd/oleandervane-demo/main.go
@@ -4,13 +4,14 @@
 package main
 
 import (
-	"errors"
-	"fmt"
 	"os"
 	"path/filepath"
 	"time"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/rotisserie/eris"
+
+	"oleandervane.example/cmd/internal/program"
 )
 
 type options struct {
@@ -26,25 +27,12 @@
 	var options options
 	parser := flags.NewParser(&options, flags.Default)
 	parser.ShortDescription = "Starts both deployments on loopback and checks the promises while VMs drain and die."
-	if _, err := parser.Parse(); err != nil {
-		os.Exit(usageStatus(err))
-	}
+	program.Parse(parser)
 	broken, err := run(options)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "demo:", err)
-		os.Exit(1)
-	}
-	if broken > 0 {
-		os.Exit(1)
-	}
-}
-
-func usageStatus(err error) int {
-	var flagsError *flags.Error
-	if errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp {
-		return 0
+	if err == nil && broken > 0 {
+		err = eris.Errorf("promises were broken %d times", broken)
 	}
-	return 2
+	program.Exit("oleandervane-demo", err)
 }
 
 // run plays the scenario on the chosen deployments, one after the other, and returns the number of broken promises.
@@ -55,7 +43,7 @@
 		}
 		count, err := play(options, deployment)
 		if err != nil {
-			return broken, fmt.Errorf("playing %s: %w", deployment.name, err)
+			return broken, eris.Wrapf(err, "playing %s", deployment.name)
 		}
 		broken += count
 	}
--- a/cmd/oleandervane-demo/process.go
+++ b/cmd/oleandervane-demo/process.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -87,7 +86,7 @@
 		}
 		return time.Since(start), nil
 	case <-time.After(limit):
-		return limit, fmt.Errorf("%s did not end within %v", name, limit)
+		return limit, eris.Errorf("%s did not end within %v", name, limit)
 	}
 }
 
--- a/cmd/oleandervane-demo/start.go
+++ b/cmd/oleandervane-demo/start.go
@@ -181,7 +181,7 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode >= http.StatusBadRequest {
-		return fmt.Errorf("%s %s: status %d", method, url, response.StatusCode)
+		return eris.Errorf("%s %s: status %d", method, url, response.StatusCode)
 	}
 	return nil
 }
--- a/cmd/oleandervane-entry/main.go
+++ b/cmd/oleandervane-entry/main.go
@@ -3,12 +3,11 @@
 package main
 
 import (
-	"errors"
-	"fmt"
 	"os"
 
 	"github.com/jessevdk/go-flags"
 
+	"oleandervane.example/cmd/internal/program"
 	"oleandervane.example/entryvm"
 	"oleandervane.example/timer"
 )
@@ -18,24 +17,13 @@
 	Check    bool   `long:"check" description:"check the settings and exit"`
 }
 
-// Exit statuses, as in the operators' program.
-const (
-	statusFailed = 1
-	statusUsage  = 2
-)
-
 func main() {
 	var options options
 	parser := flags.NewParser(&options, flags.Default)
 	parser.ShortDescription = "Serves callers on an entry VM."
 	parser.LongDescription = "Answers look-ups and forwards requests to backend servers. SIGTERM and SIGINT stop it gracefully."
-	if _, err := parser.Parse(); err != nil {
-		os.Exit(usageStatus(err))
-	}
-	if err := run(options); err != nil {
-		fmt.Fprintln(os.Stderr, "oleandervane-entry:", err)
-		os.Exit(statusFailed)
-	}
+	program.Parse(parser)
+	program.Exit("oleandervane-entry", run(options))
 }
 
 func run(options options) error {
@@ -45,11 +33,3 @@
 	}
 	return entryvm.New(settings, timer.System{}, entryvm.NewLogger(settings, os.Stderr)).Run()
 }
-
-func usageStatus(err error) int {
-	var flagsError *flags.Error
-	if errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp {
-		return 0
-	}
-	return statusUsage
-}
--- a/cmd/oleandervane-standin/main.go
+++ b/cmd/oleandervane-standin/main.go
@@ -3,10 +3,9 @@
 package main
 
 import (
-	"errors"
-	"os"
-
 	"github.com/jessevdk/go-flags"
+
+	"oleandervane.example/cmd/internal/program"
 )
 
 func main() {
@@ -15,9 +14,7 @@
 	addCommand(parser, "backend", "Run a backend server", "Serves requests on a few slots; POST /fault changes its faults.", &backendCommand{})
 	addCommand(parser, "store", "Run the platform's store", "Keeps values in memory; PUT /v1/faults changes its faults.", &storeCommand{})
 	addCommand(parser, "vm-list", "Run the platform's VM list", "PUT /v1/vms sets the list; PUT /v1/faults changes its faults.", &vmListCommand{})
-	if _, err := parser.Parse(); err != nil {
-		os.Exit(exitCode(err))
-	}
+	program.Parse(parser)
 }
 
 func addCommand(parser *flags.Parser, name, short, long string, command any) {
@@ -25,11 +22,3 @@
 		panic(err)
 	}
 }
-
-func exitCode(err error) int {
-	var flagsError *flags.Error
-	if errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp {
-		return 0
-	}
-	return 1
-}
--- a/entry/caller/control.go
+++ b/entry/caller/control.go
@@ -4,13 +4,14 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"oleandervane.example"
 )
 
@@ -26,18 +27,18 @@
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+address.String()+path, http.NoBody)
 	if err != nil {
-		return fmt.Errorf("calling %s: %w", address, err)
+		return eris.Wrapf(err, "calling %s", address)
 	}
 	response, err := client.httpClient.Do(request)
 	if err != nil {
-		return fmt.Errorf("calling %s: %w", address, err)
+		return eris.Wrapf(err, "calling %s", address)
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("calling %s: status %d: %w", address, response.StatusCode, ErrRefused)
+		return eris.Wrapf(ErrRefused, "calling %s: status %d", address, response.StatusCode)
 	}
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxControlBytes)).Decode(answer); err != nil {
-		return fmt.Errorf("reading the answer of %s: %w", address, err)
+		return eris.Wrapf(err, "reading the answer of %s", address)
 	}
 	return nil
 }
@@ -64,7 +65,7 @@
 		return "", err
 	}
 	if answer.Ticket == "" {
-		return "", fmt.Errorf("asking %s for a ticket: %w", address, ErrRefused)
+		return "", eris.Wrapf(ErrRefused, "asking %s for a ticket", address)
 	}
 	return answer.Ticket, nil
 }
--- a/entry/caller/lookup.go
+++ b/entry/caller/lookup.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"net/netip"
 	"net/url"
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"oleandervane.example"
 )
 
@@ -108,7 +109,7 @@
 		return err
 	}
 	if len(answer.EntryVMs) == 0 {
-		return fmt.Errorf("looking up at %s: %w", address, ErrNoEntryVM)
+		return eris.Wrapf(ErrNoEntryVM, "looking up at %s", address)
 	}
 	list := &vmList{
 		expiresAt: client.timerService.Now().Add(time.Duration(answer.LifetimeMillis) * time.Millisecond),
--- a/entry/gateway/inflight.go
+++ b/entry/gateway/inflight.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"oleandervane.example"
 )
 
@@ -45,6 +46,6 @@
 	case <-idle:
 		return nil
 	case <-ctx.Done():
-		return fmt.Errorf("draining with %d requests in flight: %w", inFlight.count(), ctx.Err())
+		return eris.Wrapf(ctx.Err(), "draining with %d requests in flight", inFlight.count())
 	}
 }
--- a/fleet/gossip/revision.go
+++ b/fleet/gossip/revision.go
@@ -1,11 +1,12 @@
 package gossip
 
 import (
-	"fmt"
 	"net/netip"
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"oleandervane.example"
 	"oleandervane.example/fleet/peer"
 )
@@ -107,7 +108,7 @@
 func (revisions *revisions) setHead(head []byte, fromStore bool, now time.Time) (*candidate, error) {
 	parsed, err := revisions.decoder.DecodeHead(head)
 	if err != nil {
-		return nil, fmt.Errorf("decoding a head: %w", err)
+		return nil, eris.Wrap(err, "decoding a head")
 	}
 	found := markOf(parsed.Revision, head)
 	revisions.offer(found, netip.AddrPort{}, now)
@@ -141,10 +142,10 @@
 		return reference.Digest == digest
 	})
 	if !named {
-		return fmt.Errorf("chunk %q does not belong to revision %d", digest, revisions.pending.mark.revision)
+		return eris.Errorf("chunk %q does not belong to revision %d", digest, revisions.pending.mark.revision)
 	}
 	if err := revisions.decoder.CheckChunk(digest, content); err != nil {
-		return fmt.Errorf("checking chunk %q: %w", digest, err)
+		return eris.Wrapf(err, "checking chunk %q", digest)
 	}
 	revisions.chunks[digest] = content
 	return nil
@@ -167,7 +168,7 @@
 	configuration, err := revisions.decoder.Decode(fresh.head, fresh.chunks)
 	if err != nil {
 		revisions.refused[pending.mark.hash] = now
-		return nil, fmt.Errorf("decoding revision %d: %w", pending.mark.revision, err)
+		return nil, eris.Wrapf(err, "decoding revision %d", pending.mark.revision)
 	}
 	fresh.configuration = configuration
 	if revisions.current == nil {
@@ -285,11 +286,11 @@
 	base := revisions.headByHash(response.BaseHash)
 	prefix, suffix := int(response.Prefix), int(response.Suffix)
 	if base == nil || prefix+suffix > len(base) {
-		return nil, fmt.Errorf("head of revision %d is a difference to an unknown head", response.Revision.GetRevision())
+		return nil, eris.Errorf("head of revision %d is a difference to an unknown head", response.Revision.GetRevision())
 	}
 	head := slices.Concat(base[:prefix], response.HeadMiddle, base[len(base)-suffix:])
 	if markOf(0, head).hash != response.Revision.GetHeadHash() {
-		return nil, fmt.Errorf("head of revision %d does not have its hash", response.Revision.GetRevision())
+		return nil, eris.Errorf("head of revision %d does not have its hash", response.Revision.GetRevision())
 	}
 	return head, nil
 }
--- a/fleet/membership/record.go
+++ b/fleet/membership/record.go
@@ -2,10 +2,10 @@
 
 import (
 	"encoding/binary"
-	"fmt"
 	"net/netip"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
 
 	"oleandervane.example"
 	"oleandervane.example/fleet/peer"
@@ -52,7 +52,7 @@
 // RecordFromWire reads a record and checks it.
 func RecordFromWire(message *peer.VMRecord) (Record, error) {
 	if err := message.Check(); err != nil {
-		return Record{}, fmt.Errorf("reading a VM record: %w", err)
+		return Record{}, eris.Wrap(err, "reading a VM record")
 	}
 	record := Record{
 		Version: message.Version,
--- a/fleet/peer/limits.go
+++ b/fleet/peer/limits.go
@@ -1,9 +1,10 @@
 package peer
 
 import (
-	"fmt"
 	"math"
 	"net/netip"
+
+	"github.com/rotisserie/eris"
 )
 
 // Limits of what is accepted from a peer. Larger messages are refused whole.
@@ -29,13 +30,13 @@
 // Check returns an error unless the record may be used.
 func (record *VMRecord) Check() error {
 	if record == nil {
-		return fmt.Errorf("a VM record is missing")
+		return eris.New("a VM record is missing")
 	}
 	if err := checkNames(record.Id, record.Region, record.FailureDomain); err != nil {
 		return err
 	}
 	if record.State > MaxVMState || record.Version >= maxCounter || record.Incarnation == 0 {
-		return fmt.Errorf("record of VM %q has state %d, version %d, incarnation %d", record.Id, record.State, record.Version, record.Incarnation)
+		return eris.Errorf("record of VM %q has state %d, version %d, incarnation %d", record.Id, record.State, record.Version, record.Incarnation)
 	}
 	if err := checkAddress(record.CallerAddress); err != nil {
 		return err
@@ -49,10 +50,10 @@
 		return err
 	}
 	if len(packet.Updates) > MaxUpdates || len(packet.Regions) > MaxRegions {
-		return fmt.Errorf("packet of VM %q has %d updates and %d regions", packet.From.Id, len(packet.Updates), len(packet.Regions))
+		return eris.Errorf("packet of VM %q has %d updates and %d regions", packet.From.Id, len(packet.Updates), len(packet.Regions))
 	}
 	if len(packet.TopicVersions) > MaxTopicVersions || len(packet.TopicValues) > MaxTopicValues {
-		return fmt.Errorf("packet of VM %q has %d topic versions and %d values", packet.From.Id, len(packet.TopicVersions), len(packet.TopicValues))
+		return eris.Errorf("packet of VM %q has %d topic versions and %d values", packet.From.Id, len(packet.TopicVersions), len(packet.TopicValues))
 	}
 	for _, record := range packet.Updates {
 		if err := record.Check(); err != nil {
@@ -91,7 +92,7 @@
 		return err
 	}
 	if len(request.Versions) > MaxCompareVersions {
-		return fmt.Errorf("comparison of region %q has %d versions", request.Region, len(request.Versions))
+		return eris.Errorf("comparison of region %q has %d versions", request.Region, len(request.Versions))
 	}
 	for _, version := range request.Versions {
 		if err := checkNames(version.GetId()); err != nil {
@@ -104,7 +105,7 @@
 // Check returns an error unless the response may be used.
 func (response *CompareResponse) Check() error {
 	if len(response.GetNewer()) > MaxCompareVersions || len(response.GetWanted()) > MaxCompareVersions {
-		return fmt.Errorf("comparison has %d newer and %d wanted records", len(response.Newer), len(response.Wanted))
+		return eris.Errorf("comparison has %d newer and %d wanted records", len(response.Newer), len(response.Wanted))
 	}
 	for _, record := range response.Newer {
 		if err := record.Check(); err != nil {
@@ -117,7 +118,7 @@
 // Check returns an error unless the request may be served.
 func (request *FetchRequest) Check() error {
 	if len(request.GetDigests()) > MaxFetchDigests {
-		return fmt.Errorf("fetch of %d chunks", len(request.Digests))
+		return eris.Errorf("fetch of %d chunks", len(request.Digests))
 	}
 	return checkNames(request.Digests...)
 }
@@ -128,14 +129,14 @@
 		return err
 	}
 	if len(response.HeadMiddle)+int(response.Prefix)+int(response.Suffix) > MaxHeadBytes {
-		return fmt.Errorf("head of revision %d is too large", response.Revision.GetRevision())
+		return eris.Errorf("head of revision %d is too large", response.Revision.GetRevision())
 	}
 	if len(response.Chunks) > MaxFetchDigests {
-		return fmt.Errorf("fetched %d chunks", len(response.Chunks))
+		return eris.Errorf("fetched %d chunks", len(response.Chunks))
 	}
 	for _, chunk := range response.Chunks {
 		if chunk == nil || len(chunk.Content) > MaxChunkBytes {
-			return fmt.Errorf("chunk %q is missing or too large", chunk.GetDigest())
+			return eris.Errorf("chunk %q is missing or too large", chunk.GetDigest())
 		}
 		if err := checkNames(chunk.Digest); err != nil {
 			return err
@@ -149,14 +150,14 @@
 		return err
 	}
 	if region.Heartbeat >= maxCounter {
-		return fmt.Errorf("heartbeat of region %q is %d", region.Region, region.Heartbeat)
+		return eris.Errorf("heartbeat of region %q is %d", region.Region, region.Heartbeat)
 	}
 	return nil
 }
 
 func (mark *RevisionMark) check() error {
 	if mark.GetRevision() >= maxCounter {
-		return fmt.Errorf("revision is %d", mark.Revision)
+		return eris.Errorf("revision is %d", mark.Revision)
 	}
 	return nil
 }
@@ -166,10 +167,10 @@
 		return err
 	}
 	if len(value.Region) > MaxNameBytes || len(value.Value) > MaxTopicValueBytes {
-		return fmt.Errorf("value of topic %q has %d bytes", value.Topic, len(value.Value))
+		return eris.Errorf("value of topic %q has %d bytes", value.Topic, len(value.Value))
 	}
 	if value.Version >= maxCounter || value.LeftMillis > maxTopicLifeSeconds*1000 {
-		return fmt.Errorf("value of topic %q has version %d and %d ms left", value.Topic, value.Version, value.LeftMillis)
+		return eris.Errorf("value of topic %q has version %d and %d ms left", value.Topic, value.Version, value.LeftMillis)
 	}
 	return nil
 }
@@ -177,7 +178,7 @@
 func checkNames(names ...string) error {
 	for _, name := range names {
 		if name == "" || len(name) > MaxNameBytes {
-			return fmt.Errorf("a name has %d bytes", len(name))
+			return eris.Errorf("a name has %d bytes", len(name))
 		}
 	}
 	return nil
@@ -185,11 +186,11 @@
 
 func checkAddress(content []byte) error {
 	if len(content) > maxAddressBytes {
-		return fmt.Errorf("an address has %d bytes", len(content))
+		return eris.Errorf("an address has %d bytes", len(content))
 	}
 	var address netip.AddrPort
 	if err := address.UnmarshalBinary(content); err != nil {
-		return fmt.Errorf("reading an address: %w", err)
+		return eris.Wrap(err, "reading an address")
 	}
 	return nil
 }
@@ -206,7 +207,7 @@
 func checkRates(rates ...float32) error {
 	for _, rate := range rates {
 		if !(rate >= 0 && rate <= math.MaxFloat32) {
-			return fmt.Errorf("a rate is %v", rate)
+			return eris.Errorf("a rate is %v", rate)
 		}
 	}
 	return nil
--- a/fleet/transport/daemon.go
+++ b/fleet/transport/daemon.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"crypto/tls"
-	"fmt"
 	"net"
 	"net/http"
 
+	"github.com/rotisserie/eris"
+
 	"oleandervane.example/fleet/gossip"
 )
 
@@ -24,7 +25,7 @@
 func Start(settings gossip.Settings, serverTLS, clientTLS *tls.Config, other http.Handler) (*Daemon, error) {
 	listener, err := net.Listen("tcp", settings.Self.PeerAddress.String())
 	if err != nil {
-		return nil, fmt.Errorf("listening for peers: %w", err)
+		return nil, eris.Wrap(err, "listening for peers")
 	}
 	client := NewClient(clientTLS)
 	settings.Transport = client
@@ -39,7 +40,7 @@
 func (daemon *Daemon) Stop(ctx context.Context) error {
 	daemon.Node.Stop()
 	if err := daemon.server.Shutdown(ctx); err != nil {
-		return fmt.Errorf("shutting down the server for peers: %w", err)
+		return eris.Wrap(err, "shutting down the server for peers")
 	}
 	daemon.client.Close()
 	return <-daemon.served
