Take the store down, and pause a VM, in the demo

Cause: no run of real processes had the store down, a VM that starts without it, or a paused VM.

Ruled out: separate demos; faults at the same time find more.

Change: the store is down from second 11 until a killed VM was replaced and is ready; an entry VM is paused for 4 s during the burst.

--- a/cmd/oleandervane-demo/process.go
+++ b/cmd/oleandervane-demo/process.go
@@ -71,6 +71,16 @@
 	<-process.ended
 }
 
+// pause stops a process for a time and lets it go on.
+func (launcher *launcher) pause(name string, duration time.Duration) error {
+	process := launcher.find(name).command.Process
+	if err := process.Signal(syscall.SIGSTOP); err != nil {
+		return eris.Wrapf(err, "pausing %s", name)
+	}
+	time.Sleep(duration)
+	return eris.Wrapf(process.Signal(syscall.SIGCONT), "letting %s go on", name)
+}
+
 // terminate asks a process to stop and returns how long that took. It fails when the process does not end in
 // time or ends with an error.
 func (launcher *launcher) terminate(name string, limit time.Duration) (time.Duration, error) {
--- a/cmd/oleandervane-demo/scenario.go
+++ b/cmd/oleandervane-demo/scenario.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -14,17 +15,24 @@
 	"oleandervane.example/operator/keys"
 	"oleandervane.example/standin/backendstandin"
 	"oleandervane.example/standin/load"
+	"oleandervane.example/standin/storestandin"
 	"oleandervane.example/timer"
 )
 
 // Times of the scenario, from the start of the load.
 const (
-	loadTime         = 32 * time.Second
-	burstAt          = 16 * time.Second
-	backendDrainAt   = 3 * time.Second
-	entryDrainAt     = 6 * time.Second
-	entryKillAt      = 12 * time.Second
-	entryRestartAt   = 14 * time.Second
+	loadTime       = 32 * time.Second
+	burstAt        = 16 * time.Second
+	backendDrainAt = 3 * time.Second
+	entryDrainAt   = 6 * time.Second
+	entryKillAt    = 12 * time.Second
+	entryRestartAt = 14 * time.Second
+	storeDownAt    = 11 * time.Second
+	entryPauseAt   = 24 * time.Second
+	entryPause     = 4 * time.Second
+	// peerLimit is how long a VM that starts while the store is down may take to be ready with what peers tell it. It
+	// waits up to 8 s for its region's shares.
+	peerLimit        = 12 * time.Second
 	terminationLimit = 30 * time.Second
 	requestTimeout   = 12 * time.Second
 	// leaveLimit is how long a leaving backend server may receive new work.
@@ -159,10 +167,11 @@
 	}}, scenario.options.Seed)
 }
 
-// playEvents drains a backend server, stops an entry VM gracefully, and kills and replaces another.
+// playEvents drains a backend server and stops an entry VM gracefully; takes the store down, kills an entry VM and
+// replaces it meanwhile; and pauses another one.
 func (scenario *scenario) playEvents(ctx context.Context) error {
 	entryVMs := scenario.deployment.entryVMs()
-	drained, stopped, killed := scenario.deployment.backendServers()[0], entryVMs[1], entryVMs[2]
+	drained, stopped, killed, paused := scenario.deployment.backendServers()[0], entryVMs[1], entryVMs[2], entryVMs[4]
 	start := time.Now()
 	wait := func(at time.Duration) {
 		select {
@@ -178,11 +187,38 @@
 	if err := scenario.stopEntryVM(stopped); err != nil {
 		return err
 	}
+	wait(storeDownAt)
+	if err := scenario.setStoreFaults(storestandin.Faults{Down: true}); err != nil {
+		return err
+	}
 	wait(entryKillAt)
 	scenario.launcher.kill(string(killed.ID))
 	scenario.note("killed %s at %s and replaced it at the same address", killed.ID, seconds(time.Since(start)))
 	wait(entryRestartAt)
-	return scenario.startEntryVM(killed)
+	if err := scenario.startEntryVM(killed); err != nil {
+		return err
+	}
+	scenario.checkStartWithoutStore(killed)
+	if err := scenario.setStoreFaults(storestandin.Faults{}); err != nil {
+		return err
+	}
+	wait(entryPauseAt)
+	scenario.note("paused %s for %s", paused.ID, seconds(entryPause))
+	return scenario.launcher.pause(string(paused.ID), entryPause)
+}
+
+// checkStartWithoutStore checks that a VM that starts while the store is down becomes ready with what its peers know.
+func (scenario *scenario) checkStartWithoutStore(entryVM oleandervane.EntryVM) {
+	start := time.Now()
+	broken, detail := 1, "it was not ready after "+seconds(peerLimit)
+	for broken > 0 && time.Since(start) < peerLimit {
+		time.Sleep(pollPeriod)
+		if send(http.MethodGet, readyURL(entryVM), nil) == nil {
+			broken = 0
+		}
+	}
+	scenario.note("%s was ready %s after its start without the store", entryVM.ID, seconds(time.Since(start)))
+	scenario.promise(promise{text: "a VM that starts while the store is down learns from its peers", broken: broken, detail: detail})
 }
 
 // drainBackendServer marks a backend server as leaving and checks that it gets no new work after leaveLimit.
--- a/cmd/oleandervane-demo/start.go
+++ b/cmd/oleandervane-demo/start.go
@@ -18,6 +18,7 @@
 	"oleandervane.example/entryvm"
 	"oleandervane.example/platform/vmlist"
 	"oleandervane.example/standin/backendstandin"
+	"oleandervane.example/standin/storestandin"
 )
 
 const (
@@ -142,11 +143,23 @@
 	return scenario.launcher.start(string(entryVM.ID), "oleandervane-entry", "--settings", path)
 }
 
+func readyURL(entryVM oleandervane.EntryVM) string {
+	return fmt.Sprintf("http://%s/health/ready", operationsAddress(entryVM))
+}
+
+func (scenario *scenario) setStoreFaults(faults storestandin.Faults) error {
+	body, err := json.Marshal(faults)
+	if err != nil {
+		return err
+	}
+	return send(http.MethodPut, scenario.deployment.storeURL()+"/v1/faults", body)
+}
+
 // waitUntilReady waits until every entry VM says that it can serve callers.
 func (scenario *scenario) waitUntilReady() error {
 	for _, entryVM := range scenario.deployment.entryVMs() {
 		err := eventually("waiting for "+string(entryVM.ID), func() error {
-			return send(http.MethodGet, fmt.Sprintf("http://%s/health/ready", operationsAddress(entryVM)), nil)
+			return send(http.MethodGet, readyURL(entryVM), nil)
 		})
 		if err != nil {
 			return err
