--- a/entryvm/entryvm.go
+++ b/entryvm/entryvm.go
@@ -56,10 +56,12 @@
 	sight       *sight
 	keeper      *grant.Keeper
 	steerer     *share.Steerer
-	mix         *mix
-	gateway     *gateway.Gateway
-	relay       atomic.Pointer[http.Handler]
-	superseded  atomic.Bool
+	// snapshotSource is steerer for the node, which asks for snapshots from its own goroutines.
+	snapshotSource atomic.Pointer[share.Steerer]
+	mix            *mix
+	gateway        *gateway.Gateway
+	relay          atomic.Pointer[http.Handler]
+	superseded     atomic.Bool
 	// stop ends Run gracefully.
 	stop    func()
 	cancels []func()
--- a/entryvm/parts.go
+++ b/entryvm/parts.go
@@ -126,8 +126,8 @@
 	}
 	entryVM.keeper = grant.NewKeeper(entryVM.self, entryVM.sight, entryVM.drainage)
 	entryVM.sight.keeper = entryVM.keeper
-	steerer := share.NewSteerer(entryVM.self, entryVM.sight, share.NewPolicy(entryVM.drainage))
-	entryVM.steerer = steerer
+	entryVM.steerer = share.NewSteerer(entryVM.self, entryVM.sight, share.NewPolicy(entryVM.drainage))
+	entryVM.snapshotSource.Store(entryVM.steerer)
 	entryVM.mix = newMix(entryVM.daemon.Node)
 	entryVM.cancels = append(entryVM.cancels,
 		entryVM.keeper.Run(entryVM.timerService),
@@ -216,10 +216,11 @@
 
 // snapshot returns the shares in force for the region's snapshot, or nil before there are any.
 func (entryVM *EntryVM) snapshot() []byte {
-	if entryVM.steerer == nil {
+	steerer := entryVM.snapshotSource.Load()
+	if steerer == nil {
 		return nil
 	}
-	snapshot, known := entryVM.steerer.Snapshot()
+	snapshot, known := steerer.Snapshot()
 	if !known {
 		return nil
 	}
