--- a/entry/forward/attempt.go
+++ b/entry/forward/attempt.go
@@ -158,7 +158,7 @@
 	}
 	reason, attemptResult := explain(outcome, err)
 	if reason == ReasonSilent || reason == ReasonBroken {
-		attempt.pool().distrust(attempt.target.Address)
+		attempt.pool().invalidate(attempt.target.Address)
 	}
 	if reason == ReasonBroken && outcome == oleandervane.Unknown {
 		attempt.noteBroken()
@@ -204,7 +204,7 @@
 // receive checks a response and reads its body, or the beginning of a large one.
 func (attempt *attempt) receive(response *http.Response) attemptOutcome {
 	if !belongsTo(response, attempt.id, attempt.reused) {
-		attempt.pool().distrust(attempt.target.Address)
+		attempt.pool().invalidate(attempt.target.Address)
 		return attempt.failAfterTake(ErrMismatch)
 	}
 	attempt.echoed = response.Header.Get(oleandervane.HeaderRequestID) != ""
--- a/entry/forward/pool.go
+++ b/entry/forward/pool.go
@@ -177,9 +177,9 @@
 	}
 }
 
-// distrust closes all idle connections to a target and has those in use closed after their response. What silenced
+// invalidate closes all idle connections to a target and has those in use closed after their response. What silenced
 // or broke one connection has often silenced those that were open with it.
-func (pool *pool) distrust(address netip.AddrPort) {
+func (pool *pool) invalidate(address netip.AddrPort) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	target := pool.target(address)
--- a/entryvm/entryvm.go
+++ b/entryvm/entryvm.go
@@ -53,7 +53,7 @@
 	forwarder   *forward.Forwarder
 	measurement *measurement.Measurement
 	backends    *balance.Chooser
-	sight       *sight
+	inputs      *inputs
 	keeper      *grant.Keeper
 	steerer     *share.Steerer
 	// snapshotSource is steerer for the node, which asks for snapshots from its own goroutines.
--- a/entryvm/grantfilter.go
+++ b/entryvm/grantfilter.go
@@ -8,13 +8,13 @@
 )
 
 const (
-	// needyShare of its capacity less headroom is the demand from which a source region may soon need room elsewhere.
-	needyShare = 0.8
-	// needLead is how long before the start of a drain its region is granted room.
-	needLead = 10 * time.Second
-	// needHold is how long a grant goes on after its need has ended. Shares return within the cap and need the room
+	// highDemand of its capacity less headroom is the demand from which a source region may soon need room elsewhere.
+	highDemand = 0.8
+	// drainLead is how long before the start of a drain its region is granted room.
+	drainLead = 10 * time.Second
+	// grantHold is how long a grant goes on after its need has ended. Shares return within the cap and need the room
 	// until they are back: at a cap of 0.05 in 10 s, all of a flow takes 200 s.
-	needHold = 10 * time.Minute
+	grantHold = 10 * time.Minute
 )
 
 // grantFilter leaves out grants to source regions that need no room. All grants of all regions, each 2 s, would take
@@ -30,18 +30,18 @@
 
 // needed returns the grants that a source region may use now or soon.
 func (grantFilter *grantFilter) needed(now time.Time, configuration *oleandervane.Configuration, grants []oleandervane.Grant, summaries []oleandervane.RegionSummary, lost map[oleandervane.Region]bool) []oleandervane.Grant {
-	calm := calmFlows(configuration, summaries)
+	hasRoom := flowsWithRoom(configuration, summaries)
 	var needed []oleandervane.Grant
 	for _, grant := range grants {
 		flow := oleandervane.Flow{Service: grant.Service, Home: grant.From}
-		if !calm[flow] || lost[flow.Home] || grantFilter.drains(now, flow) {
+		if !hasRoom[flow] || lost[flow.Home] || grantFilter.drains(now, flow) {
 			grantFilter.lastNeeded[flow] = now
 		}
 		last, known := grantFilter.lastNeeded[flow]
 		if !known {
 			continue
 		}
-		if now.Sub(last) > needHold {
+		if now.Sub(last) > grantHold {
 			delete(grantFilter.lastNeeded, flow)
 			continue
 		}
@@ -52,17 +52,17 @@
 
 func (grantFilter *grantFilter) drains(now time.Time, flow oleandervane.Flow) bool {
 	return grantFilter.drainage(now, flow.Home, flow.Service).Progress > 0 ||
-		grantFilter.drainage(now.Add(needLead), flow.Home, flow.Service).Progress > 0
+		grantFilter.drainage(now.Add(drainLead), flow.Home, flow.Service).Progress > 0
 }
 
-// calmFlows returns the flows whose home region is known to have room for them.
-func calmFlows(configuration *oleandervane.Configuration, summaries []oleandervane.RegionSummary) map[oleandervane.Flow]bool {
-	calm := map[oleandervane.Flow]bool{}
+// flowsWithRoom returns the flows whose home region is known to have room for them.
+func flowsWithRoom(configuration *oleandervane.Configuration, summaries []oleandervane.RegionSummary) map[oleandervane.Flow]bool {
+	hasRoom := map[oleandervane.Flow]bool{}
 	for _, summary := range summaries {
 		usable := summary.CapacityPerSecond * (1 - configuration.Services[summary.Service].Headroom)
-		if summary.DemandPerSecond < needyShare*usable {
-			calm[oleandervane.Flow{Service: summary.Service, Home: summary.Region}] = true
+		if summary.DemandPerSecond < highDemand*usable {
+			hasRoom[oleandervane.Flow{Service: summary.Service, Home: summary.Region}] = true
 		}
 	}
-	return calm
+	return hasRoom
 }
--- a/entryvm/sight.go
+++ b/entryvm/inputs.go
@@ -18,9 +18,9 @@
 // publishPeriod is how often a VM shares whom it counts, and a region its grants. Grants live for 5 s.
 const publishPeriod = 2 * time.Second
 
-// sight is what steering knows on this VM: summaries, grants, peers and the region's snapshot, as gossip has them.
-// It implements share.Sight and grant.Sight.
-type sight struct {
+// inputs is what steering knows on this VM: summaries, grants, peers and the region's snapshot, as gossip has them.
+// It implements share.Inputs and grant.Inputs.
+type inputs struct {
 	self         oleandervane.EntryVM
 	node         *gossip.Node
 	measurement  *measurement.Measurement
@@ -34,18 +34,18 @@
 }
 
 var (
-	_ share.Sight = (*sight)(nil)
-	_ grant.Sight = (*sight)(nil)
+	_ share.Inputs = (*inputs)(nil)
+	_ grant.Inputs = (*inputs)(nil)
 )
 
 // Configuration returns the configuration in force.
-func (sight *sight) Configuration() *oleandervane.Configuration {
-	return sight.node.Configuration()
+func (inputs *inputs) Configuration() *oleandervane.Configuration {
+	return inputs.node.Configuration()
 }
 
 // Summaries returns the newest summaries of all regions.
-func (sight *sight) Summaries() []oleandervane.RegionSummary {
-	covered := sight.measurement.Summaries()
+func (inputs *inputs) Summaries() []oleandervane.RegionSummary {
+	covered := inputs.measurement.Summaries()
 	summaries := make([]oleandervane.RegionSummary, 0, len(covered))
 	for _, summary := range covered {
 		summaries = append(summaries, summary.RegionSummary)
@@ -54,21 +54,21 @@
 }
 
 // Grants returns the grants of all regions, and this VM's own, which it needs for callers whose home region is lost.
-func (sight *sight) Grants() []oleandervane.Grant {
+func (inputs *inputs) Grants() []oleandervane.Grant {
 	var grants []oleandervane.Grant
-	for _, value := range sight.node.Values(topicGrant) {
-		if value.Owner == string(sight.self.Region) {
+	for _, value := range inputs.node.Values(topicGrant) {
+		if value.Owner == string(inputs.self.Region) {
 			continue
 		}
-		grants = append(grants, sight.grantsOf(value)...)
+		grants = append(grants, inputs.grantsOf(value)...)
 	}
-	return append(grants, sight.keeper.Grants()...)
+	return append(grants, inputs.keeper.Grants()...)
 }
 
-func (sight *sight) grantsOf(value gossip.Value) []oleandervane.Grant {
+func (inputs *inputs) grantsOf(value gossip.Value) []oleandervane.Grant {
 	grants, err := decodeGrants(value)
 	if err != nil {
-		sight.log.WithError(err).Warn("a value of a peer is dropped")
+		inputs.log.WithError(err).Warn("a value of a peer is dropped")
 		return nil
 	}
 	return grants
@@ -76,12 +76,12 @@
 
 // LostRegions returns the regions whose entry VMs were known and are all dead. A region that was never heard of is
 // not among them.
-func (sight *sight) LostRegions() map[oleandervane.Region]bool {
-	configuration := sight.node.Configuration()
+func (inputs *inputs) LostRegions() map[oleandervane.Region]bool {
+	configuration := inputs.node.Configuration()
 	if configuration == nil {
 		return nil
 	}
-	membership := sight.node.Membership()
+	membership := inputs.node.Membership()
 	view := membership.View()
 	lost := map[oleandervane.Region]bool{}
 	for region := range configuration.Regions {
@@ -94,42 +94,42 @@
 }
 
 // Peers returns nothing: gossip keeps the region's snapshot at most some seconds behind its VMs.
-func (*sight) Peers() []share.PeerShares { return nil }
+func (*inputs) Peers() []share.PeerShares { return nil }
 
 // HomePart returns the whole: requests of the region's own callers are bounded by the slots of its backend servers,
 // which package balance divides among live VMs, and not by the parts of capacity that grants come from.
-func (*sight) HomePart() float64 { return 1 }
+func (*inputs) HomePart() float64 { return 1 }
 
 // Snapshot returns the region's newest snapshot.
-func (sight *sight) Snapshot() (share.Snapshot, bool) {
-	content, _ := sight.node.SteeringSnapshot()
+func (inputs *inputs) Snapshot() (share.Snapshot, bool) {
+	content, _ := inputs.node.SteeringSnapshot()
 	if content == nil {
 		return share.Snapshot{}, false
 	}
 	snapshot, err := share.DecodeSnapshot(content)
 	if err != nil {
-		sight.log.WithError(err).Warn("the steering snapshot cannot be read")
+		inputs.log.WithError(err).Warn("the steering snapshot cannot be read")
 		return share.Snapshot{}, false
 	}
 	return snapshot, true
 }
 
 // Roster returns this VM's view of the owners of its region's capacity.
-func (sight *sight) Roster() grant.RosterView {
-	view := grant.RosterView{Now: sight.timerService.Now(), Listed: sight.listed()}
-	for _, entryVM := range sight.node.Membership().View().Region(sight.self.Region) {
+func (inputs *inputs) Roster() grant.RosterView {
+	view := grant.RosterView{Now: inputs.timerService.Now(), Listed: inputs.listed()}
+	for _, entryVM := range inputs.node.Membership().View().Region(inputs.self.Region) {
 		view.Alive = append(view.Alive, entryVM.ID)
 	}
-	for _, value := range sight.node.Values(topicPeerCount) {
-		peerCount, err := sight.counts.decode(value)
+	for _, value := range inputs.node.Values(topicPeerCount) {
+		peerCount, err := inputs.counts.decode(value)
 		if errors.Is(err, errUnknownLists) {
 			continue
 		}
 		if err != nil {
-			sight.log.WithError(err).Warn("a value of a peer is dropped")
+			inputs.log.WithError(err).Warn("a value of a peer is dropped")
 			continue
 		}
-		if peerCount.VM != sight.self.ID {
+		if peerCount.VM != inputs.self.ID {
 			view.Peers = append(view.Peers, peerCount)
 		}
 	}
@@ -137,17 +137,17 @@
 }
 
 // explain returns what this VM knows that bounds the shares of a flow.
-func (sight *sight) explain(flow oleandervane.Flow) []string {
-	now := sight.timerService.Now()
-	lines := []string{fmt.Sprintf("this VM owns %.3f of the capacity of %s", sight.keeper.Part(), sight.self.Region)}
-	for _, summary := range sight.measurement.Summaries() {
+func (inputs *inputs) explain(flow oleandervane.Flow) []string {
+	now := inputs.timerService.Now()
+	lines := []string{fmt.Sprintf("this VM owns %.3f of the capacity of %s", inputs.keeper.Part(), inputs.self.Region)}
+	for _, summary := range inputs.measurement.Summaries() {
 		if summary.Service == flow.Service {
 			lines = append(lines, fmt.Sprintf("%s: capacity %.0f/s, used %.0f/s, demand %.0f/s, %.0f%% of instances covered, %.1f s old",
 				summary.Region, summary.CapacityPerSecond, summary.UsedPerSecond, summary.DemandPerSecond,
 				100*summary.Coverage, now.Sub(summary.MeasuredAt).Seconds()))
 		}
 	}
-	for _, grant := range sight.Grants() {
+	for _, grant := range inputs.Grants() {
 		if grant.Service == flow.Service && grant.From == flow.Home {
 			lines = append(lines, fmt.Sprintf("%s grants %.1f/s for %.1f s", grant.To, grant.PerSecond, grant.ExpiresAt.Sub(now).Seconds()))
 		}
@@ -157,50 +157,50 @@
 
 // listed returns the entry VMs of this VM's region that the newest known read of the platform's list named. Only some
 // VMs read the list; the others know of it from them.
-func (sight *sight) listed() []oleandervane.VMID {
-	listing := sight.vmList.newest()
-	for _, value := range sight.node.Values(topicListedVMs) {
-		if value.Owner != string(sight.self.Region) || !value.WrittenAt.After(listing.ReadAt) {
+func (inputs *inputs) listed() []oleandervane.VMID {
+	listing := inputs.vmList.newest()
+	for _, value := range inputs.node.Values(topicListedVMs) {
+		if value.Owner != string(inputs.self.Region) || !value.WrittenAt.After(listing.ReadAt) {
 			continue
 		}
 		vmIDs, err := decodeListedVMs(value)
 		if err != nil {
-			sight.log.WithError(err).Warn("a value of a peer is dropped")
+			inputs.log.WithError(err).Warn("a value of a peer is dropped")
 			continue
 		}
 		return vmIDs
 	}
-	return listedIn(listing, sight.self.Region)
+	return listedIn(listing, inputs.self.Region)
 }
 
-// publish shares whom this VM counts, and the region's grants if this VM is chosen to speak for it. Only the refresh
+// publish shares whom this VM counts, and the region's grants if this VM is chosen to publish them. Only the refresh
 // calls it.
-func (sight *sight) publish(now time.Time) {
-	if now.Sub(sight.publishedAt) < publishPeriod {
+func (inputs *inputs) publish(now time.Time) {
+	if now.Sub(inputs.publishedAt) < publishPeriod {
 		return
 	}
-	sight.publishedAt = now
-	sight.node.Publish(topicPeerCount, gossip.RegionScope, sight.counts.encode(sight.keeper.Count(), now), peerCountLife)
-	if listing, fresh := sight.vmList.takeFresh(); fresh {
-		content := encodeListedVMs(listedIn(listing, sight.self.Region))
-		sight.node.PublishForRegion(topicListedVMs, gossip.RegionScope, content, listedVMsLife)
+	inputs.publishedAt = now
+	inputs.node.Publish(topicPeerCount, gossip.RegionScope, inputs.counts.encode(inputs.keeper.Count(), now), peerCountLife)
+	if listing, fresh := inputs.vmList.takeFresh(); fresh {
+		content := encodeListedVMs(listedIn(listing, inputs.self.Region))
+		inputs.node.PublishForRegion(topicListedVMs, gossip.RegionScope, content, listedVMsLife)
 	}
-	if !sight.node.Chosen(grantSpeaker) {
+	if !inputs.node.Chosen(grantPublisher) {
 		return
 	}
-	configuration := sight.node.Configuration()
+	configuration := inputs.node.Configuration()
 	if configuration == nil {
 		return
 	}
-	grants := scaleGrants(sight.keeper.Grants(), sight.holders())
-	grants = sight.grantFilter.needed(now, configuration, grants, sight.Summaries(), sight.LostRegions())
-	sight.node.PublishForRegion(topicGrant, gossip.FleetScope, encodeGrants(sight.self.Region, grants, now), grantLife)
+	grants := scaleGrants(inputs.keeper.Grants(), inputs.holders())
+	grants = inputs.grantFilter.needed(now, configuration, grants, inputs.Summaries(), inputs.LostRegions())
+	inputs.node.PublishForRegion(topicGrant, gossip.FleetScope, encodeGrants(inputs.self.Region, grants, now), grantLife)
 }
 
 // holders returns how many VMs of the region say that they own a part of its capacity, this one included.
-func (sight *sight) holders() int {
+func (inputs *inputs) holders() int {
 	holders := 1
-	for _, peerCount := range sight.Roster().Peers {
+	for _, peerCount := range inputs.Roster().Peers {
 		if peerCount.Holds {
 			holders++
 		}
@@ -209,17 +209,17 @@
 }
 
 // exchangeQuarantine shares the request fingerprints that this VM refuses and takes over those of others.
-func (sight *sight) exchangeQuarantine(quarantine *forward.Quarantine) {
+func (inputs *inputs) exchangeQuarantine(quarantine *forward.Quarantine) {
 	if list := quarantine.Export(); len(list) > 0 {
-		sight.node.PublishUrgently(topicQuarantine, gossip.FleetScope, encodeQuarantine(list), quarantineLife)
+		inputs.node.PublishUrgently(topicQuarantine, gossip.FleetScope, encodeQuarantine(list), quarantineLife)
 	}
-	for _, value := range sight.node.Values(topicQuarantine) {
-		if value.Owner == string(sight.self.ID) {
+	for _, value := range inputs.node.Values(topicQuarantine) {
+		if value.Owner == string(inputs.self.ID) {
 			continue
 		}
-		list, err := decodeQuarantine(value, sight.timerService.Now())
+		list, err := decodeQuarantine(value, inputs.timerService.Now())
 		if err != nil {
-			sight.log.WithError(err).Warn("a value of a peer is dropped")
+			inputs.log.WithError(err).Warn("a value of a peer is dropped")
 			continue
 		}
 		quarantine.Import(list)
--- a/entryvm/operations.go
+++ b/entryvm/operations.go
@@ -68,7 +68,7 @@
 	if backendServers, _ := node.BackendServers(); len(backendServers) == 0 {
 		return "no backend server of this region is known"
 	}
-	if !entryVM.steerer.Recalled() {
+	if !entryVM.steerer.Restored() {
 		return "the shares of this region are not known yet"
 	}
 	return ""
@@ -129,6 +129,6 @@
 	if reason, found := entryVM.steerer.Explain()[flow]; found {
 		explanation.Reasons = []string{reason}
 	}
-	explanation.Reasons = append(explanation.Reasons, entryVM.sight.explain(flow)...)
+	explanation.Reasons = append(explanation.Reasons, entryVM.inputs.explain(flow)...)
 	return explanation
 }
--- a/entryvm/parts.go
+++ b/entryvm/parts.go
@@ -114,7 +114,7 @@
 }
 
 func (entryVM *EntryVM) startSteering() {
-	entryVM.sight = &sight{
+	entryVM.inputs = &inputs{
 		self:         entryVM.self,
 		node:         entryVM.daemon.Node,
 		measurement:  entryVM.measurement,
@@ -124,9 +124,9 @@
 		grantFilter:  newGrantFilter(entryVM.drainage),
 		log:          entryVM.log.WithField(FieldPart, "steering"),
 	}
-	entryVM.keeper = grant.NewKeeper(entryVM.self, entryVM.sight, entryVM.drainage)
-	entryVM.sight.keeper = entryVM.keeper
-	entryVM.steerer = share.NewSteerer(entryVM.self, entryVM.sight, share.NewPolicy(entryVM.drainage))
+	entryVM.keeper = grant.NewKeeper(entryVM.self, entryVM.inputs, entryVM.drainage)
+	entryVM.inputs.keeper = entryVM.keeper
+	entryVM.steerer = share.NewSteerer(entryVM.self, entryVM.inputs, share.NewPolicy(entryVM.drainage))
 	entryVM.snapshotSource.Store(entryVM.steerer)
 	entryVM.mix = newMix(entryVM.daemon.Node)
 	entryVM.cancels = append(entryVM.cancels,
@@ -142,7 +142,7 @@
 	entryVM.cancels = append(entryVM.cancels,
 		entryVM.timerService.Every(refreshPeriod, entryVM.refresh),
 		entryVM.timerService.Every(quarantinePeriod, func(time.Time) {
-			entryVM.sight.exchangeQuarantine(entryVM.forwarder.Quarantine())
+			entryVM.inputs.exchangeQuarantine(entryVM.forwarder.Quarantine())
 		}),
 	)
 }
@@ -156,7 +156,7 @@
 		entryVM.backends.Update(backendServers)
 		entryVM.limitAdmission(entryVM.daemon.Node.Configuration())
 	}
-	entryVM.sight.publish(now)
+	entryVM.inputs.publish(now)
 }
 
 // stopIfSuperseded ends this run when peers know of a later one with the same id. Peers ignore what this one says of
--- a/entryvm/topic.go
+++ b/entryvm/topic.go
@@ -30,8 +30,8 @@
 	listedVMsLife  = time.Hour
 )
 
-// grantSpeaker is the purpose for which one VM of a region is chosen to tell the fleet of the region's grants.
-const grantSpeaker = "grant_speaker"
+// grantPublisher is the purpose for which one VM of a region is chosen to publish the region's grants.
+const grantPublisher = "grant_publisher"
 
 func encodeQuarantine(list []forward.Quarantined) []byte {
 	message := &peer.Quarantine{}
--- a/entryvm/topic_test.go
+++ b/entryvm/topic_test.go
@@ -102,7 +102,7 @@
 		{32 * time.Minute, summary(10), false, 0},
 		{33 * time.Minute, summary(10), true, 1},
 		{50 * time.Minute, summary(10), false, 0},
-		{time.Hour - needLead, summary(10), false, 1},
+		{time.Hour - drainLead, summary(10), false, 1},
 	}
 	for _, step := range steps {
 		needed := filter.needed(now.Add(step.at), &configuration, grants, step.summaries, map[oleandervane.Region]bool{"huye": step.lost})
@@ -113,7 +113,7 @@
 // Measures what steering shares at the size of 450 VMs: 41 VMs in a region, 11 regions, 12 services, while 3 regions
 // need room everywhere.
 func TestFigureTopicBytes(t *testing.T) {
-	const vms, regions, services, needyRegions = 41, 11, 12, 3
+	const vms, regions, services, fullRegions = 41, 11, 12, 3
 	count := grant.PeerCount{Holds: true}
 	for number := range vms {
 		count.Counted = append(count.Counted, oleandervane.VMID(fmt.Sprintf("occidente-b-%03d", number)))
@@ -123,7 +123,7 @@
 	digest := len(counts.encode(count, now.Add(completeAfterChange)))
 	var grants []oleandervane.Grant
 	for service := range services {
-		for region := range needyRegions {
+		for region := range fullRegions {
 			grants = append(grants, oleandervane.Grant{
 				Service:   oleandervane.ServiceName(fmt.Sprintf("pronostico-%d", service)),
 				From:      oleandervane.Region(fmt.Sprintf("occidente-%d", region)),
--- a/fleet/gossip/node.go
+++ b/fleet/gossip/node.go
@@ -17,7 +17,7 @@
 
 // Times and counts of a Node.
 const (
-	pulsePeriod = time.Second
+	tickPeriod = time.Second
 	// pushFanOut is the number of peers that a new revision or an urgent value goes to.
 	pushFanOut  = 4
 	pushTimeout = 400 * time.Millisecond
@@ -95,7 +95,7 @@
 		TimerService: settings.TimerService,
 		Transport:    settings.Transport,
 		Random:       rand.New(rand.NewPCG(settings.Random.Uint64(), settings.Random.Uint64())),
-		Rider:        rider{node},
+		Piggyback:    piggyback{node},
 		Seeds:        settings.Seeds,
 		Changed:      settings.VMsChanged,
 	})
@@ -107,16 +107,16 @@
 	node.membership.Start()
 	node.mutex.Lock()
 	defer node.mutex.Unlock()
-	phase := time.Duration(node.settings.Random.Int64N(int64(pulsePeriod)))
+	phase := time.Duration(node.settings.Random.Int64N(int64(tickPeriod)))
 	node.cancels = append(node.cancels, node.settings.TimerService.After(phase, func(now time.Time) {
-		cancel := node.settings.TimerService.Every(pulsePeriod, node.pulse)
+		cancel := node.settings.TimerService.Every(tickPeriod, node.tick)
 		node.mutex.Lock()
 		if node.stopped {
 			defer cancel()
 		}
 		node.cancels = append(node.cancels, cancel)
 		node.mutex.Unlock()
-		node.pulse(now)
+		node.tick(now)
 	}))
 }
 
@@ -209,7 +209,7 @@
 	}
 }
 
-func (node *Node) pulse(now time.Time) {
+func (node *Node) tick(now time.Time) {
 	node.mutex.Lock()
 	if node.stopped {
 		node.mutex.Unlock()
@@ -217,7 +217,7 @@
 	}
 	node.topics.expire(now)
 	actions := node.fetchNext(now)
-	actions = append(actions, node.watchPulse(now)...)
+	actions = append(actions, node.watchTick(now)...)
 	actions = append(actions, node.snapshotPulse(now)...)
 	actions = append(actions, node.listingPulse(now)...)
 	node.mutex.Unlock()
@@ -260,13 +260,13 @@
 	return node.revisions.fetch(request), nil
 }
 
-// rider adds the node's parts to the packets of the membership.
-type rider struct {
+// piggyback adds the node's parts to the packets of the membership.
+type piggyback struct {
 	node *Node
 }
 
-func (rider rider) Fill(packet, request *peer.Packet, to oleandervane.EntryVM) {
-	node := rider.node
+func (piggyback piggyback) Fill(packet, request *peer.Packet, to oleandervane.EntryVM) {
+	node := piggyback.node
 	now := node.settings.TimerService.Now()
 	node.mutex.Lock()
 	defer node.mutex.Unlock()
@@ -284,8 +284,8 @@
 	packet.TopicValues = node.topics.hot(to.Region, now)
 }
 
-func (rider rider) Receive(packet *peer.Packet, from oleandervane.EntryVM) {
-	node := rider.node
+func (piggyback piggyback) Receive(packet *peer.Packet, from oleandervane.EntryVM) {
+	node := piggyback.node
 	now := node.settings.TimerService.Now()
 	node.mutex.Lock()
 	if packet.Revision != nil && len(node.heardFrom) < peersBeforeStore {
--- a/fleet/gossip/watch.go
+++ b/fleet/gossip/watch.go
@@ -45,8 +45,8 @@
 	restoring bool
 }
 
-// watchPulse starts a watch or a poll when one is due. The caller holds the lock.
-func (node *Node) watchPulse(now time.Time) []action {
+// watchTick starts a watch or a poll when one is due. The caller holds the lock.
+func (node *Node) watchTick(now time.Time) []action {
 	if !node.mayReadStore(now) {
 		return nil
 	}
--- a/fleet/membership/membership.go
+++ b/fleet/membership/membership.go
@@ -15,10 +15,10 @@
 
 // Times and counts of the failure detector. With them a VM that stops is dead in its region after at most
 // 2 s (longest gap between two probes of a VM) + DirectTimeout + IndirectTimeout + SuspicionTimeout +
-// 2 pulses = 4.7 s.
+// 2 ticks = 4.7 s.
 const (
-	// PulsePeriod is how often deadlines are looked at.
-	PulsePeriod = 250 * time.Millisecond
+	// TickPeriod is how often deadlines are looked at.
+	TickPeriod = 250 * time.Millisecond
 	// ProbePeriod is how often a VM probes a peer of its region.
 	ProbePeriod = time.Second
 	// DirectTimeout and IndirectTimeout fit a round trip between the regions that are farthest apart.
@@ -26,7 +26,7 @@
 	IndirectTimeout = 400 * time.Millisecond
 	// SuspicionTimeout is how long a VM has to refute. It covers short pauses and several lost messages.
 	SuspicionTimeout = 1500 * time.Millisecond
-	// PauseThreshold is the gap between two pulses from which on this VM takes itself for paused.
+	// PauseThreshold is the gap between two ticks from which on this VM takes itself for paused.
 	PauseThreshold = time.Second
 	// recoveryTime is how long after a pause this VM doubles the time that others have to refute.
 	recoveryTime = 10 * time.Second
@@ -65,21 +65,21 @@
 	Compare(to netip.AddrPort, request *peer.CompareRequest, timeout time.Duration, done func(*peer.CompareResponse, error))
 }
 
-// Rider adds its own parts to packets and reads those of others. It is called without locks of this package.
-type Rider interface {
+// Piggyback adds its own parts to packets and reads those of others. It is called without locks of this package.
+type Piggyback interface {
 	// Fill adds parts to a packet for a peer; for a response, request is the packet that is answered.
 	Fill(packet, request *peer.Packet, to oleandervane.EntryVM)
 	// Receive reads the parts of a packet.
 	Receive(packet *peer.Packet, from oleandervane.EntryVM)
 }
 
-// Settings are what a Membership needs. All fields but Rider, Seeds and Changed are required.
+// Settings are what a Membership needs. All fields but Piggyback, Seeds and Changed are required.
 type Settings struct {
 	Self         oleandervane.EntryVM
 	TimerService oleandervane.TimerService
 	Transport    Transport
 	Random       *rand.Rand
-	Rider        Rider
+	Piggyback    Piggyback
 	// Seeds are addresses to join through, from the VM's settings.
 	Seeds []netip.AddrPort
 	// Changed is called after the set of VMs or a state changed; it must not block.
@@ -142,16 +142,16 @@
 	timerService := membership.settings.TimerService
 	membership.mutex.Lock()
 	defer membership.mutex.Unlock()
-	phase := time.Duration(membership.settings.Random.Int64N(int64(PulsePeriod)))
+	phase := time.Duration(membership.settings.Random.Int64N(int64(TickPeriod)))
 	cancelPhase := timerService.After(phase, func(now time.Time) {
-		cancel := timerService.Every(PulsePeriod, membership.pulse)
+		cancel := timerService.Every(TickPeriod, membership.tick)
 		membership.mutex.Lock()
 		if membership.stopped {
 			defer cancel()
 		}
 		membership.cancels = append(membership.cancels, cancel)
 		membership.mutex.Unlock()
-		membership.pulse(now)
+		membership.tick(now)
 	})
 	membership.cancels = append(membership.cancels, cancelPhase)
 }
@@ -247,7 +247,7 @@
 	membership.lastPulse = now
 }
 
-func (membership *Membership) pulse(now time.Time) {
+func (membership *Membership) tick(now time.Time) {
 	membership.mutex.Lock()
 	if membership.stopped {
 		membership.mutex.Unlock()
--- a/fleet/membership/spread.go
+++ b/fleet/membership/spread.go
@@ -102,8 +102,8 @@
 	packet.Updates = membership.nextUpdates(to)
 	packet.Regions = membership.regionStates()
 	membership.mutex.Unlock()
-	if membership.settings.Rider != nil {
-		membership.settings.Rider.Fill(packet, request, to)
+	if membership.settings.Piggyback != nil {
+		membership.settings.Piggyback.Fill(packet, request, to)
 	}
 	return packet
 }
@@ -183,8 +183,8 @@
 	}
 	membership.mutex.Unlock()
 	membership.run(actions)
-	if membership.settings.Rider != nil {
-		membership.settings.Rider.Receive(packet, from.VM)
+	if membership.settings.Piggyback != nil {
+		membership.settings.Piggyback.Receive(packet, from.VM)
 	}
 	return from.VM, nil
 }
--- a/steering/comparison/strategy.go
+++ b/steering/comparison/strategy.go
@@ -88,7 +88,7 @@
 }
 
 func (decider *grantDecider) ready() bool {
-	return decider.keeper.Part() > 0 && decider.steerer.Recalled()
+	return decider.keeper.Part() > 0 && decider.steerer.Restored()
 }
 
 func (decider *grantDecider) publish(published *published) {
@@ -129,8 +129,8 @@
 type budgetSight struct{ *vm }
 
 // Grants returns the room of each region, split by overflow.
-func (sight budgetSight) Grants() []oleandervane.Grant {
-	return budgets(sight.vm, sight.vm.Now())
+func (inputs budgetSight) Grants() []oleandervane.Grant {
+	return budgets(inputs.vm, inputs.vm.Now())
 }
 
 func budgets(vm *vm, now time.Time) []oleandervane.Grant {
@@ -213,9 +213,9 @@
 }
 
 // Peers returns the plan in force.
-func (sight plannerSight) Peers() []share.PeerShares {
-	plan := sight.plan
-	plan.VM, plan.Region, plan.At = "plan", sight.entry.Region, sight.Now()
+func (inputs plannerSight) Peers() []share.PeerShares {
+	plan := inputs.plan
+	plan.VM, plan.Region, plan.At = "plan", inputs.entry.Region, inputs.Now()
 	if plan.Shares == nil {
 		return nil
 	}
--- a/steering/comparison/vm.go
+++ b/steering/comparison/vm.go
@@ -8,7 +8,7 @@
 	"oleandervane.example/steering/share"
 )
 
-// vm is one entry VM of a simulation. It is the sight of its decision code.
+// vm is one entry VM of a simulation. It gives its decision code its inputs.
 type vm struct {
 	fleet  *Fleet
 	entry  oleandervane.EntryVM
--- a/steering/grant/keeper.go
+++ b/steering/grant/keeper.go
@@ -16,8 +16,8 @@
 // Period is the time between two allotments.
 const Period = time.Second
 
-// Sight gives a keeper what it needs to know. Its methods return immutable values and are called once a period.
-type Sight interface {
+// Inputs gives a keeper what it needs to know. Its methods return immutable values and are called once a period.
+type Inputs interface {
 	oleandervane.ConfigurationSource
 	// Summaries are the newest known summaries of all regions.
 	Summaries() []oleandervane.RegionSummary
@@ -30,7 +30,7 @@
 // Keeper owns one VM's part of its region's capacity. Take is safe for concurrent use with everything else.
 type Keeper struct {
 	self     oleandervane.EntryVM
-	sight    Sight
+	inputs   Inputs
 	drainage share.DrainageFunc
 	mutex    sync.Mutex
 	roster   Roster
@@ -87,8 +87,8 @@
 }
 
 // NewKeeper returns a keeper without a part. The drainage of planned drains may be nil.
-func NewKeeper(self oleandervane.EntryVM, sight Sight, drainage share.DrainageFunc) *Keeper {
-	keeper := &Keeper{self: self, sight: sight, drainage: drainage, roster: NewRoster(self.ID)}
+func NewKeeper(self oleandervane.EntryVM, inputs Inputs, drainage share.DrainageFunc) *Keeper {
+	keeper := &Keeper{self: self, inputs: inputs, drainage: drainage, roster: NewRoster(self.ID)}
 	keeper.state.Store(&state{})
 	return keeper
 }
@@ -173,12 +173,12 @@
 func (keeper *Keeper) Tick(now time.Time) {
 	keeper.mutex.Lock()
 	defer keeper.mutex.Unlock()
-	configuration := keeper.sight.Configuration()
+	configuration := keeper.inputs.Configuration()
 	if configuration == nil {
 		return
 	}
-	keeper.roster = keeper.roster.Observe(keeper.sight.Roster())
-	figures := newFigures(configuration, keeper.sight.Summaries())
+	keeper.roster = keeper.roster.Observe(keeper.inputs.Roster())
+	figures := newFigures(configuration, keeper.inputs.Summaries())
 	offered := keeper.count(now, configuration, figures)
 	before := keeper.state.Load()
 	next := &state{
@@ -287,7 +287,7 @@
 	if keeper.drainage != nil {
 		input.Factor = keeper.drainage(now, keeper.self.Region, name).Remaining()
 	}
-	lost := keeper.sight.LostRegions()
+	lost := keeper.inputs.LostRegions()
 	for _, region := range slices.Sorted(maps.Keys(configuration.Regions)) {
 		if region == keeper.self.Region {
 			continue
--- a/steering/grant/keeper_test.go
+++ b/steering/grant/keeper_test.go
@@ -11,10 +11,10 @@
 	"oleandervane.example/timer"
 )
 
-// fakeSight is the sight of the only VM of huye, with one source region.
-type fakeSight struct{ manual *timer.Manual }
+// fakeInputs are the inputs of the only VM of huye, with one source region.
+type fakeInputs struct{ manual *timer.Manual }
 
-func (sight fakeSight) Configuration() *oleandervane.Configuration {
+func (inputs fakeInputs) Configuration() *oleandervane.Configuration {
 	return &oleandervane.Configuration{
 		Regions: map[oleandervane.Region]oleandervane.RegionSettings{"huye": {}, "kigali": {}},
 		Services: map[oleandervane.ServiceName]oleandervane.Service{"ledger": {
@@ -24,25 +24,25 @@
 	}
 }
 
-func (sight fakeSight) Summaries() []oleandervane.RegionSummary {
+func (inputs fakeInputs) Summaries() []oleandervane.RegionSummary {
 	return []oleandervane.RegionSummary{
-		{Region: "huye", Service: "ledger", CapacityPerSecond: 1000, DemandPerSecond: 500, MeasuredAt: sight.manual.Now()},
-		{Region: "kigali", Service: "ledger", CapacityPerSecond: 1000, DemandPerSecond: 1000, MeasuredAt: sight.manual.Now()},
+		{Region: "huye", Service: "ledger", CapacityPerSecond: 1000, DemandPerSecond: 500, MeasuredAt: inputs.manual.Now()},
+		{Region: "kigali", Service: "ledger", CapacityPerSecond: 1000, DemandPerSecond: 1000, MeasuredAt: inputs.manual.Now()},
 	}
 }
 
-func (sight fakeSight) Roster() RosterView {
-	return RosterView{Now: sight.manual.Now(), Alive: []oleandervane.VMID{"huye-000"}, Listed: []oleandervane.VMID{"huye-000"}}
+func (inputs fakeInputs) Roster() RosterView {
+	return RosterView{Now: inputs.manual.Now(), Alive: []oleandervane.VMID{"huye-000"}, Listed: []oleandervane.VMID{"huye-000"}}
 }
 
-func (sight fakeSight) LostRegions() map[oleandervane.Region]bool { return nil }
+func (inputs fakeInputs) LostRegions() map[oleandervane.Region]bool { return nil }
 
 // Guards against a keeper that admits more than the region's capacity less headroom, or more from a source than the
 // shift cap allows, when many goroutines ask at once while allotments change.
 func TestKeeperKeepsRatesUnderConcurrentTakes(t *testing.T) {
 	const seconds, steps, workers, attempts = 25, 20, 4, 25
 	manual := timer.NewManual(start)
-	keeper := NewKeeper(oleandervane.EntryVM{ID: "huye-000", Region: "huye"}, fakeSight{manual}, nil)
+	keeper := NewKeeper(oleandervane.EntryVM{ID: "huye-000", Region: "huye"}, fakeInputs{manual}, nil)
 	defer keeper.Run(manual)()
 	manual.Advance(ViewLag + 2*time.Second)
 	admitted := map[oleandervane.Region]int{}
--- a/steering/share/scene.go
+++ b/steering/share/indexedinput.go
@@ -8,8 +8,8 @@
 	"oleandervane.example"
 )
 
-// scene is a steering input with regions as indices, which keeps a decision cheap at 132 flows.
-type scene struct {
+// indexedInput is a steering input with regions as indices, which keeps a decision cheap at 132 flows.
+type indexedInput struct {
 	input   oleandervane.SteeringInput
 	regions []oleandervane.Region
 	index   map[oleandervane.Region]int
@@ -36,11 +36,11 @@
 	granted [][]float64
 }
 
-func newScene(input oleandervane.SteeringInput) *scene {
+func newIndexedInput(input oleandervane.SteeringInput) *indexedInput {
 	configuration := input.Configuration
 	regions := slices.Sorted(maps.Keys(configuration.Regions))
 	size := len(regions)
-	scene := &scene{
+	indexedInput := &indexedInput{
 		input:     input,
 		regions:   regions,
 		index:     make(map[oleandervane.Region]int, size),
@@ -50,60 +50,60 @@
 		linkBytes: matrix[float64](size),
 	}
 	for i, region := range regions {
-		scene.index[region] = i
-		scene.lost[i] = input.LostRegions[region]
+		indexedInput.index[region] = i
+		indexedInput.lost[i] = input.LostRegions[region]
 	}
-	scene.readLinks(configuration.Links)
+	indexedInput.readLinks(configuration.Links)
 	for home := range regions {
-		scene.near = append(scene.near, scene.groups(home))
+		indexedInput.near = append(indexedInput.near, indexedInput.groups(home))
 	}
-	return scene
+	return indexedInput
 }
 
-func (scene *scene) readLinks(links []oleandervane.Link) {
+func (indexedInput *indexedInput) readLinks(links []oleandervane.Link) {
 	for _, link := range links {
-		from, knownFrom := scene.index[link.From]
-		to, knownTo := scene.index[link.To]
+		from, knownFrom := indexedInput.index[link.From]
+		to, knownTo := indexedInput.index[link.To]
 		if !knownFrom || !knownTo || from == to {
 			continue
 		}
 		seconds := max(link.Delay, shortestDelay).Seconds()
-		scene.part[from][to] = 1 / (seconds * seconds)
-		scene.delay[from][to] = link.Delay
-		scene.linkBytes[from][to] = float64(link.BytesPerSecond)
+		indexedInput.part[from][to] = 1 / (seconds * seconds)
+		indexedInput.delay[from][to] = link.Delay
+		indexedInput.linkBytes[from][to] = float64(link.BytesPerSecond)
 	}
-	for home := range scene.part {
+	for home := range indexedInput.part {
 		total := 0.0
-		for _, weight := range scene.part[home] {
+		for _, weight := range indexedInput.part[home] {
 			total += weight
 		}
-		for to := range scene.part[home] {
+		for to := range indexedInput.part[home] {
 			if total > 0 {
-				scene.part[home][to] /= total
+				indexedInput.part[home][to] /= total
 			}
 		}
 	}
 }
 
 // rooms sorts the summaries and grants of the input by service.
-func (scene *scene) rooms(names []oleandervane.ServiceName, drainage DrainageFunc) []*room {
+func (indexedInput *indexedInput) rooms(names []oleandervane.ServiceName, drainage DrainageFunc) []*room {
 	rooms := make([]*room, len(names))
 	byName := make(map[oleandervane.ServiceName]*room, len(names))
 	for i, name := range names {
-		rooms[i] = scene.newRoom(scene.input.Configuration.Services[name], drainage)
+		rooms[i] = indexedInput.newRoom(indexedInput.input.Configuration.Services[name], drainage)
 		byName[name] = rooms[i]
 	}
-	for _, summary := range scene.input.Summaries {
-		scene.addSummary(byName[summary.Service], summary)
+	for _, summary := range indexedInput.input.Summaries {
+		indexedInput.addSummary(byName[summary.Service], summary)
 	}
-	for _, grant := range scene.input.Grants {
-		scene.addGrant(byName[grant.Service], grant)
+	for _, grant := range indexedInput.input.Grants {
+		indexedInput.addGrant(byName[grant.Service], grant)
 	}
 	return rooms
 }
 
-func (scene *scene) newRoom(service oleandervane.Service, drainage DrainageFunc) *room {
-	size := len(scene.regions)
+func (indexedInput *indexedInput) newRoom(service oleandervane.Service, drainage DrainageFunc) *room {
+	size := len(indexedInput.regions)
 	room := &room{
 		service:  service,
 		heard:    make([]bool, size),
@@ -113,20 +113,20 @@
 		age:      make([]time.Duration, size),
 		granted:  matrix[float64](size),
 	}
-	for i, region := range scene.regions {
+	for i, region := range indexedInput.regions {
 		if drainage != nil {
-			room.drainage[i] = drainage(scene.input.Now, region, service.Name)
+			room.drainage[i] = drainage(indexedInput.input.Now, region, service.Name)
 		}
 	}
 	return room
 }
 
-func (scene *scene) addSummary(room *room, summary oleandervane.RegionSummary) {
-	region, known := scene.index[summary.Region]
+func (indexedInput *indexedInput) addSummary(room *room, summary oleandervane.RegionSummary) {
+	region, known := indexedInput.index[summary.Region]
 	if room == nil || !known {
 		return
 	}
-	age := max(0, scene.input.Now.Sub(summary.MeasuredAt))
+	age := max(0, indexedInput.input.Now.Sub(summary.MeasuredAt))
 	if room.heard[region] && room.age[region] <= age {
 		return
 	}
@@ -136,10 +136,10 @@
 	room.demand[region] = positive(summary.DemandPerSecond)
 }
 
-func (scene *scene) addGrant(room *room, grant oleandervane.Grant) {
-	from, knownFrom := scene.index[grant.From]
-	to, knownTo := scene.index[grant.To]
-	if room == nil || !knownFrom || !knownTo || !grant.ExpiresAt.After(scene.input.Now) {
+func (indexedInput *indexedInput) addGrant(room *room, grant oleandervane.Grant) {
+	from, knownFrom := indexedInput.index[grant.From]
+	to, knownTo := indexedInput.index[grant.To]
+	if room == nil || !knownFrom || !knownTo || !grant.ExpiresAt.After(indexedInput.input.Now) {
 		return
 	}
 	room.granted[from][to] += positive(grant.PerSecond)
--- a/steering/share/policy.go
+++ b/steering/share/policy.go
@@ -58,14 +58,14 @@
 		decision.Shares = input.Shares
 		return decision
 	}
-	scene := newScene(input)
+	indexedInput := newIndexedInput(input)
 	names := slices.Sorted(maps.Keys(input.Configuration.Services))
-	rooms := scene.rooms(names, policy.drainage)
-	for home := range scene.regions {
-		plans := policy.planHome(scene, rooms, home)
+	rooms := indexedInput.rooms(names, policy.drainage)
+	for home := range indexedInput.regions {
+		plans := policy.planHome(indexedInput, rooms, home)
 		for i, plan := range plans {
-			flow := oleandervane.Flow{Service: names[i], Home: scene.regions[home]}
-			decision.Shares[flow] = scene.vector(plan.next)
+			flow := oleandervane.Flow{Service: names[i], Home: indexedInput.regions[home]}
+			decision.Shares[flow] = indexedInput.vector(plan.next)
 			decision.Reasons[flow] = plan.reason
 		}
 	}
@@ -88,35 +88,35 @@
 }
 
 // planHome decides on all flows of a home region together, because they share its links.
-func (policy Policy) planHome(scene *scene, rooms []*room, home int) []*plan {
+func (policy Policy) planHome(indexedInput *indexedInput, rooms []*room, home int) []*plan {
 	plans := make([]*plan, len(rooms))
 	for i, room := range rooms {
-		plans[i] = policy.newPlan(scene, room, home)
+		plans[i] = policy.newPlan(indexedInput, room, home)
 	}
 	if !policy.without.Link {
-		scene.limitLinks(plans, home)
+		indexedInput.limitLinks(plans, home)
 	}
 	for _, plan := range plans {
-		policy.decide(scene, plan)
+		policy.decide(indexedInput, plan)
 	}
 	return plans
 }
 
-func (policy Policy) newPlan(scene *scene, room *room, home int) *plan {
-	flow := oleandervane.Flow{Service: room.service.Name, Home: scene.regions[home]}
+func (policy Policy) newPlan(indexedInput *indexedInput, room *room, home int) *plan {
+	flow := oleandervane.Flow{Service: room.service.Name, Home: indexedInput.regions[home]}
 	plan := &plan{room: room, home: home, gain: gain(room.age[home])}
-	if scene.lost[home] {
+	if indexedInput.lost[home] {
 		// The figures of a lost region stay old. The failover cap bounds the way alone.
 		plan.gain = 1
 	}
 	if policy.without.Damping {
 		plan.gain = undampedGain
 	}
-	plan.current = scene.current(flow, home)
-	plan.past = scene.past(flow, home, room.service.ShiftWindow)
-	plan.limit = policy.limits(scene, plan)
-	plan.cap = scene.capOf(plan)
-	policy.aim(scene, plan)
+	plan.current = indexedInput.current(flow, home)
+	plan.past = indexedInput.past(flow, home, room.service.ShiftWindow)
+	plan.limit = policy.limits(indexedInput, plan)
+	plan.cap = indexedInput.capOf(plan)
+	policy.aim(indexedInput, plan)
 	return plan
 }
 
@@ -129,39 +129,39 @@
 }
 
 // current returns the flow's shares in force; a flow without any is served at home.
-func (scene *scene) current(flow oleandervane.Flow, home int) []float64 {
-	vector, found := scene.input.Shares[flow]
+func (indexedInput *indexedInput) current(flow oleandervane.Flow, home int) []float64 {
+	vector, found := indexedInput.input.Shares[flow]
 	if found {
-		return scene.dense(vector)
+		return indexedInput.dense(vector)
 	}
-	shares := make([]float64, len(scene.regions))
-	if !scene.lost[home] {
+	shares := make([]float64, len(indexedInput.regions))
+	if !indexedInput.lost[home] {
 		shares[home] = 1
 	}
 	return shares
 }
 
-func (scene *scene) dense(vector oleandervane.ShareVector) []float64 {
-	shares := make([]float64, len(scene.regions))
+func (indexedInput *indexedInput) dense(vector oleandervane.ShareVector) []float64 {
+	shares := make([]float64, len(indexedInput.regions))
 	if len(vector) > len(shares)/2 {
-		for i, region := range scene.regions {
+		for i, region := range indexedInput.regions {
 			shares[i] = vector[region]
 		}
 		return shares
 	}
 	for region, share := range vector {
-		if i, known := scene.index[region]; known {
+		if i, known := indexedInput.index[region]; known {
 			shares[i] = share
 		}
 	}
 	return shares
 }
 
-func (scene *scene) vector(shares []float64) oleandervane.ShareVector {
+func (indexedInput *indexedInput) vector(shares []float64) oleandervane.ShareVector {
 	vector := make(oleandervane.ShareVector, 2)
 	for i, share := range shares {
 		if share > 0 {
-			vector[scene.regions[i]] = share
+			vector[indexedInput.regions[i]] = share
 		}
 	}
 	return vector
@@ -169,38 +169,38 @@
 
 // past returns the vectors in force at some time of the shift window, without repetitions. The newest entry that
 // is older than the window was still in force when the window began.
-func (scene *scene) past(flow oleandervane.Flow, home int, window time.Duration) [][]float64 {
+func (indexedInput *indexedInput) past(flow oleandervane.Flow, home int, window time.Duration) [][]float64 {
 	var past [][]float64
-	began := scene.input.Now.Add(-window)
-	for i, earlier := range scene.input.History {
+	began := indexedInput.input.Now.Add(-window)
+	for i, earlier := range indexedInput.input.History {
 		next := i + 1
-		if next < len(scene.input.History) && !scene.input.History[next].From.After(began) {
+		if next < len(indexedInput.input.History) && !indexedInput.input.History[next].From.After(began) {
 			continue
 		}
 		vector, found := earlier.Shares[flow]
 		if !found {
 			continue
 		}
-		shares := scene.dense(vector)
+		shares := indexedInput.dense(vector)
 		if len(past) > 0 && slices.Equal(past[len(past)-1], shares) {
 			continue
 		}
 		past = append(past, shares)
 	}
 	if len(past) == 0 {
-		past = append(past, scene.current(flow, home))
+		past = append(past, indexedInput.current(flow, home))
 	}
 	return past
 }
 
 // limits returns the largest share that each region may have, whatever the cap says. A share above its limit is
 // taken away at once and shed.
-func (policy Policy) limits(scene *scene, plan *plan) []float64 {
-	limit := make([]float64, len(scene.regions))
+func (policy Policy) limits(indexedInput *indexedInput, plan *plan) []float64 {
+	limit := make([]float64, len(indexedInput.regions))
 	room, home := plan.room, plan.home
 	for region := range limit {
 		switch {
-		case scene.lost[region] && !policy.without.LostRegions:
+		case indexedInput.lost[region] && !policy.without.LostRegions:
 			limit[region] = 0
 		case region == home:
 			limit[region] = homeLimit(room, home, policy.without.HomeRoom)
@@ -227,9 +227,9 @@
 }
 
 // capOf returns the cap in force: the failover cap while a lost region serves, or served, part of the flow.
-func (scene *scene) capOf(plan *plan) float64 {
+func (indexedInput *indexedInput) capOf(plan *plan) float64 {
 	service := plan.room.service
-	for region, lost := range scene.lost {
+	for region, lost := range indexedInput.lost {
 		if !lost {
 			continue
 		}
@@ -242,14 +242,14 @@
 
 // aim sets the target: home up to its room, then the nearest regions up to their limits. Regions at the same
 // delay keep what they have and split the rest by free room.
-func (policy Policy) aim(scene *scene, plan *plan) {
+func (policy Policy) aim(indexedInput *indexedInput, plan *plan) {
 	room, home := plan.room, plan.home
-	plan.target = make([]float64, len(scene.regions))
-	if !room.heard[home] && !scene.lost[home] {
+	plan.target = make([]float64, len(indexedInput.regions))
+	if !room.heard[home] && !indexedInput.lost[home] {
 		plan.stand()
 		return
 	}
-	ceiling := make([]float64, len(scene.regions))
+	ceiling := make([]float64, len(indexedInput.regions))
 	for region := range ceiling {
 		ceiling[region] = plan.limit[region] * room.drainage[region].Remaining()
 	}
@@ -258,7 +258,7 @@
 	}
 	plan.target[home] = min(1, ceiling[home])
 	left := 1 - plan.target[home]
-	for _, group := range scene.near[home] {
+	for _, group := range indexedInput.near[home] {
 		left = spread(plan, group, ceiling, left)
 	}
 	left = plan.keep(left)
@@ -297,17 +297,17 @@
 }
 
 // groups returns the regions other than home that are linked to it, in groups of the same delay, nearest first.
-func (scene *scene) groups(home int) [][]int {
+func (indexedInput *indexedInput) groups(home int) [][]int {
 	var order []int
-	for region := range scene.regions {
-		if region != home && scene.part[home][region] > 0 {
+	for region := range indexedInput.regions {
+		if region != home && indexedInput.part[home][region] > 0 {
 			order = append(order, region)
 		}
 	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(scene.delay[home][a], scene.delay[home][b]) })
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(indexedInput.delay[home][a], indexedInput.delay[home][b]) })
 	var groups [][]int
 	for i, region := range order {
-		if i == 0 || scene.delay[home][order[i-1]] != scene.delay[home][region] {
+		if i == 0 || indexedInput.delay[home][order[i-1]] != indexedInput.delay[home][region] {
 			groups = append(groups, nil)
 		}
 		groups[len(groups)-1] = append(groups[len(groups)-1], region)
@@ -341,9 +341,9 @@
 
 // limitLinks lowers limits and targets so that all flows of the home region together fit each link. Services move by
 // steps of different size, so what one leaves is free for another only at the next decision.
-func (scene *scene) limitLinks(plans []*plan, home int) {
-	for region := range scene.regions {
-		capacity := scene.linkBytes[home][region] * linkUse
+func (indexedInput *indexedInput) limitLinks(plans []*plan, home int) {
+	for region := range indexedInput.regions {
+		capacity := indexedInput.linkBytes[home][region] * linkUse
 		if region == home || capacity <= 0 {
 			continue
 		}
@@ -353,12 +353,12 @@
 			used += held * plan.linkBytes()
 			added += max(0, plan.target[region]-held) * plan.linkBytes()
 		}
-		scene.limitLink(plans, region, min(1, capacity/used), min(1, max(0, capacity-used)/added))
+		indexedInput.limitLink(plans, region, min(1, capacity/used), min(1, max(0, capacity-used)/added))
 	}
 }
 
 // limitLink scales what the plans hold of a link, and what they would add.
-func (scene *scene) limitLink(plans []*plan, region int, held, added float64) {
+func (indexedInput *indexedInput) limitLink(plans []*plan, region int, held, added float64) {
 	for _, plan := range plans {
 		base := min(plan.current[region], plan.limit[region])
 		if held < 1 {
@@ -367,7 +367,7 @@
 		}
 		if added < 1 && plan.target[region] > base {
 			plan.target[region] = base + (plan.target[region]-base)*added
-			plan.reason = "the link to " + string(scene.regions[region]) + " is full"
+			plan.reason = "the link to " + string(indexedInput.regions[region]) + " is full"
 		}
 	}
 }
@@ -378,7 +378,7 @@
 }
 
 // decide sets the next vector: limits act at once, and the way to the target is bounded by the gain and the cap.
-func (policy Policy) decide(scene *scene, plan *plan) {
+func (policy Policy) decide(indexedInput *indexedInput, plan *plan) {
 	base := make([]float64, len(plan.current))
 	distance := 0.0
 	for region := range base {
@@ -391,7 +391,7 @@
 		step = 1
 	}
 	if !policy.without.ShiftCap {
-		step = policy.boundStep(scene, plan, base, step)
+		step = policy.boundStep(indexedInput, plan, base, step)
 	}
 	plan.next = base
 	for region := range base {
@@ -404,15 +404,15 @@
 
 // boundStep returns the largest step of at most the given one that keeps the shift from every vector of the window
 // within the cap, and the shift to each receiving region within its part of the cap.
-func (policy Policy) boundStep(scene *scene, plan *plan, base []float64, step float64) float64 {
-	if plan.keepsCap(scene, base, step) {
+func (policy Policy) boundStep(indexedInput *indexedInput, plan *plan, base []float64, step float64) float64 {
+	if plan.keepsCap(indexedInput, base, step) {
 		return step
 	}
 	plan.reason = "the shift cap bounds the way to the target"
 	low, high := 0.0, step
 	for range stepBits {
 		middle := (low + high) / 2
-		if plan.keepsCap(scene, base, middle) {
+		if plan.keepsCap(indexedInput, base, middle) {
 			low = middle
 		} else {
 			high = middle
@@ -421,12 +421,12 @@
 	return low
 }
 
-func (plan *plan) keepsCap(scene *scene, base []float64, step float64) bool {
+func (plan *plan) keepsCap(indexedInput *indexedInput, base []float64, step float64) bool {
 	for _, earlier := range plan.past {
 		shift := 0.0
 		for region := range base {
 			growth := base[region] + step*(plan.target[region]-base[region]) - earlier[region]
-			if region != plan.home && growth > plan.cap*scene.part[plan.home][region]+tolerance {
+			if region != plan.home && growth > plan.cap*indexedInput.part[plan.home][region]+tolerance {
 				return false
 			}
 			shift += max(0, growth)
--- a/steering/share/steerer.go
+++ b/steering/share/steerer.go
@@ -42,8 +42,8 @@
 	Floors map[oleandervane.Flow]oleandervane.ShareVector
 }
 
-// Sight gives a steerer what it needs to know. Its methods return immutable values and are called once a period.
-type Sight interface {
+// Inputs gives a steerer what it needs to know. Its methods return immutable values and are called once a period.
+type Inputs interface {
 	oleandervane.ConfigurationSource
 	// Summaries are the newest known summaries of all regions.
 	Summaries() []oleandervane.RegionSummary
@@ -64,12 +64,12 @@
 // safe for concurrent use with everything else.
 type Steerer struct {
 	self   oleandervane.EntryVM
-	sight  Sight
+	inputs Inputs
 	policy oleandervane.SteeringPolicy
 	mutex  sync.Mutex
 	// startedAt is the time of the first tick.
 	startedAt time.Time
-	recalled  bool
+	restored  bool
 	history   []oleandervane.SharesAt
 	parts     []partAt
 	table     atomic.Pointer[table]
@@ -78,8 +78,8 @@
 var _ oleandervane.RegionChooser = (*Steerer)(nil)
 
 // NewSteerer returns a steerer without memory. Until it has taken shares over, all traffic stays at home.
-func NewSteerer(self oleandervane.EntryVM, sight Sight, policy oleandervane.SteeringPolicy) *Steerer {
-	steerer := &Steerer{self: self, sight: sight, policy: policy}
+func NewSteerer(self oleandervane.EntryVM, inputs Inputs, policy oleandervane.SteeringPolicy) *Steerer {
+	steerer := &Steerer{self: self, inputs: inputs, policy: policy}
 	steerer.table.Store(&table{})
 	return steerer
 }
@@ -89,9 +89,9 @@
 	return timerService.Every(Period, steerer.Tick)
 }
 
-// Recalled says whether the steerer has taken shares over, or has waited long enough to start without.
-func (steerer *Steerer) Recalled() bool {
-	return steerer.table.Load().recalled
+// Restored says whether the steerer has taken shares over, or has waited long enough to start without.
+func (steerer *Steerer) Restored() bool {
+	return steerer.table.Load().restored
 }
 
 // PeerShares returns the shares in force, for peers and for the snapshot.
@@ -108,28 +108,28 @@
 func (steerer *Steerer) Tick(now time.Time) {
 	steerer.mutex.Lock()
 	defer steerer.mutex.Unlock()
-	configuration := steerer.sight.Configuration()
+	configuration := steerer.inputs.Configuration()
 	if configuration == nil {
 		return
 	}
 	if steerer.startedAt.IsZero() {
 		steerer.startedAt = now
 	}
-	if !steerer.recalled {
-		steerer.recall(now)
+	if !steerer.restored {
+		steerer.restore(now)
 	}
-	if !steerer.recalled {
+	if !steerer.restored {
 		return
 	}
 	steerer.forget(now, configuration)
 	input := oleandervane.SteeringInput{
 		Now:           now,
 		Configuration: configuration,
-		Summaries:     steerer.ownedCapacity(now, steerer.sight.Summaries()),
-		Grants:        steerer.sight.Grants(),
+		Summaries:     steerer.ownedCapacity(now, steerer.inputs.Summaries()),
+		Grants:        steerer.inputs.Grants(),
 		Shares:        steerer.table.Load().published.Shares,
 		History:       steerer.history,
-		LostRegions:   steerer.sight.LostRegions(),
+		LostRegions:   steerer.inputs.LostRegions(),
 	}
 	decision := steerer.policy.Decide(input)
 	if len(steerer.history) == 0 || !sameShares(input.Shares, decision.Shares) {
@@ -146,7 +146,7 @@
 
 // ownedCapacity lowers the home region's capacity to what its live VMs own, if that has lasted for partTime.
 func (steerer *Steerer) ownedCapacity(now time.Time, summaries []oleandervane.RegionSummary) []oleandervane.RegionSummary {
-	steerer.parts = append(steerer.parts, partAt{at: now, part: steerer.sight.HomePart()})
+	steerer.parts = append(steerer.parts, partAt{at: now, part: steerer.inputs.HomePart()})
 	for now.Sub(steerer.parts[0].at) > partTime {
 		steerer.parts = steerer.parts[1:]
 	}
@@ -171,10 +171,10 @@
 	return maps.EqualFunc(before, after, maps.Equal[oleandervane.ShareVector, oleandervane.ShareVector])
 }
 
-// recall takes shares from a peer, then from the snapshot. What a VM takes over counts as in force since the beginning
+// restore takes shares from a peer, then from the snapshot. What a VM takes over counts as in force since the beginning
 // of the window at its floor, so that a restart gives no second use of the shift cap.
-func (steerer *Steerer) recall(now time.Time) {
-	if peer, found := newest(steerer.sight.Peers(), steerer.self, now, true); found {
+func (steerer *Steerer) restore(now time.Time) {
+	if peer, found := newest(steerer.inputs.Peers(), steerer.self, now, true); found {
 		steerer.takeOver(now, peer.Shares, peer.Floors)
 		return
 	}
@@ -182,9 +182,9 @@
 	if waited < peerWait {
 		return
 	}
-	snapshot, found := steerer.sight.Snapshot()
+	snapshot, found := steerer.inputs.Snapshot()
 	if !found || now.Sub(snapshot.At) > freshSnapshot {
-		if peer, found := newest(steerer.sight.Peers(), steerer.self, now, false); found {
+		if peer, found := newest(steerer.inputs.Peers(), steerer.self, now, false); found {
 			steerer.takeOver(now, peer.Shares, peer.Floors)
 			return
 		}
@@ -199,9 +199,9 @@
 }
 
 func (steerer *Steerer) takeOver(now time.Time, shares, floors map[oleandervane.Flow]oleandervane.ShareVector) {
-	steerer.recalled = true
+	steerer.restored = true
 	steerer.history = []oleandervane.SharesAt{{From: now, Shares: floors}, {From: now, Shares: shares}}
-	steerer.table.Store(&table{recalled: true, published: PeerShares{Shares: shares}})
+	steerer.table.Store(&table{restored: true, published: PeerShares{Shares: shares}})
 }
 
 // newest returns the newest shares of a peer, of this VM's region or of others.
@@ -236,16 +236,16 @@
 
 func (steerer *Steerer) publish(now time.Time, configuration *oleandervane.Configuration, decision oleandervane.SteeringDecision) {
 	next := &table{
-		recalled: true,
-		ladders:  make(map[oleandervane.Flow]ladder, len(decision.Shares)),
-		reasons:  decision.Reasons,
+		restored:    true,
+		cumulatives: make(map[oleandervane.Flow]cumulative, len(decision.Shares)),
+		reasons:     decision.Reasons,
 		published: PeerShares{
 			VM: steerer.self.ID, Region: steerer.self.Region, At: now,
 			Shares: decision.Shares, Floors: floors(steerer.history),
 		},
 	}
 	for flow, vector := range decision.Shares {
-		next.ladders[flow] = newLadder(configuration, flow, vector)
+		next.cumulatives[flow] = newCumulative(configuration, flow, vector)
 	}
 	steerer.table.Store(next)
 }
@@ -274,14 +274,14 @@
 
 // table is what a steerer publishes. It is immutable.
 type table struct {
-	recalled  bool
-	published PeerShares
-	reasons   map[oleandervane.Flow]string
-	ladders   map[oleandervane.Flow]ladder
+	restored    bool
+	published   PeerShares
+	reasons     map[oleandervane.Flow]string
+	cumulatives map[oleandervane.Flow]cumulative
 }
 
-// ladder maps a point in [0, 1) to a region: home first, then the others by distance, then shed.
-type ladder struct {
+// cumulative maps a point in [0, 1) to a region: home first, then the others by distance, then shed.
+type cumulative struct {
 	regions []oleandervane.Region
 	// upTo has for each region the sum of the shares up to and with it.
 	upTo []float64
@@ -289,7 +289,7 @@
 	full error
 }
 
-func newLadder(configuration *oleandervane.Configuration, flow oleandervane.Flow, vector oleandervane.ShareVector) ladder {
+func newCumulative(configuration *oleandervane.Configuration, flow oleandervane.Flow, vector oleandervane.ShareVector) cumulative {
 	home := flow.Home
 	regions := slices.Sorted(maps.Keys(vector))
 	delay := make(map[oleandervane.Region]time.Duration, len(regions))
@@ -300,7 +300,7 @@
 		}
 	}
 	slices.SortStableFunc(regions, func(a, b oleandervane.Region) int { return int(delay[a] - delay[b]) })
-	result := ladder{regions: regions, upTo: make([]float64, len(regions))}
+	result := cumulative{regions: regions, upTo: make([]float64, len(regions))}
 	sum := 0.0
 	for i, region := range regions {
 		sum += vector[region]
@@ -318,19 +318,19 @@
 // ChooseRegion returns the region that serves the point of a flow. Points are taken by home first and by shed work
 // last, so PointByWeight keeps the heaviest kinds at home. It fails with oleandervane.ErrNoRegion, wrapped.
 func (steerer *Steerer) ChooseRegion(serviceName oleandervane.ServiceName, home oleandervane.Region, point float64) (oleandervane.Region, error) {
-	ladder, found := steerer.table.Load().ladders[oleandervane.Flow{Service: serviceName, Home: home}]
+	cumulative, found := steerer.table.Load().cumulatives[oleandervane.Flow{Service: serviceName, Home: home}]
 	if !found {
 		return home, nil
 	}
-	for i, upTo := range ladder.upTo {
+	for i, upTo := range cumulative.upTo {
 		if point < upTo {
-			return ladder.regions[i], nil
+			return cumulative.regions[i], nil
 		}
 	}
-	if ladder.full == nil {
+	if cumulative.full == nil {
 		return "", oleandervane.ErrNoRegion
 	}
-	return "", ladder.full
+	return "", cumulative.full
 }
 
 func noRegion(serviceName oleandervane.ServiceName, home oleandervane.Region) error {
--- a/steering/share/steerer_test.go
+++ b/steering/share/steerer_test.go
@@ -12,8 +12,8 @@
 	"oleandervane.example/timer"
 )
 
-// fakeSight gives a steerer fixed inputs.
-type fakeSight struct {
+// fakeInputs gives a steerer fixed inputs.
+type fakeInputs struct {
 	summaries []oleandervane.RegionSummary
 	grants    []oleandervane.Grant
 	peers     []PeerShares
@@ -21,24 +21,24 @@
 	lost      map[oleandervane.Region]bool
 }
 
-func (sight *fakeSight) Configuration() *oleandervane.Configuration { return configuration() }
-func (sight *fakeSight) Summaries() []oleandervane.RegionSummary    { return sight.summaries }
-func (sight *fakeSight) Grants() []oleandervane.Grant               { return sight.grants }
-func (sight *fakeSight) LostRegions() map[oleandervane.Region]bool  { return sight.lost }
-func (sight *fakeSight) Peers() []PeerShares                        { return sight.peers }
-func (sight *fakeSight) HomePart() float64                          { return 1 }
-func (sight *fakeSight) Snapshot() (Snapshot, bool) {
-	if sight.snapshot == nil {
+func (inputs *fakeInputs) Configuration() *oleandervane.Configuration { return configuration() }
+func (inputs *fakeInputs) Summaries() []oleandervane.RegionSummary    { return inputs.summaries }
+func (inputs *fakeInputs) Grants() []oleandervane.Grant               { return inputs.grants }
+func (inputs *fakeInputs) LostRegions() map[oleandervane.Region]bool  { return inputs.lost }
+func (inputs *fakeInputs) Peers() []PeerShares                        { return inputs.peers }
+func (inputs *fakeInputs) HomePart() float64                          { return 1 }
+func (inputs *fakeInputs) Snapshot() (Snapshot, bool) {
+	if inputs.snapshot == nil {
 		return Snapshot{}, false
 	}
-	return *sight.snapshot, true
+	return *inputs.snapshot, true
 }
 
 var flow = oleandervane.Flow{Service: "ledger", Home: "kigali"}
 
-func begin(sight *fakeSight) (*Steerer, *timer.Manual) {
+func begin(inputs *fakeInputs) (*Steerer, *timer.Manual) {
 	manual := timer.NewManual(start)
-	steerer := NewSteerer(oleandervane.EntryVM{ID: "kigali-000", Region: "kigali"}, sight, NewPolicy(nil))
+	steerer := NewSteerer(oleandervane.EntryVM{ID: "kigali-000", Region: "kigali"}, inputs, NewPolicy(nil))
 	steerer.Run(manual)
 	return steerer, manual
 }
@@ -51,32 +51,32 @@
 // wrong source.
 func TestTakesSharesOver(t *testing.T) {
 	for name, test := range map[string]struct {
-		sight   fakeSight
+		inputs  fakeInputs
 		seconds int
 		away    float64
 	}{
-		"peer of the region": {fakeSight{peers: []PeerShares{
+		"peer of the region": {fakeInputs{peers: []PeerShares{
 			{VM: "huye-000", Region: "huye", At: start.Add(2 * time.Second), Shares: shares(0.9, 0.1)},
 			{VM: "kigali-001", Region: "kigali", At: start, Shares: shares(0.7, 0.3)},
 		}}, 1, 0.3},
-		"snapshot": {fakeSight{snapshot: &Snapshot{At: start, Shares: shares(0.6, 0.4)}}, 4, 0.4},
-		"other region, since the snapshot is old": {fakeSight{
+		"snapshot": {fakeInputs{snapshot: &Snapshot{At: start, Shares: shares(0.6, 0.4)}}, 4, 0.4},
+		"other region, since the snapshot is old": {fakeInputs{
 			snapshot: &Snapshot{At: start.Add(-time.Hour), Shares: shares(0.6, 0.4)},
 			peers:    []PeerShares{{VM: "huye-000", Region: "huye", At: start, Shares: shares(0.9, 0.1)}},
 		}, 4, 0.1},
-		"nothing":        {fakeSight{}, 9, 0},
-		"too old a peer": {fakeSight{peers: []PeerShares{{VM: "kigali-001", Region: "kigali", At: start.Add(-time.Minute), Shares: shares(0.7, 0.3)}}}, 9, 0},
+		"nothing":        {fakeInputs{}, 9, 0},
+		"too old a peer": {fakeInputs{peers: []PeerShares{{VM: "kigali-001", Region: "kigali", At: start.Add(-time.Minute), Shares: shares(0.7, 0.3)}}}, 9, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			test.sight.grants = []oleandervane.Grant{{Service: "ledger", From: "kigali", To: "huye", PerSecond: 50, ExpiresAt: start.Add(time.Hour)}}
-			steerer, manual := begin(&test.sight)
+			test.inputs.grants = []oleandervane.Grant{{Service: "ledger", From: "kigali", To: "huye", PerSecond: 50, ExpiresAt: start.Add(time.Hour)}}
+			steerer, manual := begin(&test.inputs)
 			manual.Advance(time.Duration(test.seconds-1) * time.Second)
-			assert.Assert(t, !steerer.Recalled())
+			assert.Assert(t, !steerer.Restored())
 			region, err := steerer.ChooseRegion("ledger", "kigali", 0.99)
 			assert.NilError(t, err)
 			assert.Equal(t, region, oleandervane.Region("kigali"))
 			manual.Advance(time.Second)
-			assert.Assert(t, steerer.Recalled())
+			assert.Assert(t, steerer.Restored())
 			assert.Equal(t, steerer.PeerShares().Shares[flow]["huye"], test.away)
 		})
 	}
@@ -85,11 +85,11 @@
 // Guards against shares that change while measurements are missing (I4): the last decision stands as long as
 // grants do, and goes home within the cap when they have expired.
 func TestLastDecisionStandsWithoutFigures(t *testing.T) {
-	sight := &fakeSight{
+	inputs := &fakeInputs{
 		peers:  []PeerShares{{VM: "kigali-001", Region: "kigali", At: start, Shares: shares(0.7, 0.3)}},
 		grants: []oleandervane.Grant{{Service: "ledger", From: "kigali", To: "huye", PerSecond: 50, ExpiresAt: start.Add(time.Minute)}},
 	}
-	steerer, manual := begin(sight)
+	steerer, manual := begin(inputs)
 	manual.Advance(59 * time.Second)
 	assert.Equal(t, steerer.PeerShares().Shares[flow]["huye"], 0.3)
 	assert.Equal(t, steerer.PeerShares().Shares[flow]["kigali"], 0.7)
