Publish grants at once, and add a load command

Cause: a drain of a region, tried on the demo's processes, left 40% of the traffic at home and shed the rest. Grants live for 5 s and waited for probes on their way, so that a source region lost its room between two of them.

Ruled out: longer grants, which would outlive what a region knows of its load.

Change: the publishing VM pushes the region's grants; of two values for a region the newer counts. oleandervane-standin load sends load by itself.

Conclusion: one cause of two is mended; the demand that huye reports falls as its callers move on to VMs of other regions.

--- a/cmd/oleandervane-demo/scenario.go
+++ b/cmd/oleandervane-demo/scenario.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -15,6 +16,7 @@
 	"oleandervane.example/operator/keys"
 	"oleandervane.example/standin/backendstandin"
 	"oleandervane.example/standin/load"
+	"oleandervane.example/standin/load/callerload"
 	"oleandervane.example/standin/storestandin"
 	"oleandervane.example/timer"
 )
@@ -117,7 +119,7 @@
 // loadRegion sends the streams of callers whose home is one region.
 func (scenario *scenario) loadRegion(ctx context.Context, number int) []load.Result {
 	region := scenario.deployment.regions[number]
-	sender := newSender(scenario.deployment, number)
+	sender := callerload.New(scenario.seeds(), scenario.deployment.address(callerByte+byte(number), callerHost))
 	generator := load.NewGenerator(sender, timer.System{}, string(region))
 	generator.OnCompletion = scenario.ledger.record
 	burst := make(chan []load.Result, 1)
@@ -136,16 +138,25 @@
 	}
 	results := generator.Run(ctx, streams, scenario.options.Seed+uint64(number))
 	results = append(results, <-burst...)
-	scenario.note("callers of %s were served in %s", region, sender.servedIn())
+	scenario.note("callers of %s were served in %s", region, sender.ServedIn())
 	return results
 }
 
+// seeds returns the addresses at which callers look entry VMs up.
+func (scenario *scenario) seeds() []netip.AddrPort {
+	var seeds []netip.AddrPort
+	for _, entryVM := range scenario.deployment.entryVMs() {
+		seeds = append(seeds, entryVM.CallerAddress)
+	}
+	return seeds
+}
+
 // burstFactor is how much more the first region asks of its first kind of request during the burst. With it the
 // region's demand is above what its backend servers may carry, and a part has to be served elsewhere.
 const burstFactor = 4
 
 // loadBurst sends the burst of callers of one region, once the planned stops are over.
-func (scenario *scenario) loadBurst(ctx context.Context, sender *sender, number int) []load.Result {
+func (scenario *scenario) loadBurst(ctx context.Context, sender *callerload.Sender, number int) []load.Result {
 	if number > 0 {
 		return nil
 	}
--- a/cmd/oleandervane-standin/main.go
+++ b/cmd/oleandervane-standin/main.go
@@ -14,6 +14,7 @@
 	addCommand(parser, "backend", "Run a backend server", "Serves requests on a few slots; POST /fault changes its faults.", &backendCommand{})
 	addCommand(parser, "store", "Run the platform's store", "Keeps values in memory; PUT /v1/faults changes its faults.", &storeCommand{})
 	addCommand(parser, "vm-list", "Run the platform's VM list", "PUT /v1/vms sets the list; PUT /v1/faults changes its faults.", &vmListCommand{})
+	addCommand(parser, "load", "Send load", "Sends requests at a rate through the library for callers and prints their outcomes.", &loadCommand{})
 	program.Parse(parser)
 }
 
--- a/entryvm/granttopic.go
+++ b/entryvm/granttopic.go
@@ -1,6 +1,7 @@
 package entryvm
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -42,6 +43,32 @@
 	return marshal(message)
 }
 
+// heardGrants are the grants of one value.
+type heardGrants struct {
+	writtenAt time.Time
+	grants    []oleandervane.Grant
+}
+
+// newestGrants returns the grants of each region but this VM's from the newest value that was heard. For a moment two
+// VMs of a region may both publish them.
+func newestGrants(heard []heardGrants, self oleandervane.Region) []oleandervane.Grant {
+	newest := map[oleandervane.Region]heardGrants{}
+	for _, candidate := range heard {
+		if len(candidate.grants) == 0 {
+			continue
+		}
+		region := candidate.grants[0].To
+		if region != self && candidate.writtenAt.After(newest[region].writtenAt) {
+			newest[region] = candidate
+		}
+	}
+	var grants []oleandervane.Grant
+	for _, region := range slices.Sorted(maps.Keys(newest)) {
+		grants = append(grants, newest[region].grants...)
+	}
+	return grants
+}
+
 // indexOf returns the index of a name, which it adds if it is new.
 func indexOf(names *[]string, name string) uint32 {
 	index := slices.Index(*names, name)
--- a/entryvm/inputs.go
+++ b/entryvm/inputs.go
@@ -55,23 +55,16 @@
 
 // Grants returns the grants of all regions, and this VM's own, which it needs for callers whose home region is lost.
 func (inputs *inputs) Grants() []oleandervane.Grant {
-	var grants []oleandervane.Grant
+	var heard []heardGrants
 	for _, value := range inputs.node.Values(topicGrant) {
-		if value.Owner == string(inputs.self.Region) {
+		grants, err := decodeGrants(value)
+		if err != nil {
+			inputs.log.WithError(err).Warn("a value of a peer is dropped")
 			continue
 		}
-		grants = append(grants, inputs.grantsOf(value)...)
+		heard = append(heard, heardGrants{writtenAt: value.WrittenAt, grants: grants})
 	}
-	return append(grants, inputs.keeper.Grants()...)
-}
-
-func (inputs *inputs) grantsOf(value gossip.Value) []oleandervane.Grant {
-	grants, err := decodeGrants(value)
-	if err != nil {
-		inputs.log.WithError(err).Warn("a value of a peer is dropped")
-		return nil
-	}
-	return grants
+	return append(newestGrants(heard, inputs.self.Region), inputs.keeper.Grants()...)
 }
 
 // LostRegions returns the regions whose entry VMs were known and are all dead. A region that was never heard of is
@@ -194,7 +187,12 @@
 	}
 	grants := scaleGrants(inputs.keeper.Grants(), inputs.holders())
 	grants = inputs.grantFilter.needed(now, configuration, grants, inputs.Summaries(), inputs.LostRegions())
-	inputs.node.PublishForRegion(topicGrant, gossip.FleetScope, encodeGrants(inputs.self.Region, grants, now), grantLife)
+	if len(grants) == 0 {
+		return
+	}
+	// A grant lives for 5 s. Values that wait for the next probe arrive some seconds late, so that a source would lose
+	// its room between two of them, and its shares would fall back each time.
+	inputs.node.PublishUrgently(topicGrant, gossip.FleetScope, encodeGrants(inputs.self.Region, grants, now), grantLife)
 }
 
 // holders returns how many VMs of the region say that they own a part of its capacity, this one included.
--- a/entryvm/topic_test.go
+++ b/entryvm/topic_test.go
@@ -74,6 +74,19 @@
 	assert.DeepEqual(t, decoded, count)
 }
 
+// Guards against counting a region's grants twice when two of its VMs publish them.
+func TestNewestGrantsOfEachRegionCount(t *testing.T) {
+	older, newer, own := grantOf("ledger", 4, time.Second), grantOf("ledger", 6, time.Second), grantOf("ledger", 9, time.Second)
+	own.To = "huye"
+	grants := newestGrants([]heardGrants{
+		{now, []oleandervane.Grant{older}},
+		{now.Add(time.Second), []oleandervane.Grant{newer}},
+		{now, []oleandervane.Grant{own}},
+		{now, nil},
+	}, "huye")
+	assert.DeepEqual(t, grants, []oleandervane.Grant{newer})
+}
+
 // Guards the room of a source region from before it needs it until its shares are back home.
 func TestGrantsGoWhereRoomIsNeeded(t *testing.T) {
 	configuration := oleandervane.Configuration{}.WithService(oleandervane.Service{Name: "ledger", Headroom: 0.2})
--- a/cmd/oleandervane-demo/sender.go
+++ b/standin/load/callerload/sender.go
@@ -1,4 +1,5 @@
-package main
+// Package callerload sends the requests of package load through the library for callers.
+package callerload
 
 import (
 	"context"
@@ -17,27 +18,25 @@
 	"oleandervane.example/timer"
 )
 
-// sender plays the callers of one region.
-type sender struct {
+// Sender plays the callers of one address. It is safe for concurrent use.
+type Sender struct {
 	client *caller.Client
 
 	mutex  sync.Mutex
 	served map[string]int
 }
 
-func newSender(deployment deployment, number int) *sender {
-	var seeds []netip.AddrPort
-	for _, entryVM := range deployment.entryVMs() {
-		seeds = append(seeds, entryVM.CallerAddress)
+// New returns a sender that looks entry VMs up at the seeds. It sends from the local address if that is valid.
+func New(seeds []netip.AddrPort, localAddress netip.Addr) *Sender {
+	return &Sender{
+		served: map[string]int{},
+		client: caller.New(caller.Settings{Seeds: seeds, LocalAddress: localAddress}, timer.System{}),
 	}
-	return &sender{served: map[string]int{}, client: caller.New(caller.Settings{
-		Seeds:        seeds,
-		LocalAddress: deployment.address(callerByte+byte(number), callerHost),
-	}, timer.System{})}
 }
 
-// Send sends one request.
-func (sender *sender) Send(ctx context.Context, request load.Request) (oleandervane.Outcome, error) {
+// Send sends one request. The identity of a non-idempotent request goes to the backend server, whose journal counts
+// its runs.
+func (sender *Sender) Send(ctx context.Context, request load.Request) (oleandervane.Outcome, error) {
 	header := http.Header{}
 	if !request.Idempotent {
 		header.Set(backendstandin.HeaderFiling, request.Identity)
@@ -48,7 +47,7 @@
 		Idempotent: request.Idempotent,
 		Path:       "/" + request.Identity,
 		Header:     header,
-		Timeout:    requestTimeout,
+		Timeout:    request.Timeout,
 	})
 	if region := response.Header.Get(oleandervane.HeaderServedIn); region != "" {
 		sender.mutex.Lock()
@@ -58,8 +57,8 @@
 	return response.Outcome, err
 }
 
-// servedIn returns the regions that served the callers, with their counts.
-func (sender *sender) servedIn() string {
+// ServedIn returns the regions that served the callers, with their counts.
+func (sender *Sender) ServedIn() string {
 	sender.mutex.Lock()
 	defer sender.mutex.Unlock()
 	var parts []string
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -21,6 +21,8 @@
 	Service    oleandervane.ServiceName
 	Kind       oleandervane.KindName
 	Idempotent bool
+	// Timeout is the time for the whole request.
+	Timeout time.Duration
 	// Identity marks the request in the journals of backend server stand-ins.
 	Identity string
 }
@@ -102,6 +104,7 @@
 			Service:    stream.Service,
 			Kind:       stream.Kind,
 			Idempotent: stream.Idempotent,
+			Timeout:    stream.Timeout,
 			Identity:   fmt.Sprintf("%s-%s-%s-%d", generator.prefix, stream.Service, stream.Kind, sent),
 		}
 		group.Go(func() { generator.send(stream, request, recorder) })
