Keep a caller on its entry VM after a capacity refusal

Cause: in a drain of huye, the demand that huye reported fell from 80/s to 32 to 59/s. Callers took each refusal for a VM that is gone and moved to the next of their list, which ends with a VM of another region; demand is counted by VMs of the home region only, and grants follow the demand.

Ruled out: lost samples of demand; it was 75 to 80/s until the first refusals.

Change: a VM that gives a reason is not moved to the end of the list, unless it says that it does not serve yet.

Figures: new test, requests that reach the first VM after a shed one: 1 of 2 before, 2 of 2 after.

Conclusion: demand stays at the home region; whether the drain is then complete has to be tried again.

--- a/entry/caller/client_test.go
+++ b/entry/caller/client_test.go
@@ -92,7 +92,7 @@
 		}
 		outcome := oleandervane.Answered
 		switch behaviour {
-		case "leaving":
+		case "leaving", "shed":
 			outcome = oleandervane.NotRun
 		case "unknown":
 			outcome = oleandervane.Unknown
@@ -110,8 +110,11 @@
 		writer.Header().Set(oleandervane.HeaderOutcome, string(oleandervane.Answered))
 		_, _ = io.WriteString(writer, "part")
 		return
-	case "leaving":
+	case "leaving", "shed":
 		writer.Header().Set(oleandervane.HeaderOutcome, string(oleandervane.NotRun))
+		if behaviour == "shed" {
+			writer.Header().Set(oleandervane.HeaderReason, behaviour)
+		}
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case "unknown":
@@ -245,6 +248,19 @@
 	}
 }
 
+// Guards against callers that leave an entry VM of their region because it shed a request: in a drain, that moved a
+// third of a region's callers to VMs of other regions.
+func TestShedRequestLeavesOrderOfVMs(t *testing.T) {
+	first, second := newEntryVM(t, "vm0", timer.System{}, "shed"), newEntryVM(t, "vm1", timer.System{})
+	client := newTestClient(t, timer.System{}, first, second)
+	for range 2 {
+		_, err := client.Do(context.Background(), filing())
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, first.requests.Load(), int64(2))
+	assert.Equal(t, second.requests.Load(), int64(1))
+}
+
 // Guards against a silent entry VM taking the whole time of an idempotent request.
 func TestSilentVMLeavesTimeForAnother(t *testing.T) {
 	manual := timer.NewManual(time.Unix(1000, 0))
--- a/entry/caller/request.go
+++ b/entry/caller/request.go
@@ -69,6 +69,9 @@
 	Filing Filing
 }
 
+// reasonStarting is given by an entry VM that does not serve yet.
+const reasonStarting = "no_configuration"
+
 // Do sends a request and returns its complete response. It fails with ErrNotRun, ErrUnknown, ErrResponseLost or
 // ErrNoEntryVM. A non-idempotent request is sent again, with another ticket, only after an entry VM said not_run or
 // when no connection could be opened.
@@ -87,7 +90,9 @@
 		if response.Outcome == oleandervane.Answered {
 			return response, err
 		}
-		client.demote(request.key(), addresses[sends])
+		if response.Reason == "" || response.Reason == reasonStarting {
+			client.demote(request.key(), addresses[sends])
+		}
 		mayHaveRun = mayHaveRun || response.Outcome == oleandervane.Unknown
 		if mayHaveRun && !request.Idempotent {
 			break
