Plan a drain once for all its services, and drop an unused field

Cause: check planned each drain anew for every service although the plan covers all of them, and DrainPlan kept the number of windows that nothing reads any more.

Ruled out: one writeJSON and one kratos server for all programs; their copies are a few lines in modules that do not depend on one another.

Change: package check asks package drain once for each drain; the field Windows is gone. Starts, ends and texts are the same.

Figures: none taken; the scripted findings, diffs and commands pass with unchanged expectations, and lint and vet pass.

Conclusion: the same answers from less work.

--- a/operator/check/drain.go
+++ b/operator/check/drain.go
@@ -18,8 +18,6 @@
 	Home oleandervane.Region
 	// Share is how much of the flow moves, with the failure domains of a region taken as equal.
 	Share float64
-	// Windows is the number of shift windows that the move takes at the cap, each way.
-	Windows int
 	// Start is the latest start of the move away; End is the end of the return.
 	Start time.Time
 	End   time.Time
@@ -56,10 +54,16 @@
 			home = homes[drain.FailureDomain]
 			share = 1 / float64(max(1, len(configuration.Regions[home].FailureDomains)))
 		}
+		start, end, known := planned(configuration, drain)
 		for _, name := range slices.Sorted(maps.Keys(configuration.Services)) {
-			if drain.Service == "" || drain.Service == name {
-				plans = append(plans, drainPlan(configuration, drain, configuration.Services[name], home, share))
+			if drain.Service != "" && drain.Service != name {
+				continue
 			}
+			plan := drainPlan(drain, configuration.Services[name], home, share)
+			if known {
+				plan.Start, plan.End = start, end
+			}
+			plans = append(plans, plan)
 		}
 	}
 	slices.SortStableFunc(plans, func(a, b DrainPlan) int { return a.Start.Compare(b.Start) })
@@ -76,17 +80,13 @@
 	return plans[0].Start, plans[0].ReturnEnd, true
 }
 
-func drainPlan(configuration oleandervane.Configuration, drain oleandervane.Drain, service oleandervane.Service, home oleandervane.Region, share float64) DrainPlan {
-	windows := Windows(share, service.ShiftCap)
-	takes := time.Duration(windows) * service.ShiftWindow
-	result := DrainPlan{
-		Drain: drain, Service: service.Name, Home: home, Share: share, Windows: windows,
+// drainPlan returns the plan of a drain at the cap itself, for drains that entry VMs refuse.
+func drainPlan(drain oleandervane.Drain, service oleandervane.Service, home oleandervane.Region, share float64) DrainPlan {
+	takes := time.Duration(Windows(share, service.ShiftCap)) * service.ShiftWindow
+	return DrainPlan{
+		Drain: drain, Service: service.Name, Home: home, Share: share,
 		Start: drain.EmptyFrom.Add(-takes), End: drain.ReturnAt.Add(takes),
 	}
-	if start, end, ok := planned(configuration, drain); ok {
-		result.Start, result.End = start, end
-	}
-	return result
 }
 
 // Homes returns the region of each failure domain.
