--- a/cmd/oleandervane-hosted/main.go
+++ b/cmd/oleandervane-hosted/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"os"
 
 	"github.com/jessevdk/go-flags"
@@ -31,5 +32,9 @@
 	if err != nil || options.Check {
 		return err
 	}
-	return hosted.New(settings, timer.System{}, os.Stdout).Run()
+	entryVM := hosted.New(settings, timer.System{}, os.Stdout)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go entryVM.Follow(ctx, options.Settings)
+	return entryVM.Run()
 }
--- a/entryvm/hosted/hosted.go
+++ b/entryvm/hosted/hosted.go
@@ -49,7 +49,8 @@
 
 // EntryVM is a hosted entry VM: all parts, joined and ready to run.
 type EntryVM struct {
-	settings     Settings
+	// settings are replaced when the file changes; addresses and identity stay.
+	settings     atomic.Pointer[Settings]
 	timerService oleandervane.TimerService
 	log          *logrus.Entry
 	logWriter    *logWriter
@@ -67,7 +68,8 @@
 // New returns an entry VM that logs to output. It opens no connection before Run.
 func New(settings Settings, timerService oleandervane.TimerService, output io.Writer) *EntryVM {
 	self := settings.Self(incarnation.New(timerService.Now()))
-	entryVM := &EntryVM{settings: settings, timerService: timerService, logWriter: newLogWriter(output)}
+	entryVM := &EntryVM{timerService: timerService, logWriter: newLogWriter(output)}
+	entryVM.settings.Store(&settings)
 	entryVM.log = newLogger(settings, entryVM.logWriter).WithFields(logrus.Fields{
 		"vm": self.ID, "incarnation": self.Incarnation, "failure_domain": self.FailureDomain,
 	})
@@ -124,7 +126,7 @@
 
 // retryBase is this VM's part of the retries that all VMs may make beyond the ratio.
 func (entryVM *EntryVM) retryBase() float64 {
-	return retryBaseShare * entryVM.settings.Retries.Base / float64(len(entryVM.roster.EntryVMs()))
+	return retryBaseShare * entryVM.settings.Load().Retries.Base / float64(len(entryVM.roster.EntryVMs()))
 }
 
 // retryBaseShare leaves room for VMs that have just died and are still counted, or were replaced and start with a
@@ -141,26 +143,27 @@
 
 // Run starts the VM and serves until it is told to stop by a signal; it then drains and returns.
 func (entryVM *EntryVM) Run() error {
+	settings := *entryVM.settings.Load()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go entryVM.watcher.Run(ctx)
 	go entryVM.roster.Run(ctx)
-	callerServer := webserver.New(entryVM.settings.CallerAddress.String(), entryVM.reception)
+	callerServer := webserver.New(settings.CallerAddress.String(), entryVM.reception)
 	callerServer.IdleTimeout, callerServer.ReadHeaderTimeout = callerIdleLimit, headerLimit
 	app := kratos.New(
-		kratos.ID(string(entryVM.settings.ID)),
+		kratos.ID(string(settings.ID)),
 		kratos.Name("oleandervane-hosted"),
 		kratos.Logger(webserver.Logger(entryVM.log)),
 		kratos.Server(
 			callerServer,
-			entryVM.server(entryVM.settings.DirectoryAddress, doorway.DirectoryHandler(entryVM)),
-			entryVM.server(entryVM.settings.ReadinessAddress, doorway.ReadinessHandler(entryVM.unready)),
-			entryVM.server(entryVM.settings.OperationsAddress, entryVM.operationsHandler()),
+			entryVM.server(settings.DirectoryAddress, doorway.DirectoryHandler(entryVM)),
+			entryVM.server(settings.ReadinessAddress, doorway.ReadinessHandler(entryVM.unready)),
+			entryVM.server(settings.OperationsAddress, entryVM.operationsHandler()),
 		),
-		kratos.StopTimeout(time.Duration(entryVM.settings.StopLimit)-acceptTime-stopMargin),
+		kratos.StopTimeout(time.Duration(settings.StopLimit)-acceptTime-stopMargin),
 		kratos.BeforeStop(func(context.Context) error { entryVM.drain(); return nil }),
 	)
-	entryVM.log.WithField("settings", entryVM.settings).Info("entry VM starts")
+	entryVM.log.WithField("settings", settings).Info("entry VM starts")
 	err := app.Run()
 	entryVM.forwarder.Close()
 	entryVM.log.WithField("in_flight", entryVM.reception.InFlight()).Info("entry VM has stopped")
@@ -177,7 +180,7 @@
 	entryVM.stopping.Store(true)
 	now := entryVM.timerService.Now()
 	entryVM.log.Info("entry VM leaves")
-	entryVM.reception.Stop(now.Add(time.Duration(entryVM.settings.StopLimit) - stopMargin))
+	entryVM.reception.Stop(now.Add(time.Duration(entryVM.settings.Load().StopLimit) - stopMargin))
 	ctx, cancel := context.WithTimeout(context.Background(), leaveLimit)
 	defer cancel()
 	if err := entryVM.roster.Leave(ctx); err != nil {
@@ -198,7 +201,7 @@
 	for _, other := range roster.Nearest(entryVM.roster.EntryVMs(), region, failureDomain) {
 		addresses = append(addresses, other.CallerAddress)
 	}
-	return addresses, time.Duration(entryVM.settings.LookupLifetime)
+	return addresses, time.Duration(entryVM.settings.Load().LookupLifetime)
 }
 
 // unready returns why this VM cannot serve callers, or nothing.
--- a/fleet/registrywatch/watcher.go
+++ b/fleet/registrywatch/watcher.go
@@ -74,6 +74,9 @@
 		case errors.Is(err, oleandervane.ErrHistoryGone):
 			listed = false
 		default:
+			// A watch that was cut may have missed changes that its successor would not bring either, so all is
+			// read again.
+			listed = false
 			watcher.noteFailure(ctx, err)
 		}
 	}
