Speak the platform's store protocol in the one store client and its stand-in

Cause: the product's store client had a protocol of its own beside the platform's calls, so the contract test proved nothing about the platform. Ruled out: a second client under platform/. Change: Get, CompareAndSwap and Watch go through the platform's calls; the stand-in keeps a history, leases, revocation and cut watches. Conclusion: one client, one contract.

--- a/errors.go
+++ b/errors.go
@@ -9,7 +9,6 @@
 	ErrShed             = errors.New("request shed by admission")
 	ErrVersionConflict  = errors.New("the key has another version")
 	ErrStoreUnavailable = errors.New("the store is unavailable")
-	ErrLeaseHeld        = errors.New("the lease is held by another holder")
 	ErrHistoryGone      = errors.New("the store no longer has the changes after that revision")
 	ErrLeaseGone        = errors.New("the lease has ended")
 	ErrValueTooLarge    = errors.New("the value is larger than the store allows")
--- a/fleet/transport/transport_test.go
+++ b/fleet/transport/transport_test.go
@@ -69,14 +69,6 @@
 	}
 }
 
-func (store *memoryStore) AcquireLease(context.Context, string, string, time.Duration) (oleandervane.Lease, error) {
-	return oleandervane.Lease{}, errors.ErrUnsupported
-}
-
-func (store *memoryStore) ReleaseLease(context.Context, oleandervane.Lease) error {
-	return errors.ErrUnsupported
-}
-
 // numberDecoder reads heads that hold only the revision's number.
 type numberDecoder struct{}
 
--- a/platform.go
+++ b/platform.go
@@ -1,9 +1,6 @@
 package oleandervane
 
-import (
-	"context"
-	"time"
-)
+import "context"
 
 // StoreEntry is the value of a key in the platform's store at one version. Version 0 means that the key is absent.
 type StoreEntry struct {
@@ -12,15 +9,6 @@
 	Version uint64
 }
 
-// Lease is a lease on a name in the store. Its holder must not rely on it after ExpiresAt; writes are
-// fenced by compare-and-swap and never by the lease alone.
-type Lease struct {
-	Name      string
-	Holder    string
-	Token     uint64
-	ExpiresAt time.Time
-}
-
 // Store is the platform's key-value service. Each call counts against its rates, a waiting watch as one.
 type Store interface {
 	// Get returns the entry of a key; an absent key has version 0 and no error.
@@ -29,10 +17,6 @@
 	CompareAndSwap(ctx context.Context, key string, version uint64, value []byte) (StoreEntry, error)
 	// Watch waits until the key's version differs from the given one, or ctx ends.
 	Watch(ctx context.Context, key string, version uint64) (StoreEntry, error)
-	// AcquireLease takes or renews a lease for the holder.
-	AcquireLease(ctx context.Context, name, holder string, duration time.Duration) (Lease, error)
-	// ReleaseLease gives a lease up.
-	ReleaseLease(ctx context.Context, lease Lease) error
 }
 
 // VMList is the platform's list of live and leaving VMs, which lags.
--- a/standin/storestandin/handler.go
+++ b/standin/storestandin/handler.go
@@ -1,7 +1,6 @@
 package storestandin
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -12,110 +11,176 @@
 	storeclient "oleandervane.example/platform/store"
 )
 
+// pageItems is the number of items in one page of a listing.
+const pageItems = 500
+
 // Handler returns the stand-in as an HTTP service with the protocol of package store. In addition
 // GET and PUT /v1/faults read and set the fault switches, and POST /v1/lapse_leases ends all leases.
 func (store *Store) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/value", store.serveValue)
-	mux.HandleFunc("POST /v1/compare_and_swap", store.serveCompareAndSwap)
-	mux.HandleFunc("GET /v1/watch", store.serveWatch)
-	mux.HandleFunc("POST /v1/lease", store.serveAcquireLease)
-	mux.HandleFunc("POST /v1/lease/release", store.serveReleaseLease)
+	mux.HandleFunc("GET /oleandervane/kv-key", store.serveKey)
+	mux.HandleFunc("GET /oleandervane/kv-range", store.serveRange)
+	mux.HandleFunc("GET /oleandervane/kv-watch", store.serveWatch)
+	mux.HandleFunc("POST /oleandervane/kv-txn", store.serveTransaction)
+	mux.HandleFunc("POST /oleandervane/kv-lease", store.serveGrant)
+	mux.HandleFunc("POST /oleandervane/kv-keep/{lease}", store.serveRenew)
+	mux.HandleFunc("DELETE /oleandervane/kv-lease-end/{lease}", store.serveEnd)
 	mux.HandleFunc("GET /v1/faults", func(writer http.ResponseWriter, _ *http.Request) { writeJSON(writer, store.Faults()) })
 	mux.HandleFunc("PUT /v1/faults", store.serveSetFaults)
 	mux.HandleFunc("POST /v1/lapse_leases", func(http.ResponseWriter, *http.Request) { store.LapseLeases() })
 	return mux
 }
 
-func (store *Store) serveValue(writer http.ResponseWriter, request *http.Request) {
-	entry, err := store.Get(request.Context(), request.URL.Query().Get("key"))
+// item is an entry or a removal on the wire.
+type item struct {
+	Key       string `json:"key"`
+	Value     []byte `json:"value"`
+	Revision  uint64 `json:"revision"`
+	Tombstone bool   `json:"tombstone,omitempty"`
+}
+
+func itemOf(storeEntry oleandervane.StoreEntry, removed bool) item {
+	return item{Key: storeEntry.Key, Value: storeEntry.Value, Revision: storeEntry.Version, Tombstone: removed}
+}
+
+func (store *Store) serveKey(writer http.ResponseWriter, request *http.Request) {
+	storeEntry, err := store.Get(request.Context(), request.URL.Query().Get("key"))
 	if err != nil {
 		writeError(writer, err)
 		return
 	}
-	writeEntry(writer, entry)
-}
-
-func (store *Store) serveCompareAndSwap(writer http.ResponseWriter, request *http.Request) {
-	var body struct {
-		Key     string `json:"key"`
-		Version uint64 `json:"version"`
-		Value   []byte `json:"value"`
-	}
-	if !readJSON(writer, request, &body) {
+	if storeEntry.Version == 0 {
+		http.NotFound(writer, request)
 		return
 	}
-	entry, err := store.CompareAndSwap(request.Context(), body.Key, body.Version, body.Value)
+	writeJSON(writer, itemOf(storeEntry, false))
+}
+
+func (store *Store) serveRange(writer http.ResponseWriter, request *http.Request) {
+	query := request.URL.Query()
+	entries, revision, err := store.List(request.Context(), query.Get("prefix"))
 	if err != nil {
 		writeError(writer, err)
 		return
 	}
+	items := []item{}
+	more := false
+	for _, storeEntry := range entries {
+		if storeEntry.Key <= query.Get("after") {
+			continue
+		}
+		if len(items) == pageItems {
+			more = true
+			break
+		}
+		items = append(items, itemOf(storeEntry, false))
+	}
 	writeJSON(writer, struct {
-		Version uint64 `json:"version"`
-	}{entry.Version})
+		Items    []item `json:"items"`
+		HasMore  bool   `json:"has_more"`
+		Revision uint64 `json:"current_rev"`
+	}{items, more, revision})
 }
 
 func (store *Store) serveWatch(writer http.ResponseWriter, request *http.Request) {
 	query := request.URL.Query()
-	version, err := strconv.ParseUint(query.Get("version"), 10, 64)
+	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
 	if err != nil {
-		http.Error(writer, "version is not a number", http.StatusBadRequest)
+		http.Error(writer, "after is not a number", http.StatusBadRequest)
 		return
 	}
-	waitMs, err := strconv.ParseUint(query.Get("wait_ms"), 10, 32)
+	waitMillis, err := strconv.ParseUint(query.Get("wait_ms"), 10, 32)
 	if err != nil {
 		http.Error(writer, "wait_ms is not a number", http.StatusBadRequest)
 		return
 	}
-	ctx, cancel := context.WithCancel(request.Context())
-	defer cancel()
-	defer store.timerService.After(time.Duration(waitMs)*time.Millisecond, func(time.Time) { cancel() })()
-	entry, err := store.Watch(ctx, query.Get("key"), version)
-	if err != nil && ctx.Err() != nil {
-		writer.WriteHeader(http.StatusNoContent)
-		return
-	}
+	changes, err := store.WatchPrefix(request.Context(), query.Get("prefix"), after, time.Duration(waitMillis)*time.Millisecond)
 	if err != nil {
 		writeError(writer, err)
 		return
 	}
-	writeEntry(writer, entry)
+	events := []item{}
+	for _, storeChange := range changes.Changes {
+		events = append(events, itemOf(storeChange.Entry, storeChange.Removed))
+	}
+	writeJSON(writer, struct {
+		Events   []item `json:"events"`
+		Revision uint64 `json:"current_rev"`
+	}{events, changes.Revision})
 }
 
-func (store *Store) serveAcquireLease(writer http.ResponseWriter, request *http.Request) {
+func (store *Store) serveTransaction(writer http.ResponseWriter, request *http.Request) {
 	var body struct {
-		Name       string `json:"name"`
-		Holder     string `json:"holder"`
-		DurationMs int64  `json:"duration_ms"`
+		Conditions []struct {
+			Key      string `json:"key"`
+			Revision uint64 `json:"revision"`
+		} `json:"precondition"`
+		Writes []struct {
+			Key   string               `json:"key"`
+			Value []byte               `json:"value"`
+			Lease oleandervane.LeaseID `json:"lease"`
+		} `json:"writes"`
+		Removals []string `json:"remove"`
 	}
 	if !readJSON(writer, request, &body) {
 		return
 	}
-	lease, err := store.AcquireLease(request.Context(), body.Name, body.Holder, time.Duration(body.DurationMs)*time.Millisecond)
+	storeTransaction := oleandervane.StoreTransaction{Conditions: map[string]uint64{}, Removals: body.Removals}
+	for _, condition := range body.Conditions {
+		storeTransaction.Conditions[condition.Key] = condition.Revision
+	}
+	for _, write := range body.Writes {
+		storeTransaction.Writes = append(storeTransaction.Writes, oleandervane.StoreWrite{Key: write.Key, Value: write.Value, Lease: write.Lease})
+	}
+	revision, err := store.Commit(request.Context(), storeTransaction)
 	if err != nil {
 		writeError(writer, err)
 		return
 	}
 	writeJSON(writer, struct {
-		Token uint64 `json:"token"`
-	}{lease.Token})
+		Revision uint64 `json:"revision"`
+	}{revision})
 }
 
-func (store *Store) serveReleaseLease(writer http.ResponseWriter, request *http.Request) {
+func (store *Store) serveGrant(writer http.ResponseWriter, request *http.Request) {
 	var body struct {
-		Name   string `json:"name"`
-		Holder string `json:"holder"`
-		Token  uint64 `json:"token"`
+		Seconds float64 `json:"ttl_s_time"`
 	}
 	if !readJSON(writer, request, &body) {
 		return
 	}
-	lease := oleandervane.Lease{Name: body.Name, Holder: body.Holder, Token: body.Token}
-	if err := store.ReleaseLease(request.Context(), lease); err != nil {
+	granted, err := store.GrantLease(request.Context(), time.Duration(body.Seconds*float64(time.Second)))
+	if err != nil {
+		writeError(writer, err)
+		return
+	}
+	writeJSON(writer, struct {
+		Lease   oleandervane.LeaseID `json:"lease"`
+		Seconds float64              `json:"ttl_s_time"`
+	}{granted, body.Seconds})
+}
+
+func (store *Store) serveRenew(writer http.ResponseWriter, request *http.Request) {
+	if err := store.RenewLease(request.Context(), leaseOf(request)); err != nil {
 		writeError(writer, err)
 	}
 }
 
+func (store *Store) serveEnd(writer http.ResponseWriter, request *http.Request) {
+	if err := store.EndLease(request.Context(), leaseOf(request)); err != nil {
+		writeError(writer, err)
+	}
+}
+
+// leaseOf returns the lease in the path; one that is no number is no lease, and 0 never is.
+func leaseOf(request *http.Request) oleandervane.LeaseID {
+	number, err := strconv.ParseUint(request.PathValue("lease"), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return oleandervane.LeaseID(number)
+}
+
 func (store *Store) serveSetFaults(writer http.ResponseWriter, request *http.Request) {
 	var faults Faults
 	if readJSON(writer, request, &faults) {
@@ -132,14 +197,6 @@
 	return true
 }
 
-func writeEntry(writer http.ResponseWriter, entry oleandervane.StoreEntry) {
-	writeJSON(writer, struct {
-		Key     string `json:"key"`
-		Value   []byte `json:"value"`
-		Version uint64 `json:"version"`
-	}{entry.Key, entry.Value, entry.Version})
-}
-
 func writeJSON(writer http.ResponseWriter, body any) {
 	writer.Header().Set("Content-Type", "application/json")
 	// The status is sent by then; a broken connection is all that can fail.
@@ -150,8 +207,12 @@
 // client cannot tell a lost request from a lost answer.
 func writeError(writer http.ResponseWriter, err error) {
 	switch {
-	case errors.Is(err, oleandervane.ErrVersionConflict), errors.Is(err, oleandervane.ErrLeaseHeld):
-		http.Error(writer, err.Error(), http.StatusConflict)
+	case errors.Is(err, oleandervane.ErrVersionConflict):
+		http.Error(writer, err.Error(), http.StatusPreconditionFailed)
+	case errors.Is(err, oleandervane.ErrHistoryGone):
+		http.Error(writer, err.Error(), http.StatusGone)
+	case errors.Is(err, oleandervane.ErrLeaseGone):
+		http.Error(writer, err.Error(), http.StatusNotFound)
 	case errors.Is(err, oleandervane.ErrValueTooLarge):
 		http.Error(writer, err.Error(), http.StatusRequestEntityTooLarge)
 	default:
--- a/standin/storestandin/store.go
+++ b/standin/storestandin/store.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,35 +30,59 @@
 	SkipChanges int `json:"skip_changes"`
 	// StallWatches keeps watches from answering.
 	StallWatches bool `json:"stall_watches"`
+	// CutWatches breaks watches that wait, once.
+	CutWatches bool `json:"cut_watches"`
 }
 
 // Content is what a store stand-in held at one time. It is immutable.
 type Content struct {
-	entries map[string]oleandervane.StoreEntry
-	version uint64
+	entries  map[string]entry
+	revision uint64
 }
 
-// Store is an oleandervane.Store in memory. It is safe for concurrent use.
+// entry is the value of a key, the revision of its last change and the lease that it goes with.
+type entry struct {
+	value    []byte
+	revision uint64
+	lease    oleandervane.LeaseID
+}
+
+// change is one change in the history.
+type change struct {
+	key     string
+	entry   entry
+	removed bool
+}
+
+type lease struct {
+	duration  time.Duration
+	expiresAt time.Time
+}
+
+// Store is the platform's store in memory. It is safe for concurrent use.
 type Store struct {
 	timerService oleandervane.TimerService
 	callCounter  storeclient.CallCounter
 
-	mutex   sync.Mutex
-	faults  Faults
-	entries map[string]oleandervane.StoreEntry
-	version uint64
-	leases  map[string]oleandervane.Lease
-	token   uint64
-	changed chan struct{}
-	waiting int
+	mutex    sync.Mutex
+	faults   Faults
+	entries  map[string]entry
+	revision uint64
+	// history has all changes after droppedUpTo.
+	history     []change
+	droppedUpTo uint64
+	leases      map[oleandervane.LeaseID]lease
+	lastLease   oleandervane.LeaseID
+	changed     chan struct{}
+	waiting     int
 }
 
 // New returns an empty healthy store.
 func New(timerService oleandervane.TimerService) *Store {
 	return &Store{
 		timerService: timerService,
-		entries:      map[string]oleandervane.StoreEntry{},
-		leases:       map[string]oleandervane.Lease{},
+		entries:      map[string]entry{},
+		leases:       map[oleandervane.LeaseID]lease{},
 		changed:      make(chan struct{}),
 	}
 }
@@ -88,30 +114,50 @@
 	store.wake()
 }
 
-// LapseLeases ends all leases at the store, as when their holders were paused past the end. Holders are not told.
+// LapseLeases ends all leases, as when they run out while the store is down. Holders are not told.
 func (store *Store) LapseLeases() {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
-	clear(store.leases)
+	for id := range maps.Clone(store.leases) {
+		store.endLease(id)
+	}
+}
+
+// Revoke removes all keys with the prefix although their leases go on.
+func (store *Store) Revoke(prefix string) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	for _, key := range store.keys(prefix) {
+		store.remove(key)
+	}
+	store.wake()
+}
+
+// DropHistory makes watches after earlier revisions fail.
+func (store *Store) DropHistory() {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.history, store.droppedUpTo = nil, store.revision
 }
 
 // Content returns what the store holds now.
 func (store *Store) Content() Content {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
-	return Content{entries: maps.Clone(store.entries), version: store.version}
+	return Content{entries: maps.Clone(store.entries), revision: store.revision}
 }
 
-// RollBack brings back older content. Versions go back as well and are given again to later writes.
+// RollBack brings back older content. Revisions go back as well and are given again to later writes.
 func (store *Store) RollBack(content Content) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	store.entries = maps.Clone(content.entries)
-	store.version = content.version
+	store.revision = content.revision
+	store.history, store.droppedUpTo = nil, store.revision
 	store.wake()
 }
 
-// Get returns the entry of a key.
+// Get returns the entry of a key; an absent key has version 0 and no error.
 func (store *Store) Get(ctx context.Context, key string) (oleandervane.StoreEntry, error) {
 	store.callCounter.Get.Add(1)
 	if err := store.reach(ctx); err != nil {
@@ -119,158 +165,134 @@
 	}
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
+	store.expire()
 	return store.entry(key), nil
 }
 
+// List returns the entries of all keys with the prefix and the store's revision.
+func (store *Store) List(ctx context.Context, prefix string) ([]oleandervane.StoreEntry, uint64, error) {
+	store.callCounter.List.Add(1)
+	if err := store.reach(ctx); err != nil {
+		return nil, 0, eris.Wrapf(err, "list keys with prefix %q", prefix)
+	}
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.expire()
+	var entries []oleandervane.StoreEntry
+	for _, key := range store.keys(prefix) {
+		entries = append(entries, store.entry(key))
+	}
+	return entries, store.revision, nil
+}
+
 // CompareAndSwap writes value if the key's version is the given one.
 func (store *Store) CompareAndSwap(ctx context.Context, key string, version uint64, value []byte) (oleandervane.StoreEntry, error) {
-	store.callCounter.CompareAndSwap.Add(1)
+	revision, err := store.Commit(ctx, oleandervane.StoreTransaction{
+		Conditions: map[string]uint64{key: version},
+		Writes:     []oleandervane.StoreWrite{{Key: key, Value: value}},
+	})
+	if err != nil {
+		return oleandervane.StoreEntry{}, err
+	}
+	return oleandervane.StoreEntry{Key: key, Value: slices.Clone(value), Version: revision}, nil
+}
+
+// Commit writes a transaction and returns its revision.
+func (store *Store) Commit(ctx context.Context, storeTransaction oleandervane.StoreTransaction) (uint64, error) {
+	store.callCounter.Commit.Add(1)
 	if err := store.reach(ctx); err != nil {
-		return oleandervane.StoreEntry{}, eris.Wrapf(err, "write key %q", key)
+		return 0, eris.Wrap(err, "commit")
 	}
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
+	store.expire()
 	if store.faults.LoseRequests > 0 {
 		store.faults.LoseRequests--
-		return oleandervane.StoreEntry{}, eris.Wrapf(oleandervane.ErrStoreUnavailable, "write key %q: request lost", key)
+		return 0, eris.Wrap(oleandervane.ErrStoreUnavailable, "commit: request lost")
 	}
-	entry, err := store.swap(key, version, value)
-	if err == nil && store.faults.LoseAnswers > 0 {
+	if err := store.check(storeTransaction); err != nil {
+		return 0, eris.Wrap(err, "commit")
+	}
+	store.write(storeTransaction)
+	if store.faults.LoseAnswers > 0 {
 		store.faults.LoseAnswers--
-		return oleandervane.StoreEntry{}, eris.Wrapf(oleandervane.ErrStoreUnavailable, "write key %q: answer lost", key)
+		return 0, eris.Wrap(oleandervane.ErrStoreUnavailable, "commit: answer lost")
 	}
-	return entry, eris.Wrapf(err, "write key %q at version %d", key, version)
+	return store.revision, nil
 }
 
 // Watch waits until the key's version differs from the given one, or ctx ends.
 func (store *Store) Watch(ctx context.Context, key string, version uint64) (oleandervane.StoreEntry, error) {
 	store.callCounter.Watch.Add(1)
-	if err := store.reach(ctx); err != nil {
-		return oleandervane.StoreEntry{}, eris.Wrapf(err, "watch key %q", key)
-	}
-	store.mutex.Lock()
-	defer store.mutex.Unlock()
-	store.waiting++
-	defer func() { store.waiting-- }()
-	for {
-		if store.faults.Down {
-			return oleandervane.StoreEntry{}, eris.Wrapf(oleandervane.ErrStoreUnavailable, "watch key %q", key)
-		}
-		entry := store.entry(key)
-		if entry.Version != version && !store.faults.StallWatches {
-			return entry, nil
-		}
-		if err := store.wait(ctx); err != nil {
-			return oleandervane.StoreEntry{}, eris.Wrapf(err, "watch key %q", key)
-		}
-	}
+	var found oleandervane.StoreEntry
+	err := store.waitFor(ctx, func() (bool, error) {
+		found = store.entry(key)
+		return found.Version != version, nil
+	})
+	return found, eris.Wrapf(err, "watch key %q after version %d", key, version)
 }
 
-// AcquireLease takes or renews a lease for the holder.
-func (store *Store) AcquireLease(ctx context.Context, name, holder string, duration time.Duration) (oleandervane.Lease, error) {
-	store.callCounter.AcquireLease.Add(1)
-	if err := store.reach(ctx); err != nil {
-		return oleandervane.Lease{}, eris.Wrapf(err, "acquire lease %q", name)
-	}
-	store.mutex.Lock()
-	defer store.mutex.Unlock()
-	now := store.timerService.Now()
-	lease, found := store.leases[name]
-	live := found && now.Before(lease.ExpiresAt)
-	if live && lease.Holder != holder {
-		return oleandervane.Lease{}, eris.Wrapf(oleandervane.ErrLeaseHeld, "acquire lease %q", name)
+// WatchPrefix waits for changes of keys with the prefix after a revision, at most for wait.
+func (store *Store) WatchPrefix(ctx context.Context, prefix string, after uint64, wait time.Duration) (oleandervane.StoreChanges, error) {
+	store.callCounter.Watch.Add(1)
+	timed, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if wait > 0 {
+		defer store.timerService.After(wait, func(time.Time) { cancel() })()
 	}
-	if !live {
-		store.token++
-		lease = oleandervane.Lease{Name: name, Holder: holder, Token: store.token}
+	var changes oleandervane.StoreChanges
+	err := store.waitFor(timed, func() (bool, error) {
+		if after < store.droppedUpTo || after > store.revision {
+			return false, oleandervane.ErrHistoryGone
+		}
+		changes = store.changesAfter(prefix, after)
+		return len(changes.Changes) > 0 || wait <= 0, nil
+	})
+	if errors.Is(err, oleandervane.ErrStoreUnavailable) && timed.Err() != nil && ctx.Err() == nil {
+		return changes, nil
 	}
-	lease.ExpiresAt = now.Add(duration)
-	store.leases[name] = lease
-	return lease, nil
+	return changes, eris.Wrapf(err, "watch prefix %q after revision %d", prefix, after)
 }
 
-// ReleaseLease gives a lease up. It fails with ErrLeaseHeld when another holder has it by now.
-func (store *Store) ReleaseLease(ctx context.Context, lease oleandervane.Lease) error {
-	store.callCounter.ReleaseLease.Add(1)
+// GrantLease returns a new lease.
+func (store *Store) GrantLease(ctx context.Context, duration time.Duration) (oleandervane.LeaseID, error) {
+	store.callCounter.GrantLease.Add(1)
 	if err := store.reach(ctx); err != nil {
-		return eris.Wrapf(err, "release lease %q", lease.Name)
+		return 0, eris.Wrap(err, "grant a lease")
 	}
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
-	held, found := store.leases[lease.Name]
-	if !found || !store.timerService.Now().Before(held.ExpiresAt) {
-		return nil
-	}
-	if held.Token != lease.Token {
-		return eris.Wrapf(oleandervane.ErrLeaseHeld, "release lease %q", lease.Name)
-	}
-	delete(store.leases, lease.Name)
-	return nil
+	store.lastLease++
+	store.leases[store.lastLease] = lease{duration: duration, expiresAt: store.timerService.Now().Add(duration)}
+	return store.lastLease, nil
 }
 
-// reach applies the faults that meet a call on its way.
-func (store *Store) reach(ctx context.Context) error {
-	faults := store.Faults()
-	if faults.Delay > 0 {
-		due := make(chan struct{})
-		defer store.timerService.After(faults.Delay, func(time.Time) { close(due) })()
-		select {
-		case <-due:
-		case <-ctx.Done():
-			return eris.Wrapf(oleandervane.ErrStoreUnavailable, "%v", ctx.Err())
-		}
-	}
-	if ctx.Err() != nil {
-		return eris.Wrapf(oleandervane.ErrStoreUnavailable, "%v", ctx.Err())
-	}
-	if faults.Down {
-		return eris.Wrap(oleandervane.ErrStoreUnavailable, "down")
-	}
-	return nil
+// RenewLease renews a lease. It fails with ErrLeaseGone when the lease has ended.
+func (store *Store) RenewLease(ctx context.Context, id oleandervane.LeaseID) error {
+	store.callCounter.RenewLease.Add(1)
+	return store.onLease(ctx, id, func(held lease) {
+		held.expiresAt = store.timerService.Now().Add(held.duration)
+		store.leases[id] = held
+	})
 }
 
-// entry returns a copy, so that callers cannot change what is stored.
-func (store *Store) entry(key string) oleandervane.StoreEntry {
-	entry, found := store.entries[key]
-	if !found {
-		return oleandervane.StoreEntry{Key: key}
-	}
-	entry.Value = append([]byte(nil), entry.Value...)
-	return entry
+// EndLease ends a lease and removes its keys.
+func (store *Store) EndLease(ctx context.Context, id oleandervane.LeaseID) error {
+	store.callCounter.EndLease.Add(1)
+	return store.onLease(ctx, id, func(lease) { store.endLease(id) })
 }
 
-func (store *Store) swap(key string, version uint64, value []byte) (oleandervane.StoreEntry, error) {
-	if len(value) > storeclient.MaxValueBytes {
-		return oleandervane.StoreEntry{}, oleandervane.ErrValueTooLarge
-	}
-	if store.entries[key].Version != version {
-		return oleandervane.StoreEntry{}, oleandervane.ErrVersionConflict
-	}
-	store.version++
-	store.entries[key] = oleandervane.StoreEntry{Key: key, Value: append([]byte(nil), value...), Version: store.version}
-	if store.faults.SkipChanges > 0 {
-		store.faults.SkipChanges--
-		return store.entry(key), nil
+func (store *Store) onLease(ctx context.Context, id oleandervane.LeaseID, act func(held lease)) error {
+	if err := store.reach(ctx); err != nil {
+		return eris.Wrapf(err, "lease %d", id)
 	}
-	store.wake()
-	return store.entry(key), nil
-}
-
-// wake makes waiting watches look again. The mutex is held.
-func (store *Store) wake() {
-	close(store.changed)
-	store.changed = make(chan struct{})
-}
-
-// wait gives up the mutex until the next wake or the end of ctx.
-func (store *Store) wait(ctx context.Context) error {
-	changed := store.changed
-	store.mutex.Unlock()
-	defer store.mutex.Lock()
-	select {
-	case <-changed:
-		return nil
-	case <-ctx.Done():
-		return eris.Wrapf(oleandervane.ErrStoreUnavailable, "%v", ctx.Err())
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.expire()
+	held, found := store.leases[id]
+	if !found {
+		return eris.Wrapf(oleandervane.ErrLeaseGone, "lease %d", id)
 	}
+	act(held)
+	return nil
 }
