--- /dev/null
+++ b/entryvm/hosted/hosted_test.go
@@ -0,0 +1,267 @@
+package hosted
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"oleandervane.example"
+	"oleandervane.example/entryvm/settingsfile"
+	"oleandervane.example/standin/storestandin"
+	"oleandervane.example/timer"
+)
+
+// backend is a backend server of the platform whose answers the test chooses.
+type backend struct {
+	*httptest.Server
+	runs  atomic.Int64
+	serve atomic.Pointer[http.HandlerFunc]
+}
+
+func newBackend(t *testing.T) *backend {
+	t.Helper()
+	backend := &backend{}
+	backend.Server = httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set("X-Request-Id", request.Header.Get("X-Request-Id"))
+		if serve := backend.serve.Load(); serve != nil {
+			(*serve)(writer, request)
+			return
+		}
+		backend.runs.Add(1)
+		writer.Header().Set("X-Response-Signature", "m")
+		_, _ = io.WriteString(writer, request.Method+" "+request.Host+request.URL.Path)
+	}))
+	t.Cleanup(backend.Close)
+	return backend
+}
+
+func (backend *backend) answer(serve http.HandlerFunc) {
+	backend.serve.Store(&serve)
+}
+
+// lockedBuffer is a log that a test reads while it is written.
+type lockedBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (lockedBuffer *lockedBuffer) Write(line []byte) (int, error) {
+	lockedBuffer.mutex.Lock()
+	defer lockedBuffer.mutex.Unlock()
+	return lockedBuffer.buffer.Write(line)
+}
+
+func (lockedBuffer *lockedBuffer) lines(requestID string) []map[string]any {
+	lockedBuffer.mutex.Lock()
+	defer lockedBuffer.mutex.Unlock()
+	var lines []map[string]any
+	for line := range strings.Lines(lockedBuffer.buffer.String()) {
+		var fields map[string]any
+		if json.Unmarshal([]byte(line), &fields) == nil && fields["request_id"] == requestID {
+			lines = append(lines, fields)
+		}
+	}
+	return lines
+}
+
+// site is one VM with a store and backend servers.
+type site struct {
+	store    *storestandin.Store
+	settings Settings
+	log      *lockedBuffer
+	entryVM  *EntryVM
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func newSite(t *testing.T, backends ...*backend) *site {
+	t.Helper()
+	site := &site{store: storestandin.New(timer.System{}), log: &lockedBuffer{}}
+	storeServer := httptest.NewServer(site.store.Handler())
+	t.Cleanup(storeServer.CloseClientConnections)
+	configuration, err := os.ReadFile("testdata/configuration.json")
+	assert.NilError(t, err)
+	site.write(t, "op/config", string(configuration))
+	for i, backend := range backends {
+		site.write(t, fmt.Sprintf("servers/i-%d", i), fmt.Sprintf(
+			`{"service":"ledger","address":%q,"zone":"kigali-a","concurrency_limit":3,"state":"ready"}`, backend.Listener.Addr()))
+	}
+	site.settings = DefaultSettings()
+	site.settings.ID, site.settings.Region, site.settings.FailureDomain = "vm-1", "kigali", "kigali-a"
+	site.settings.FailureDomains = map[oleandervane.FailureDomain]oleandervane.Region{"kigali-a": "kigali"}
+	site.settings.CallerAddress, site.settings.DirectoryAddress = freeAddress(t), freeAddress(t)
+	site.settings.ReadinessAddress, site.settings.OperationsAddress = freeAddress(t), freeAddress(t)
+	site.settings.PeerAddress = freeAddress(t)
+	site.settings.StoreURL = storeServer.URL
+	site.settings.Retries.Base = 100
+	site.settings.ApplyLimit = settingsfile.Duration(100 * time.Millisecond)
+	site.entryVM = New(site.settings, timer.System{}, site.log)
+	go func() { _ = site.entryVM.Run() }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		response, err := http.Get("http://" + site.settings.ReadinessAddress.String() + "/oleandervane/readyz")
+		if err != nil {
+			return poll.Continue("%v", err)
+		}
+		defer response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			return poll.Continue("status %d", response.StatusCode)
+		}
+		return poll.Success()
+	})
+	return site
+}
+
+func (site *site) write(t *testing.T, key, value string) {
+	t.Helper()
+	_, err := site.store.Commit(context.Background(), oleandervane.StoreTransaction{Writes: []oleandervane.StoreWrite{{Key: key, Value: []byte(value)}}})
+	assert.NilError(t, err)
+}
+
+func (site *site) send(t *testing.T, method, path, id string) (status int, body string, header http.Header) {
+	t.Helper()
+	request, err := http.NewRequest(method, "http://"+site.settings.CallerAddress.String()+path, http.NoBody)
+	assert.NilError(t, err)
+	request.Host = "a.example"
+	request.Header.Set("X-Request-Id", id)
+	request.Header.Set("X-Timeout-Ms", "2000")
+	request.AddCookie(&http.Cookie{Name: "X-Affinity-Key", Value: "17"})
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, "", nil
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, "", nil
+	}
+	return response.StatusCode, string(text), response.Header
+}
+
+// Guards against a path that is broken between the daemon's parts.
+func TestRequestIsServed(t *testing.T) {
+	site := newSite(t, newBackend(t))
+	status, body, header := site.send(t, http.MethodGet, "/lohu/1", "r1")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "GET a.example/lohu/1")
+	assert.Equal(t, header.Get("X-Response-Signature"), "m")
+	status, _, _ = site.send(t, http.MethodGet, "/none/1", "r2")
+	assert.Equal(t, status, http.StatusNotFound)
+	response, err := http.Get("http://" + site.settings.DirectoryAddress.String() + "/oleandervane/resolve?name=a.example&region=kigali&zone=kigali-a")
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, strings.TrimSpace(string(text)), fmt.Sprintf(`{"addresses":[%q],"ttl_s":2}`, site.settings.CallerAddress))
+}
+
+// Guards against an unsafe request that runs twice, and against "not run" for one that may have run.
+func TestUnsafeRequestRunsOnce(t *testing.T) {
+	backends := []*backend{newBackend(t), newBackend(t)}
+	site := newSite(t, backends...)
+	var runs atomic.Int64
+	for _, backend := range backends {
+		backend.answer(func(http.ResponseWriter, *http.Request) {
+			runs.Add(1)
+			panic(http.ErrAbortHandler)
+		})
+	}
+	status, _, _ := site.send(t, http.MethodPost, "/pufi/1", "r1")
+	assert.Equal(t, status, http.StatusBadGateway)
+	assert.Equal(t, runs.Load(), int64(1))
+	assert.Equal(t, site.log.lines("r1")[0]["outcome"], "unknown")
+}
+
+// Guards against a safe request that is given up although another server could run it, and against a refusal by a
+// full server that counts as a run.
+func TestRequestGoesToAnotherServer(t *testing.T) {
+	for name, serve := range map[string]http.HandlerFunc{
+		"full": func(writer http.ResponseWriter, _ *http.Request) {
+			writer.Header().Set("X-Not-Executed", "1")
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		},
+		"another server": func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusMisdirectedRequest) },
+	} {
+		for _, path := range []string{"/lohu/1", "/pufi/1"} {
+			t.Run(name+path, func(t *testing.T) {
+				bad, good := newBackend(t), newBackend(t)
+				site := newSite(t, bad, good)
+				bad.answer(serve)
+				method := map[string]string{"/lohu/1": http.MethodGet, "/pufi/1": http.MethodPost}[path]
+				for i := range 4 {
+					status, _, _ := site.send(t, method, path, fmt.Sprint(i))
+					assert.Equal(t, status, http.StatusOK)
+				}
+			})
+		}
+	}
+}
+
+// Guards against wrong bytes that reach a caller as a success.
+func TestSpoiledAnswers(t *testing.T) {
+	only := newBackend(t)
+	site := newSite(t, only)
+	only.answer(func(writer http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(writer, "no mark") })
+	status, body, _ := site.send(t, http.MethodGet, "/lohu/1", "unmarked")
+	assert.Equal(t, status, http.StatusBadGateway)
+	assert.Equal(t, body, "")
+	only.answer(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("X-Request-Id", "another")
+		writer.Header().Set("X-Response-Signature", "m")
+		_, _ = io.WriteString(writer, "of another request")
+	})
+	status, body, _ = site.send(t, http.MethodGet, "/lohu/1", "foreign")
+	assert.Equal(t, status, http.StatusBadGateway)
+	assert.Equal(t, body, "")
+}
+
+// Guards against SIGHUP ending the process, and against settings that cannot be used coming into force.
+func TestReload(t *testing.T) {
+	site := newSite(t, newBackend(t))
+	path := t.TempDir() + "/entry.toml"
+	settingsText := func(base string) string {
+		return fmt.Sprintf("id = \"vm-1\"\nregion = \"kigali\"\nfailure_domain = \"kigali-a\"\ncaller_address = %q\ndirectory_address = %q\n"+
+			"readiness_address = %q\npeer_address = %q\noperations_address = %q\nstore_url = %q\n[retries]\nbase = %s\n[failure_domains]\nkigali-a = \"kigali\"\n",
+			site.settings.CallerAddress, site.settings.DirectoryAddress, site.settings.ReadinessAddress, site.settings.PeerAddress,
+			site.settings.OperationsAddress, site.settings.StoreURL, base)
+	}
+	for base, want := range map[string]float64{"7": 7, "-1": 100, `"many"`: 100} {
+		site.settings.Retries.Base = 100
+		site.entryVM.settings.Store(&site.settings)
+		assert.NilError(t, os.WriteFile(path, []byte(settingsText(base)), 0o600))
+		site.entryVM.reload(path, "test")
+		assert.Equal(t, site.entryVM.settings.Load().Retries.Base, want, base)
+	}
+}
+
+// Guards against a full standard output that holds up requests.
+func TestLogNeverBlocks(t *testing.T) {
+	reader, writer := io.Pipe()
+	defer reader.Close()
+	logWriter := newLogWriter(writer)
+	for range 2 * queuedLines {
+		_, err := logWriter.Write([]byte("line\n"))
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, logWriter.Dropped() > 0)
+}
--- /dev/null
+++ b/fleet/registrywatch/watcher_test.go
@@ -0,0 +1,149 @@
+package registrywatch_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"oleandervane.example"
+	"oleandervane.example/fleet/registrywatch"
+	"oleandervane.example/standin/storestandin"
+	"oleandervane.example/timer"
+)
+
+// sink keeps what it is told.
+type sink struct {
+	mutex    sync.Mutex
+	values   map[string]string
+	replaced int
+	lost     int
+	regained int
+}
+
+func (sink *sink) Replace(entries []oleandervane.StoreEntry, _ uint64) {
+	sink.mutex.Lock()
+	defer sink.mutex.Unlock()
+	sink.replaced++
+	sink.values = map[string]string{}
+	for _, entry := range entries {
+		sink.values[entry.Key] = string(entry.Value)
+	}
+}
+
+func (sink *sink) Apply(storeChanges oleandervane.StoreChanges) {
+	sink.mutex.Lock()
+	defer sink.mutex.Unlock()
+	for _, change := range storeChanges.Changes {
+		if change.Removed {
+			delete(sink.values, change.Entry.Key)
+			continue
+		}
+		sink.values[change.Entry.Key] = string(change.Entry.Value)
+	}
+}
+
+func (sink *sink) Lost(error) {
+	sink.mutex.Lock()
+	defer sink.mutex.Unlock()
+	sink.lost++
+}
+
+func (sink *sink) Regained(time.Duration) {
+	sink.mutex.Lock()
+	defer sink.mutex.Unlock()
+	sink.regained++
+}
+
+func (sink *sink) has(key, value string) func(poll.LogT) poll.Result {
+	return func(poll.LogT) poll.Result {
+		sink.mutex.Lock()
+		defer sink.mutex.Unlock()
+		if got, found := sink.values[key]; found && got == value {
+			return poll.Success()
+		}
+		return poll.Continue("%s is %q, not %q", key, sink.values[key], value)
+	}
+}
+
+func (sink *sink) counts() (replaced, lost, regained int) {
+	sink.mutex.Lock()
+	defer sink.mutex.Unlock()
+	return sink.replaced, sink.lost, sink.regained
+}
+
+func start(t *testing.T) (*storestandin.Store, *sink) {
+	t.Helper()
+	store := storestandin.New(timer.System{})
+	sink := &sink{}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go registrywatch.New(store, timer.System{}, sink, 40*time.Millisecond).Run(ctx)
+	return store, sink
+}
+
+func write(t *testing.T, store *storestandin.Store, key, value string) {
+	t.Helper()
+	_, err := store.Commit(context.Background(), oleandervane.StoreTransaction{Writes: []oleandervane.StoreWrite{{Key: key, Value: []byte(value)}}})
+	assert.NilError(t, err)
+}
+
+func waiting(store *storestandin.Store, want int) func(poll.LogT) poll.Result {
+	return func(poll.LogT) poll.Result {
+		if store.Waiting() == want {
+			return poll.Success()
+		}
+		return poll.Continue("%d watches wait, not %d", store.Waiting(), want)
+	}
+}
+
+// Guards against a VM that misses a change.
+func TestChangesArrive(t *testing.T) {
+	store, sink := start(t)
+	write(t, store, "a", "1")
+	poll.WaitOn(t, sink.has("a", "1"))
+	write(t, store, "a", "2")
+	poll.WaitOn(t, sink.has("a", "2"))
+}
+
+// Replays a store whose watches hear nothing while changes are made, that then cuts them and drops its history. Guards
+// against a VM that watches on after the cut without the changes in between: on one day all VMs of a region missed an
+// evacuation for six seconds.
+func TestCutWatchReadsAllAgain(t *testing.T) {
+	store, sink := start(t)
+	write(t, store, "a", "1")
+	poll.WaitOn(t, sink.has("a", "1"))
+	poll.WaitOn(t, waiting(store, 1))
+	store.SetFaults(storestandin.Faults{StallWatches: true})
+	write(t, store, "a", "2")
+	store.SetFaults(storestandin.Faults{CutWatches: true})
+	poll.WaitOn(t, waiting(store, 0))
+	store.SetFaults(storestandin.Faults{StallWatches: true})
+	store.DropHistory()
+	poll.WaitOn(t, sink.has("a", "2"))
+	replaced, _, _ := sink.counts()
+	assert.Assert(t, replaced >= 2)
+}
+
+// Guards against an outage that nobody hears of, and against one that the VM does not come back from.
+func TestOutageIsToldAndEnds(t *testing.T) {
+	store, sink := start(t)
+	write(t, store, "a", "1")
+	poll.WaitOn(t, sink.has("a", "1"))
+	store.SetFaults(storestandin.Faults{Down: true})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, lost, _ := sink.counts(); lost == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("not told")
+	})
+	store.SetFaults(storestandin.Faults{})
+	write(t, store, "a", "2")
+	poll.WaitOn(t, sink.has("a", "2"))
+	_, lost, regained := sink.counts()
+	assert.Equal(t, lost, 1)
+	assert.Equal(t, regained, 1)
+}
