Use the second choice only behind a queue, and avoid failing servers while they are few

Change: queueingBound 1.3; servers that answer are avoided and do not rest, and only while at most a third of them are avoided. oleandervane trace tells the story of a request.

--- a/cmd/oleandervane/run.go
+++ b/cmd/oleandervane/run.go
@@ -86,6 +86,7 @@
 		{"report", "report service-level burn", "Adds up the counters of entry VMs and reports error budgets, burn rates and alerts.", &reportCommand{terminal: terminal}},
 		{"lookup", "ask which entry VMs to use", "Asks an entry VM, as a caller does, which entry VMs to use for a kind of request.", &lookupCommand{terminal: terminal}},
 		{"request", "send a request as a caller", "Sends one request through entry VMs and prints its outcome. With --once it gets a ticket, so that the request runs at most once.", &requestCommand{terminal: terminal}},
+		{"trace", "tell the story of a request", "Reads logs of hosted entry VMs from files or standard input and tells in order what they say of a request and of the backend servers it was sent to.", &traceCommand{terminal: terminal}},
 		{"authority", "make an authority for peers", "Makes the authority that signs the certificates of entry VMs.", &authorityCommand{terminal: terminal}},
 		{"certificate", "make a certificate for an entry VM", "Makes a certificate and key, signed by the authority, that an entry VM shows to its peers.", &certificateCommand{terminal: terminal}},
 	} {
--- a/entry/forward/forwarder.go
+++ b/entry/forward/forwarder.go
@@ -145,7 +145,7 @@
 	if err != nil {
 		return Result{Outcome: oleandervane.NotRun, Reason: ReasonNoBackendServer, Err: err}
 	}
-	series := &series{forwarder: forwarder, ctx: ctx, request: request, fingerprint: fingerprint, chooser: chooser}
+	series := &series{startedAt: forwarder.timerService.Now(), forwarder: forwarder, ctx: ctx, request: request, fingerprint: fingerprint, chooser: chooser}
 	for reservation != nil {
 		series.attempt(reservation)
 		reservation = series.next()
@@ -161,6 +161,8 @@
 	fingerprint Fingerprint
 	chooser     TargetChooser
 	excluded    []string
+	tries       []Try
+	startedAt   time.Time
 	// mayHaveRun is set once an attempt ended with an unknown outcome; from then on the request cannot be said not
 	// to have run, whatever later attempts say.
 	mayHaveRun bool
@@ -178,7 +180,7 @@
 		series.failure.Response.Close()
 		return series.result
 	}
-	series.failure.Attempts = series.result.Attempts
+	series.failure.Attempts, series.failure.Tries = series.result.Attempts, series.tries
 	return *series.failure
 }
 
@@ -187,6 +189,12 @@
 	attempt.fingerprint = series.fingerprint
 	attemptOutcome := attempt.run()
 	series.excluded = append(series.excluded, attempt.target.ID)
+	series.tries = append(series.tries, Try{
+		Target:    attempt.target.ID,
+		Outcome:   attemptOutcome.outcome,
+		Reason:    attemptOutcome.reason,
+		SentAfter: attempt.startedAt.Sub(series.startedAt),
+	})
 	series.mayHaveRun = series.mayHaveRun || attemptOutcome.outcome == oleandervane.Unknown
 	if attemptOutcome.outcome == oleandervane.NotRun && series.mayHaveRun {
 		attemptOutcome.outcome = oleandervane.Unknown
@@ -197,6 +205,7 @@
 		Response: attemptOutcome.response,
 		Target:   attempt.target,
 		Attempts: len(series.excluded),
+		Tries:    series.tries,
 		Err:      attemptOutcome.err,
 	}
 }
--- a/entry/forward/request.go
+++ b/entry/forward/request.go
@@ -65,6 +65,15 @@
 	ErrMismatch  = errors.New("the response belongs to another request")
 )
 
+// Try tells what became of one attempt. It is immutable.
+type Try struct {
+	Target  string
+	Outcome oleandervane.Outcome
+	Reason  Reason
+	// SentAfter is the time from the start of the first attempt.
+	SentAfter time.Duration
+}
+
 // Result tells what became of a request.
 type Result struct {
 	Outcome oleandervane.Outcome
@@ -75,6 +84,8 @@
 	// Target is the target of the last attempt.
 	Target   Target
 	Attempts int
+	// Tries tells of all attempts in order.
+	Tries []Try
 	// Err is the error of the last attempt, for logs.
 	Err error
 }
--- a/entry/placement/decide.go
+++ b/entry/placement/decide.go
@@ -17,6 +17,11 @@
 	// requests stop earlier, so that the room that is left goes to the urgent ones.
 	urgentBound   = coldCost + 0.5
 	ordinaryBound = coldCost - 0.5
+	// queueingBound is the load from which a request probably has to wait. Below it the first choice has a free slot,
+	// and a second server that learns the object would forget another one.
+	queueingBound = 1.3
+	// avoidedShare is the largest share of servers that is passed over for failing often.
+	avoidedShare = 0.34
 	// spareBound is the load up to which a server takes requests of objects that it does not know.
 	spareBound = 0.9
 )
@@ -37,6 +42,8 @@
 	// Resting says that the VM sends nothing to the server for now: it failed a moment ago, or is cold and has had
 	// its share.
 	Resting bool
+	// Avoided says that the server answers, but has failed many requests.
+	Avoided bool
 	// Unused says that the server has joined and received no request yet.
 	Unused bool
 	// index is the place of the server in the placer's list.
@@ -82,8 +89,9 @@
 // Decide chooses among candidates in the order of their ranking.
 func Decide(question Question, candidates []Candidate) Decision {
 	sound := make([]int, 0, len(candidates))
+	mayAvoid := avoidable(candidates)
 	for i, candidate := range candidates {
-		if candidate.Resting || candidate.Doubtful && !question.Repeatable {
+		if candidate.Resting || candidate.Doubtful && !question.Repeatable || candidate.Avoided && mayAvoid {
 			continue
 		}
 		if candidate.Unused && question.Repeatable && !question.Urgent {
@@ -107,9 +115,24 @@
 	return Decision{Chosen: -1, Reason: ReasonBusy, RetryAfter: roomAfter(question, candidates, sound)}
 }
 
+// avoidable says whether servers that fail often may be passed over. When many fail, the others would drown in the
+// load of all, and requests are better tried where their objects are known.
+func avoidable(candidates []Candidate) bool {
+	avoided := 0
+	for _, candidate := range candidates {
+		if candidate.Avoided {
+			avoided++
+		}
+	}
+	return float64(avoided) <= avoidedShare*float64(len(candidates))
+}
+
 // firstChoice returns the first server of the ranking, or another one with room for at least one more request.
 func firstChoice(candidates []Candidate, warm []int) (chosen int, reason string) {
 	chosen, reason = warm[0], ReasonFirstChoice
+	if candidates[chosen].pressure() < queueingBound {
+		return chosen, reason
+	}
 	for _, i := range warm[1:] {
 		oneMore := max(1, candidates[i].Pace) / float64(max(1, candidates[i].Slots))
 		if candidates[i].pressure()+oneMore <= candidates[chosen].pressure() {
--- a/entry/placement/server.go
+++ b/entry/placement/server.go
@@ -52,6 +52,8 @@
 	failures   float64
 	rest       time.Duration
 	restUntil  time.Time
+	// avoidUntil is the end of the time in which the server is avoided because it failed often although it answers.
+	avoidUntil time.Time
 	doubtful   bool
 	coldUntil  time.Time
 	nextCold   time.Time
@@ -128,7 +130,7 @@
 	}
 }
 
-// noteFailure makes the server rest: at once when it could not be reached, otherwise when failures are frequent. It
+// noteFailure makes the server rest when it could not be reached, and has it avoided when its failures are frequent. It
 // returns for how long, and zero when the server goes on.
 func (server *server) noteFailure(unreachable bool, now time.Time) time.Duration {
 	server.mutex.Lock()
@@ -137,12 +139,16 @@
 	if !unreachable && server.failures < failureBound {
 		return 0
 	}
-	if now.Before(server.restUntil) {
+	if now.Before(server.restUntil) || now.Before(server.avoidUntil) {
 		return 0
 	}
 	server.rest = min(max(2*server.rest, restFirst), restLongest)
-	server.restUntil = now.Add(server.rest)
-	server.doubtful = true
+	if unreachable {
+		server.restUntil = now.Add(server.rest)
+		server.doubtful = true
+	} else {
+		server.avoidUntil = now.Add(server.rest)
+	}
 	return server.rest
 }
 
@@ -160,6 +166,7 @@
 		Pace:     1,
 		Doubtful: server.doubtful,
 		Resting:  now.Before(server.restUntil) || cold && (!server.warms || now.Before(server.nextCold)),
+		Avoided:  now.Before(server.avoidUntil),
 		Unused:   server.sent.Load() == 0 && cold && server.warms,
 	}
 	// One request at a time shows whether a server that failed is back.
--- a/entry/reception/reception.go
+++ b/entry/reception/reception.go
@@ -76,6 +76,7 @@
 	Decision placement.Decision
 	Target   forward.Target
 	Attempts int
+	Tries    []forward.Try
 	Status   int
 	Took     time.Duration
 	Err      error
@@ -227,7 +228,7 @@
 	})
 	result := parts.Forwarder.Forward(visit.context(matched), visit.forwardRequest(matched, serviceName, body), chooser)
 	visit.completion.Outcome, visit.completion.Reason, visit.completion.Err = result.Outcome, result.Reason, result.Err
-	visit.completion.Target, visit.completion.Attempts = result.Target, result.Attempts
+	visit.completion.Target, visit.completion.Attempts, visit.completion.Tries = result.Target, result.Attempts, result.Tries
 	visit.completion.Decision = chooser.Decision()
 	switch result.Outcome {
 	case oleandervane.Answered:
--- a/entryvm/hosted/observer.go
+++ b/entryvm/hosted/observer.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
 	"oleandervane.example"
+	"oleandervane.example/entry/forward"
 	"oleandervane.example/entry/reception"
 )
 
@@ -46,12 +48,25 @@
 		fields["reason"] = completion.Reason
 		fields["path"] = completion.Path
 	}
+	if completion.Attempts > 1 || completion.Reason != "" {
+		fields["tries"] = triesText(completion.Tries)
+	}
 	if completion.Err != nil {
 		fields["error"] = completion.Err.Error()
 	}
 	observer.log.WithFields(fields).Info("request ended")
 }
 
+// triesText writes attempts as "i-1 after 0s: unknown connection_broken; i-2 after 12ms: answered".
+func triesText(tries []forward.Try) string {
+	parts := make([]string, 0, len(tries))
+	for _, try := range tries {
+		text := fmt.Sprintf("%s after %v: %s %s", try.Target, try.SentAfter.Round(time.Millisecond), try.Outcome, try.Reason)
+		parts = append(parts, strings.TrimSpace(text))
+	}
+	return strings.Join(parts, "; ")
+}
+
 // ServerRests logs that a backend server is given a rest after failures.
 func (observer *observer) ServerRests(id oleandervane.BackendServerID, attemptResult oleandervane.AttemptResult, rest time.Duration) {
 	observer.set.GetOrCreateCounter("oleandervane_server_rests_total").Inc()
