--- a/entry/placement/decide.go
+++ b/entry/placement/decide.go
@@ -13,8 +13,9 @@
 	// coldCost is how many times longer a request takes on a server that did not handle its object recently.
 	coldCost = 3.0
 	// urgentBound and ordinaryBound are the loads, in requests for each slot, from which the first choices take no
-	// more requests. Beyond coldCost a queue takes longer than a server that does not know the object; less urgent
-	// requests stop earlier, so that the room that is left goes to the urgent ones.
+	// more requests. They are refused then and not sent to servers that do not know the object: those would take
+	// coldCost times longer and forget objects of their own, until nothing is where it is known. Less urgent requests
+	// stop earlier, so that the room that is left goes to the urgent ones.
 	urgentBound   = coldCost + 0.5
 	ordinaryBound = coldCost - 0.5
 	// queueingBound is the load from which a request probably has to wait. Below it the first choice has a free slot,
@@ -22,8 +23,6 @@
 	queueingBound = 1.3
 	// avoidedShare is the largest share of servers that is passed over for failing often.
 	avoidedShare = 0.34
-	// spareBound is the load up to which a server takes requests of objects that it does not know.
-	spareBound = 0.9
 )
 
 // Candidate is what a VM knows of one backend server at one moment. It is immutable.
@@ -79,7 +78,6 @@
 const (
 	ReasonFirstChoice = "first_choice"
 	ReasonLessLoad    = "second_choice_has_less_load"
-	ReasonSpare       = "first_choices_are_busy"
 	ReasonIntroduced  = "server_is_new"
 	ReasonDoubtful    = "no_sound_server"
 	ReasonNoServer    = "no_server"
@@ -109,9 +107,6 @@
 	if chosen, reason := firstChoice(candidates, sound[:min(warmChoices, len(sound))]); candidates[chosen].pressure() < bound {
 		return Decision{Chosen: chosen, Reason: reason}
 	}
-	if spare := leastPressure(candidates, sound); candidates[spare].pressure() < spareBound {
-		return Decision{Chosen: spare, Reason: ReasonSpare}
-	}
 	return Decision{Chosen: -1, Reason: ReasonBusy, RetryAfter: roomAfter(question, candidates, sound)}
 }
 
--- a/fleet/registrywatch/watcher.go
+++ b/fleet/registrywatch/watcher.go
@@ -17,7 +17,7 @@
 	watchWait = 25 * time.Second
 	// gatherShare is the part of the time in which a change must be in force that passes between two calls of a
 	// watch. Changes come in series, and one call can bring them all.
-	gatherShare = 0.3
+	gatherShare = 0.4
 	// retryFirst and retryLongest bound the pause after a failed call.
 	retryFirst   = 200 * time.Millisecond
 	retryLongest = time.Second
