Log the load that a decision saw

Cause: a line of a refused request did not say how loaded the first choices were, and the line about an emptied failure domain hid its name behind that of the VM. Change: fields pressure, sound and emptied.

--- a/entry/placement/decide.go
+++ b/entry/placement/decide.go
@@ -72,6 +72,10 @@
 	Chosen     int
 	Reason     string
 	RetryAfter time.Duration
+	// Pressure is the load for each slot of the best of the first choices, and Sound the number of servers that could
+	// be chosen, for logs.
+	Pressure float64
+	Sound    int
 }
 
 // The reasons of decisions.
@@ -104,10 +108,12 @@
 	if question.Urgent {
 		bound = urgentBound
 	}
-	if chosen, reason := firstChoice(candidates, sound[:min(warmChoices, len(sound))]); candidates[chosen].pressure() < bound {
-		return Decision{Chosen: chosen, Reason: reason}
+	chosen, reason := firstChoice(candidates, sound[:min(warmChoices, len(sound))])
+	decision := Decision{Chosen: chosen, Reason: reason, Pressure: candidates[chosen].pressure(), Sound: len(sound)}
+	if decision.Pressure >= bound {
+		decision.Chosen, decision.Reason, decision.RetryAfter = -1, ReasonBusy, roomAfter(question, candidates, sound)
 	}
-	return Decision{Chosen: -1, Reason: ReasonBusy, RetryAfter: roomAfter(question, candidates, sound)}
+	return decision
 }
 
 // avoidable says whether servers that fail often may be passed over. When many fail, the others would drown in the
--- a/entryvm/hosted/beliefs.go
+++ b/entryvm/hosted/beliefs.go
@@ -149,12 +149,12 @@
 	}
 	for domain := range next.Evacuated {
 		if !former.Evacuated[domain] {
-			beliefs.log.WithField("failure_domain", domain).Info("failure domain is to be empty")
+			beliefs.log.WithField("emptied", domain).Info("failure domain is to be empty")
 		}
 	}
 	for domain := range former.Evacuated {
 		if !next.Evacuated[domain] {
-			beliefs.log.WithField("failure_domain", domain).Info("failure domain is taken back")
+			beliefs.log.WithField("emptied", domain).Info("failure domain is taken back")
 		}
 	}
 	for id, server := range next.BackendServers {
--- a/entryvm/hosted/observer.go
+++ b/entryvm/hosted/observer.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"strings"
 	"time"
 
@@ -35,6 +36,8 @@
 		"service":    completion.Service,
 		"server":     completion.Target.ID,
 		"choice":     completion.Decision.Reason,
+		"pressure":   math.Round(completion.Decision.Pressure*100) / 100,
+		"sound":      completion.Decision.Sound,
 		"attempts":   completion.Attempts,
 		"outcome":    completion.Outcome,
 		"status":     completion.Status,
