--- a/entry/forward/budget.go
+++ b/entry/forward/budget.go
@@ -8,16 +8,18 @@
 )
 
 const (
-	// budgetWindow and defaultRetryRatio bound retries: at most 10% of the requests of the last 10 s, so that load on
+	// defaultBudgetWindow and defaultRetryRatio bound retries: at most 10% of the requests of the last 10 s, so that load on
 	// backend servers grows by at most a tenth when all of them fail.
-	budgetWindow      = 10 * time.Second
-	defaultRetryRatio = 0.1
+	defaultBudgetWindow = 10 * time.Second
+	defaultRetryRatio   = 0.1
 	// budgetBuckets divide the window; the oldest leaves it as a whole.
 	budgetBuckets = 10
 )
 
-// Allowance is how many retries a VM may make within 10 s.
+// Allowance is how many retries a VM may make within a window.
 type Allowance struct {
+	// Window is 10 s if it is zero.
+	Window time.Duration
 	// Ratio is the share of the requests of the same time.
 	Ratio float64
 	// Base returns the retries beyond that, for a VM that has received few requests so far; nil is none.
@@ -53,6 +55,9 @@
 
 // NewRetryBudget returns a budget with the allowance for each service.
 func NewRetryBudget(timerService oleandervane.TimerService, allowance Allowance) RetryBudget {
+	if allowance.Window == 0 {
+		allowance.Window = defaultBudgetWindow
+	}
 	return &budget{timerService: timerService, allowance: allowance, services: map[oleandervane.ServiceName]*serviceBudget{}}
 }
 
@@ -90,7 +95,7 @@
 		service = &serviceBudget{}
 		budget.services[serviceName] = service
 	}
-	number := budget.timerService.Now().UnixNano() / int64(budgetWindow/budgetBuckets)
+	number := budget.timerService.Now().UnixNano() / int64(budget.allowance.Window/budgetBuckets)
 	service.advance(number)
 	return &service.buckets[service.number%budgetBuckets]
 }
--- a/entryvm/hosted/hosted.go
+++ b/entryvm/hosted/hosted.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -43,6 +44,10 @@
 	acceptTime = 3 * time.Second
 	// stopMargin is the time before the kill at which the process ends.
 	stopMargin = 400 * time.Millisecond
+	// memoryShare is the part of the memory from which the collector works harder, so that a burst does not end the
+	// process.
+	memoryShare = 0.8
+	megabyte    = 1 << 20
 	// leaveLimit bounds the call that takes the VM off the list.
 	leaveLimit = 1500 * time.Millisecond
 )
@@ -90,7 +95,11 @@
 		UnframedBodies: true,
 		TrustReused:    true,
 		OpenLimit:      openLimit,
-		RetryBudget:    forward.NewRetryBudget(timerService, forward.Allowance{Ratio: settings.Retries.Ratio, Base: entryVM.retryBase}),
+		RetryBudget: forward.NewRetryBudget(timerService, forward.Allowance{
+			Window: time.Duration(settings.Retries.Window),
+			Ratio:  settings.Retries.Ratio,
+			Base:   entryVM.retryBase,
+		}),
 	}, timerService)
 	entryVM.reception = reception.New(reception.Parts{
 		Self:          self,
@@ -144,6 +153,7 @@
 // Run starts the VM and serves until it is told to stop by a signal; it then drains and returns.
 func (entryVM *EntryVM) Run() error {
 	settings := *entryVM.settings.Load()
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMegabytes) * megabyte))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go entryVM.watcher.Run(ctx)
