--- /dev/null
+++ b/cmd/oleandervane-soak/main.go
@@ -0,0 +1,78 @@
+// Program oleandervane-soak runs entry VMs as processes, injects faults and checks the promises of the system.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rotisserie/eris"
+
+	"oleandervane.example/cmd/internal/program"
+	"oleandervane.example/standin/soak"
+)
+
+type options struct {
+	Program  string        `long:"program" required:"true" value-name:"FILE" description:"the daemon, oleandervane-hosted"`
+	Folder   string        `long:"folder" required:"true" value-name:"FOLDER" description:"settings and logs go here, in a folder for each seed"`
+	Seed     uint64        `long:"seed" default:"1" description:"first seed"`
+	Seeds    int           `long:"seeds" default:"1" description:"number of seeds, one after the other"`
+	Faults   time.Duration `long:"faults" default:"15s" description:"how long faults are injected"`
+	VMs      int           `long:"vms" default:"4" description:"number of entry VMs"`
+	Backends int           `long:"backends" default:"6" description:"number of backend servers"`
+	Callers  int           `long:"callers" default:"12" description:"number of callers"`
+}
+
+var errBroken = errors.New("a promise was broken")
+
+func main() {
+	var options options
+	parser := flags.NewParser(&options, flags.Default)
+	parser.ShortDescription = "Runs entry VMs under faults."
+	program.Parse(parser)
+	program.Exit("oleandervane-soak", run(context.Background(), options))
+}
+
+// run plays all seeds and fails if one broke a promise.
+func run(ctx context.Context, options options) error {
+	var failed []uint64
+	for seed := options.Seed; seed < options.Seed+uint64(options.Seeds); seed++ {
+		folder := filepath.Join(options.Folder, fmt.Sprint(seed))
+		if err := os.MkdirAll(folder, 0o755); err != nil {
+			return eris.Wrap(err, "making the folder of a seed")
+		}
+		report, err := play(ctx, options, seed, folder)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("seed %d: %d answers, %d served, %d faults, %d drains and %d versions checked, %d broken\n",
+			seed, report.Answers, report.Served, report.Faults, report.Drains, report.Versions, len(report.Broken))
+		for _, broken := range report.Broken {
+			fmt.Println("  broken:", broken)
+		}
+		if len(report.Broken) > 0 {
+			failed = append(failed, seed)
+		}
+	}
+	if len(failed) > 0 {
+		return eris.Wrapf(errBroken, "seeds %v; schedules and logs are in %s", failed, options.Folder)
+	}
+	return nil
+}
+
+func play(ctx context.Context, options options, seed uint64, folder string) (soak.Report, error) {
+	schedule, err := os.Create(filepath.Join(folder, "schedule.log"))
+	if err != nil {
+		return soak.Report{}, eris.Wrap(err, "writing the schedule")
+	}
+	defer schedule.Close()
+	report, err := soak.Run(ctx, soak.Options{
+		Program: options.Program, Folder: folder, Seed: seed, Faults: options.Faults,
+		VMs: options.VMs, Backends: options.Backends, Callers: options.Callers, Output: schedule,
+	})
+	return report, eris.Wrapf(err, "seed %d", seed)
+}
--- /dev/null
+++ b/standin/soak/vm.go
@@ -0,0 +1,147 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	stopLimit = 6 * time.Second
+	// restartPause is the time from the end of a process to its next start.
+	restartPause = 200 * time.Millisecond
+)
+
+// vm is one entry VM, whose process is started again whenever it ends.
+type vm struct {
+	id          string
+	program     string
+	settings    string
+	logPath     string
+	caller      string
+	directory   string
+	store       *proxy
+	mutex       sync.Mutex
+	process     *os.Process
+	incarnation int
+	// disturbedUntil is the end of the last fault on this VM and a time after it.
+	disturbedUntil time.Time
+	told           bool
+	closing        bool
+	ownExits       int
+	ended          chan struct{}
+}
+
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+func newVM(id, program, folder, storeAddress string) (*vm, error) {
+	vm := &vm{id: id, program: program, logPath: filepath.Join(folder, id+".log"), ended: make(chan struct{})}
+	store, err := newProxy(storeAddress)
+	if err != nil {
+		return nil, err
+	}
+	vm.store = store
+	addresses := make([]string, 5)
+	for i := range addresses {
+		if addresses[i], err = freeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	vm.caller, vm.directory = addresses[0], addresses[1]
+	text := fmt.Sprintf("id = %q\nregion = \"kigali\"\nfailure_domain = \"kigali-a\"\ncaller_address = %q\ndirectory_address = %q\n"+
+		"readiness_address = %q\npeer_address = %q\noperations_address = %q\nstore_url = \"http://%s\"\nstop_limit = \"%v\"\n"+
+		"[retries]\nratio = 0.2\nbase = 100\n[failure_domains]\nkigali-a = \"kigali\"\nkigali-b = \"kigali\"\n",
+		id, addresses[0], addresses[1], addresses[2], addresses[3], addresses[4], store.address(), stopLimit)
+	vm.settings = filepath.Join(folder, id+".toml")
+	if err := os.WriteFile(vm.settings, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	go vm.keep()
+	return vm, nil
+}
+
+// keep starts the process again until the VM is closed.
+func (vm *vm) keep() {
+	defer close(vm.ended)
+	log, err := os.Create(vm.logPath)
+	if err != nil {
+		return
+	}
+	defer log.Close()
+	for !vm.isClosing() {
+		command := exec.Command(vm.program, "--settings", vm.settings)
+		command.Stdout, command.Stderr = log, log
+		if err := command.Start(); err != nil {
+			fmt.Fprintln(log, "soak: the process did not start:", err)
+			return
+		}
+		vm.mutex.Lock()
+		vm.process, vm.told = command.Process, false
+		vm.incarnation++
+		vm.mutex.Unlock()
+		err := command.Wait()
+		vm.mutex.Lock()
+		if !vm.told && !vm.closing {
+			vm.ownExits++
+			fmt.Fprintln(log, "soak: the process ended by itself:", err)
+		}
+		vm.mutex.Unlock()
+		time.Sleep(restartPause)
+	}
+}
+
+func (vm *vm) isClosing() bool {
+	vm.mutex.Lock()
+	defer vm.mutex.Unlock()
+	return vm.closing
+}
+
+// signal sends a signal to the process; ends says that the process ends by it.
+func (vm *vm) signal(signal syscall.Signal, ends bool) {
+	vm.mutex.Lock()
+	defer vm.mutex.Unlock()
+	if vm.process == nil {
+		return
+	}
+	vm.told = vm.told || ends
+	// The process may have ended meanwhile; there is nothing to signal then.
+	_ = vm.process.Signal(signal)
+}
+
+// disturb notes a fault that lasts for the given time.
+func (vm *vm) disturb(duration time.Duration) {
+	vm.mutex.Lock()
+	defer vm.mutex.Unlock()
+	if until := time.Now().Add(duration + settleTime); until.After(vm.disturbedUntil) {
+		vm.disturbedUntil = until
+	}
+}
+
+// calm says whether the VM was without faults for the settle time, and which run of the process this is.
+func (vm *vm) calm() (calm bool, incarnation int) {
+	vm.mutex.Lock()
+	defer vm.mutex.Unlock()
+	return time.Now().After(vm.disturbedUntil), vm.incarnation
+}
+
+func (vm *vm) close() {
+	vm.mutex.Lock()
+	vm.closing = true
+	vm.mutex.Unlock()
+	vm.signal(syscall.SIGCONT, false)
+	vm.signal(syscall.SIGKILL, true)
+	<-vm.ended
+	vm.store.close()
+}
