Let a timeout count for the pace of a server

Ruled out: lost connections (no line of an unreachable server), the store, VMs that stopped. Change: a request that times out counts with the time it has taken.

--- a/entry/placement/placer.go
+++ b/entry/placement/placer.go
@@ -197,6 +197,15 @@
 	return placer.times[route]
 }
 
+// relative returns a time as a multiple of the usual time of a route, 1 before the first answer.
+func (placer *Placer) relative(route string, took time.Duration) float64 {
+	usual := placer.usualTime(route)
+	if usual == 0 {
+		return 1
+	}
+	return float64(took) / float64(usual)
+}
+
 // noteTime takes over the time of an answer and returns it as a multiple of the usual time.
 func (placer *Placer) noteTime(route string, took time.Duration) float64 {
 	placer.timesMutex.Lock()
--- a/entry/placement/reservation.go
+++ b/entry/placement/reservation.go
@@ -58,6 +58,9 @@
 			reservation.noteFailure(attemptResult, now)
 		}
 	case oleandervane.AttemptCancelled:
+	case oleandervane.AttemptTimedOut:
+		server.notePace(reservation.placer.relative(reservation.route, now.Sub(reservation.takenAt)))
+		reservation.noteFailure(attemptResult, now)
 	default:
 		reservation.noteFailure(attemptResult, now)
 	}
--- a/entry/placement/server.go
+++ b/entry/placement/server.go
@@ -16,6 +16,8 @@
 	usualLoadWeight = 0.1
 	// paceWeight is the weight of one answer in the pace of a server.
 	paceWeight = 0.15
+	// longestPace bounds what one answer can do to the pace.
+	longestPace = 10.0
 	// paceSamples is the number of answers before the pace counts.
 	paceSamples = 4
 	// restFirst and restLongest bound how long a server rests after a failure; the time doubles with each failure
@@ -118,8 +120,7 @@
 func (server *server) noteSuccess(relative float64, now time.Time, slowStart time.Duration) {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
-	server.answers++
-	server.pace += (min(relative, 10) - server.pace) * paceWeight
+	server.observePace(relative)
 	server.failures -= server.failures * failureWeight
 	if server.doubtful && server.rest > restFirst && now.Add(slowStart).After(server.coldUntil) {
 		server.coldUntil = now.Add(slowStart)
@@ -130,6 +131,19 @@
 	}
 }
 
+// notePace takes over how long the server has taken so far without an answer.
+func (server *server) notePace(relative float64) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.observePace(relative)
+}
+
+// observePace is called with the mutex held.
+func (server *server) observePace(relative float64) {
+	server.answers++
+	server.pace += (min(relative, longestPace) - server.pace) * paceWeight
+}
+
 // noteFailure makes the server rest when it could not be reached, and has it avoided when its failures are frequent. It
 // returns for how long, and zero when the server goes on.
 func (server *server) noteFailure(unreachable bool, now time.Time) time.Duration {
