--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -29,6 +29,8 @@
 	status    int
 	body      string
 	broken    bool
+	// abandoned says that the soak ended while the caller waited.
+	abandoned bool
 	at        time.Time
 }
 
@@ -88,7 +90,7 @@
 		if answer.unsafe && !answer.broken && promised(answer.status) && runs > 0 {
 			check.fail("request %s was answered %d and ran", answer.requestID, answer.status)
 		}
-		if answer.at.After(lastFault.Add(settleTime)) {
+		if answer.at.After(lastFault.Add(settleTime)) && !answer.abandoned {
 			asked++
 			if answer.status == http.StatusOK {
 				served++
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -261,12 +261,13 @@
 func (soak *Soak) changeConfiguration(ctx context.Context) {
 	soak.tell("the configuration changes")
 	version := soak.configure()
+	changed := time.Now()
 	soak.pending.Go(func() {
 		time.Sleep(applyLimit)
 		for _, vm := range soak.vms {
-			before, incarnation := vm.calm()
+			before, incarnation := vm.calmSince(changed)
 			status := soak.probe(ctx, vm, version)
-			after, same := vm.calm()
+			after, same := vm.calmSince(changed)
 			if before && after && incarnation == same {
 				soak.check.count(&soak.check.versions)
 				if status == http.StatusNotFound {
@@ -286,8 +287,8 @@
 		time.Sleep(drainLimit + time.Second)
 		calm := true
 		for _, vm := range soak.vms {
-			calmNow, _ := vm.calm()
-			calm = calm && calmNow
+			calmSince, _ := vm.calmSince(left)
+			calm = calm && calmSince
 		}
 		last := soak.check.journal.lastArrival(backend.id)
 		if calm {
--- a/standin/soak/vm.go
+++ b/standin/soak/vm.go
@@ -129,11 +129,12 @@
 	}
 }
 
-// calm says whether the VM was without faults for the settle time, and which run of the process this is.
-func (vm *vm) calm() (calm bool, incarnation int) {
+// calmSince says whether the VM has been without faults since the settle time before a moment, and which run of the
+// process this is.
+func (vm *vm) calmSince(moment time.Time) (calm bool, incarnation int) {
 	vm.mutex.Lock()
 	defer vm.mutex.Unlock()
-	return time.Now().After(vm.disturbedUntil), vm.incarnation
+	return moment.After(vm.disturbedUntil), vm.incarnation
 }
 
 func (vm *vm) close() {
