Do not retry a request whose caller has left

A filing waited 2.3 s in a full server's queue, its caller left, the server rejected it, and the VM sent it to a second server: the context of unsafe requests does not end with the caller. Ruled out: late detection of the caller's close (retries come up to 0.9 s after it). Change: no further attempt begins once the caller has left; one that runs goes on.

--- a/entry/forward/forwarder.go
+++ b/entry/forward/forwarder.go
@@ -247,6 +247,9 @@
 	if series.mayHaveRun && !series.request.Kind.Idempotent {
 		return false
 	}
+	if series.request.Abandoned != nil && series.request.Abandoned() {
+		return false
+	}
 	switch series.result.Reason {
 	case ReasonDeadline, ReasonCancelled, ReasonRefused, ReasonQuarantined:
 		return false
--- a/entry/forward/request.go
+++ b/entry/forward/request.go
@@ -33,6 +33,8 @@
 	// MaxAttempts bounds the attempts; zero takes the forwarder's setting. A VM that serves a relayed request sets
 	// 1, so that retries of two VMs do not multiply.
 	MaxAttempts int
+	// Abandoned, if set, says whether the caller has left. Then no further attempt begins; one that runs goes on.
+	Abandoned func() bool
 	// RetryFailures sends an idempotent request again when a backend server answers with a status from 500 on.
 	RetryFailures bool
 }
--- a/entry/reception/reception.go
+++ b/entry/reception/reception.go
@@ -276,6 +276,7 @@
 		Body:          body,
 		Deadline:      visit.deadline,
 		MaxAttempts:   matched.MaxAttempts,
+		Abandoned:     func() bool { return visit.request.Context().Err() != nil },
 		RetryFailures: true,
 	}
 }
--- a/entryvm/hosted/hosted_test.go
+++ b/entryvm/hosted/hosted_test.go
@@ -265,3 +265,42 @@
 	}
 	assert.Assert(t, logWriter.Dropped() > 0)
 }
+
+// Replays a caller that leaves while its filing waits at a full server: guards against a second server that runs it for
+// nobody.
+func TestUnsafeRequestIsNotRetriedForACallerThatLeft(t *testing.T) {
+	first, second := newBackend(t), newBackend(t)
+	site := newSite(t, first, second)
+	var arrivals atomic.Int64
+	left := make(chan struct{})
+	for _, backend := range []*backend{first, second} {
+		backend.answer(func(writer http.ResponseWriter, _ *http.Request) {
+			arrivals.Add(1)
+			<-left
+			time.Sleep(50 * time.Millisecond)
+			writer.Header().Set("X-Not-Executed", "1")
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+site.settings.CallerAddress.String()+"/pufi/1", http.NoBody)
+	assert.NilError(t, err)
+	request.Host = "a.example"
+	request.Header.Set("X-Request-Id", "r1")
+	go func() {
+		for arrivals.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+		close(left)
+	}()
+	_, err = http.DefaultClient.Do(request)
+	assert.ErrorIs(t, err, context.Canceled)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(site.log.lines("r1")) == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("the request has not ended")
+	})
+	assert.Equal(t, arrivals.Load(), int64(1))
+}
