--- a/entry/placement/placer_test.go
+++ b/entry/placement/placer_test.go
@@ -166,3 +166,24 @@
 	_, err = placer.Chooser(need("x")).Choose(nil)
 	assert.NilError(t, err)
 }
+
+// Replays incident inc-754d of igihe-vane, in which servers turn slow and their requests time out: guards against a slow
+// server that stays first choice because only answers tell of its pace.
+func TestTimeoutCountsForThePace(t *testing.T) {
+	manual := timer.NewManual(time.Unix(1000, 0))
+	placer := fleet(manual, 1)[0]
+	placer.Update(registryOf(registered("a", "kigali-a")))
+	take := func(result oleandervane.AttemptResult, took time.Duration) {
+		reservation, err := placer.Chooser(need("x")).Choose(nil)
+		assert.NilError(t, err)
+		manual.Advance(took)
+		reservation.Release(result)
+	}
+	for range paceSamples {
+		take(oleandervane.AttemptAnswered, 200*time.Millisecond)
+	}
+	servers, candidates := placer.candidates(need("x"), nil, manual.Now())
+	before := candidates[0].Pace
+	take(oleandervane.AttemptTimedOut, 1500*time.Millisecond)
+	assert.Assert(t, servers[0].candidate(0, manual.Now()).Pace > 1.5*before)
+}
