--- a/entry/placement/decide.go
+++ b/entry/placement/decide.go
@@ -62,8 +62,6 @@
 	Repeatable bool
 	// WorkTime is the usual time of the request at a server that knows the object; zero when it is not known.
 	WorkTime time.Duration
-	// TimeLeft is the time until the caller gives up.
-	TimeLeft time.Duration
 }
 
 // Decision is the choice for a question: a candidate, or how long until there may be room.
--- a/entry/placement/placer.go
+++ b/entry/placement/placer.go
@@ -113,8 +113,6 @@
 	// Home is the region of the caller.
 	Home   oleandervane.Region
 	Urgent bool
-	// Deadline is when the caller gives up.
-	Deadline time.Time
 }
 
 // Chooser returns a chooser for the attempts of one request.
@@ -149,7 +147,6 @@
 		Urgent:     need.Urgent,
 		Repeatable: need.Route.Idempotent(),
 		WorkTime:   placer.usualTime(need.Route.Name),
-		TimeLeft:   need.Deadline.Sub(now),
 	}, candidates)
 	if chooser.decision.Chosen < 0 {
 		return nil, eris.Wrap(oleandervane.ErrNoBackendServer, chooser.decision.Reason)
--- a/entry/placement/server.go
+++ b/entry/placement/server.go
@@ -45,7 +45,7 @@
 	sent     atomic.Uint64
 
 	mutex sync.Mutex
-	// reported is the load from other VMs at reportedAt, usual its average.
+	// The fields below are guarded by mutex. reported is the load from other VMs at reportedAt, usual its average.
 	reported   float64
 	usual      float64
 	reportedAt time.Time
@@ -90,7 +90,7 @@
 }
 
 // load estimates the requests that run or wait at the server: those of this VM, and those of others by the last
-// report, which fades into the usual load as it ages.
+// report, which fades into the usual load as it ages. It is called with the mutex held.
 func (server *server) load(now time.Time) float64 {
 	age := now.Sub(server.reportedAt)
 	fresh := math.Exp(-float64(max(0, age)) / float64(reportDecay))
--- a/entry/reception/reception.go
+++ b/entry/reception/reception.go
@@ -219,12 +219,11 @@
 	}
 	serviceName := visit.completion.Service
 	chooser := parts.Placer.Chooser(placement.Need{
-		Service:  serviceName,
-		Route:    matched,
-		Object:   visit.object(serviceName),
-		Home:     parts.Self.Region,
-		Urgent:   index.Urgent(matched, serviceName),
-		Deadline: visit.deadline,
+		Service: serviceName,
+		Route:   matched,
+		Object:  visit.object(serviceName),
+		Home:    parts.Self.Region,
+		Urgent:  index.Urgent(matched, serviceName),
 	})
 	result := parts.Forwarder.Forward(visit.context(matched), visit.forwardRequest(matched, serviceName, body), chooser)
 	visit.completion.Outcome, visit.completion.Reason, visit.completion.Err = result.Outcome, result.Reason, result.Err
