--- a/entryvm/hosted/beliefs.go
+++ b/entryvm/hosted/beliefs.go
@@ -149,12 +149,12 @@
 	}
 	for domain := range next.Evacuated {
 		if !former.Evacuated[domain] {
-			beliefs.log.WithField("emptied", domain).Info("failure domain is to be empty")
+			beliefs.log.WithField("evacuated", domain).Info("failure domain is evacuated; its backend servers get no requests")
 		}
 	}
 	for domain := range former.Evacuated {
 		if !next.Evacuated[domain] {
-			beliefs.log.WithField("emptied", domain).Info("failure domain is taken back")
+			beliefs.log.WithField("evacuated", domain).Info("evacuation of the failure domain has ended")
 		}
 	}
 	for id, server := range next.BackendServers {
