--- a/entryvm/hosted/hosted.go
+++ b/entryvm/hosted/hosted.go
@@ -6,11 +6,13 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kratos/kratos/v2"
+	klog "github.com/go-kratos/kratos/v2/log"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
@@ -52,6 +54,9 @@
 	leaveLimit = 1500 * time.Millisecond
 )
 
+// setKratosLog guards the logger of kratos, which all VMs of a process share.
+var setKratosLog sync.Once
+
 // EntryVM is a hosted entry VM: all parts, joined and ready to run.
 type EntryVM struct {
 	// settings are replaced when the file changes; addresses and identity stay.
@@ -161,10 +166,10 @@
 	go entryVM.roster.Run(ctx)
 	callerServer := webserver.New(settings.CallerAddress.String(), entryVM.reception)
 	callerServer.IdleTimeout, callerServer.ReadHeaderTimeout = callerIdleLimit, headerLimit
+	setKratosLog.Do(func() { klog.SetLogger(webserver.Logger(entryVM.log)) })
 	app := kratos.New(
 		kratos.ID(string(settings.ID)),
 		kratos.Name("oleandervane-hosted"),
-		kratos.Logger(webserver.Logger(entryVM.log)),
 		kratos.Server(
 			callerServer,
 			entryVM.server(settings.DirectoryAddress, doorway.DirectoryHandler(entryVM)),
