Take counts of single requests for the largest rate that may have caused them

Cause: TestShiftGrowsWithSingleRequests was known red. The lowest share of a shift window was the smallest count of ten seconds, which chance puts far below a small rate, and an account of a low rate held one request, which turned away half of what came at random at just that rate. Ruled out: an average over several seconds, which does not see a short fall of a large rate; the bound without a limit, which lets a silent source come back above the cap. Change: a count stands for the upper end of its score interval (99%), never for more than the limit that was in force, and for nothing after a window without a request; accounts hold two requests. The drain of the demo was not run again.

--- a/steering/grant/account.go
+++ b/steering/grant/account.go
@@ -9,6 +9,10 @@
 // delay and short against the second in which capacity is measured.
 const burstTime = 100 * time.Millisecond
 
+// burstRequests is the number of requests that an account of a low rate holds. With one, half of the requests that
+// come at random at just the rate would be turned away.
+const burstRequests = 2
+
 // account admits requests at a rate. It keeps the time at which the rate has used up all requests so far, so
 // that a rate may change between two requests. Methods are safe for concurrent use and allocate nothing.
 type account struct {
@@ -22,8 +26,7 @@
 		return false
 	}
 	cost := int64(float64(time.Second) / perSecond)
-	// An account of a low rate must hold at least one request.
-	burst := max(int64(burstTime), cost)
+	burst := max(int64(burstTime), burstRequests*cost)
 	nanos := now.UnixNano()
 	for {
 		before := account.usedUntil.Load()
--- a/steering/grant/keeper.go
+++ b/steering/grant/keeper.go
@@ -34,20 +34,12 @@
 	drainage share.DrainageFunc
 	mutex    sync.Mutex
 	roster   Roster
-	// arrivals has the admitted rates of each service, oldest first, for the longest shift window.
-	arrivals []arrivalsAt
+	history  history
 	lastTick time.Time
 	state    atomic.Pointer[state]
 	without  guard.Set
 }
 
-// arrivalsAt is what was admitted between two ticks.
-type arrivalsAt struct {
-	until time.Time
-	// share is the admitted rate as a share of the source's demand; rate is in requests per second.
-	share, rate map[oleandervane.Flow]float64
-}
-
 // state is what a keeper publishes. Its maps are immutable; accounts and counters are carried over between states.
 type state struct {
 	part     float64
@@ -64,9 +56,11 @@
 }
 
 type sourceState struct {
-	account  account
-	admitted counter
-	offered  counter
+	account account
+	// admittedRequests counts single requests; admittedAmount adds up rates.
+	admittedRequests counter
+	admittedAmount   counter
+	offered          counter
 }
 
 // counter adds up requests, or rates in simulations.
@@ -145,7 +139,7 @@
 		}
 		return false
 	}
-	source.admitted.add(1)
+	source.admittedRequests.add(1)
 	return true
 }
 
@@ -164,7 +158,7 @@
 			continue
 		}
 		source.offered.add(rate * Period.Seconds())
-		source.admitted.add(admitted[home] * Period.Seconds())
+		source.admittedAmount.add(admitted[home] * Period.Seconds())
 	}
 	return admitted
 }
@@ -223,51 +217,38 @@
 		seconds = Period.Seconds()
 	}
 	keeper.lastTick = now
-	arrivals := arrivalsAt{until: now, share: map[oleandervane.Flow]float64{}, rate: map[oleandervane.Flow]float64{}}
+	latest := period{until: now, flows: map[oleandervane.Flow]admission{}}
 	offered := map[oleandervane.Flow]float64{}
 	for name, service := range keeper.state.Load().services {
 		for home, source := range service.sources {
 			flow := oleandervane.Flow{Service: name, Home: home}
 			offered[flow] = source.offered.reset() / seconds
-			rate := source.admitted.reset() / seconds
-			arrivals.rate[flow] = rate
-			if demand := figures[flow].DemandPerSecond; demand > 0 {
-				arrivals.share[flow] = rate / demand
-			}
+			latest.flows[flow] = source.close(service.allotment.LimitPerSecond[home], figures[flow].DemandPerSecond, seconds)
 		}
 	}
-	keeper.arrivals = append(keeper.arrivals, arrivals)
-	keeper.forget(now, configuration)
+	keeper.history.add(latest, longestShiftWindow(configuration))
 	return offered
 }
 
-func (keeper *Keeper) forget(now time.Time, configuration *oleandervane.Configuration) {
-	longest := time.Duration(0)
-	for _, service := range configuration.Services {
-		longest = max(longest, service.ShiftWindow)
-	}
-	for len(keeper.arrivals) > 0 && now.Sub(keeper.arrivals[0].until) > longest {
-		keeper.arrivals = keeper.arrivals[1:]
+// close ends a period and returns what was admitted in it.
+func (source *sourceState) close(limitPerSecond, demandPerSecond, seconds float64) admission {
+	requests, amount := source.admittedRequests.reset(), source.admittedAmount.reset()
+	return admission{
+		requests:        requests,
+		amount:          amount,
+		perSecond:       (requests + amount) / seconds,
+		limitPerSecond:  limitPerSecond,
+		demandPerSecond: demandPerSecond,
+		seconds:         seconds,
 	}
 }
 
-// lowestShare returns the smallest share admitted within the window. A VM that has not run for a whole window has
-// admitted nothing at its beginning.
-func (keeper *Keeper) lowestShare(now time.Time, flow oleandervane.Flow, window time.Duration) float64 {
-	lowest := math.Inf(1)
-	covered := false
-	for _, arrivals := range keeper.arrivals {
-		age := now.Sub(arrivals.until)
-		if age > window {
-			continue
-		}
-		covered = covered || age >= window-Period
-		lowest = min(lowest, arrivals.share[flow])
-	}
-	if !covered || math.IsInf(lowest, 1) {
-		return 0
+func longestShiftWindow(configuration *oleandervane.Configuration) time.Duration {
+	longest := time.Duration(0)
+	for _, service := range configuration.Services {
+		longest = max(longest, service.ShiftWindow)
 	}
-	return lowest
+	return longest
 }
 
 func (keeper *Keeper) input(now time.Time, configuration *oleandervane.Configuration, figures figures, name oleandervane.ServiceName, offered map[oleandervane.Flow]float64) AllotmentInput {
@@ -312,17 +293,14 @@
 			shiftCap = max(shiftCap, service.FailoverCap)
 		}
 	}
-	source := Source{
+	return Source{
 		Region:            flow.Home,
 		DemandPerSecond:   summary.DemandPerSecond,
 		OverflowPerSecond: max(0, summary.DemandPerSecond-usable),
 		ShiftPart:         shiftCap * share.ReceiverPart(configuration, flow.Home, keeper.self.Region),
-		LowestShare:       keeper.lowestShare(now, flow, service.ShiftWindow),
-	}
-	if len(keeper.arrivals) > 0 {
-		source.AdmittedPerSecond = keeper.arrivals[len(keeper.arrivals)-1].rate[flow]
+		AdmittedPerSecond: keeper.history.lastPerSecond(flow),
+		LowestShare:       keeper.history.lowestShare(now, flow, service.ShiftWindow),
 	}
-	return source
 }
 
 // figures has the newest summary of each region and service.
