Hold the figures of placement in a policy and the retry rule apart from sending

Cause: the decisions were to be stepped by an emulator and compared with other figures, and the retry rule was tied to open connections. Change: placement.Policy has the figures, forward.RetryRule decides; no behaviour changes. Tests of both packages pass.

--- a/entry/forward/forwarder.go
+++ b/entry/forward/forwarder.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"crypto/tls"
-	"net/http"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -212,12 +211,12 @@
 
 // next returns the reservation of a retry, or nil when there is to be none.
 func (series *series) next() Reservation {
-	if series.result.Outcome == oleandervane.Answered && series.failure == nil && series.mayRetryFailure() {
+	if series.failure == nil && series.retryRule().MayReplace(series.attempted()) {
 		failure := series.result
 		series.failure, series.mayHaveRun = &failure, true
 		series.result = Result{Outcome: oleandervane.Unknown, Reason: ReasonBroken, Target: failure.Target, Attempts: failure.Attempts}
 	}
-	if !series.mayRetry() || !series.forwarder.budget.TakeRetry(series.request.Service) {
+	if !series.retryRule().MayRetry(series.attempted()) || !series.forwarder.budget.TakeRetry(series.request.Service) {
 		return nil
 	}
 	reservation, err := series.chooser.Choose(series.excluded)
@@ -233,31 +232,27 @@
 	return reservation
 }
 
-// mayRetryFailure says whether an answer is a failure that another backend server may not have.
-func (series *series) mayRetryFailure() bool {
-	response := series.result.Response
-	return series.request.RetryFailures && series.request.Kind.Idempotent &&
-		response.Status >= http.StatusInternalServerError && !response.Streamed()
-}
-
-func (series *series) mayRetry() bool {
-	if series.result.Outcome == oleandervane.Answered || series.ctx.Err() != nil {
-		return false
-	}
-	if series.mayHaveRun && !series.request.Kind.Idempotent {
-		return false
+func (series *series) attempted() Attempted {
+	attempted := Attempted{
+		Outcome:     series.result.Outcome,
+		Reason:      series.result.Reason,
+		MayHaveRun:  series.mayHaveRun,
+		Abandoned:   series.ctx.Err() != nil || series.request.Abandoned != nil && series.request.Abandoned(),
+		Quarantined: series.forwarder.quarantine.Contains(series.fingerprint),
+		Attempts:    series.result.Attempts,
 	}
-	if series.request.Abandoned != nil && series.request.Abandoned() {
-		return false
+	if response := series.result.Response; response != nil {
+		attempted.Status, attempted.Streamed = response.Status, response.Streamed()
 	}
-	switch series.result.Reason {
-	case ReasonDeadline, ReasonCancelled, ReasonRefused, ReasonQuarantined:
-		return false
-	}
-	if series.forwarder.quarantine.Contains(series.fingerprint) {
-		return false
+	return attempted
+}
+
+func (series *series) retryRule() RetryRule {
+	return RetryRule{
+		Idempotent:    series.request.Kind.Idempotent,
+		RetryFailures: series.request.RetryFailures,
+		MaxAttempts:   series.maxAttempts(),
 	}
-	return series.result.Attempts < series.maxAttempts()
 }
 
 func (series *series) maxAttempts() int {
--- a/entry/placement/decide.go
+++ b/entry/placement/decide.go
@@ -6,25 +6,6 @@
 	"oleandervane.example"
 )
 
-const (
-	// warmChoices is the number of servers that share the requests of an object. Two even out their load nearly as
-	// well as all servers would, while each object takes memory on two servers only.
-	warmChoices = 2
-	// coldCost is how many times longer a request takes on a server that did not handle its object recently.
-	coldCost = 3.0
-	// urgentBound and ordinaryBound are the loads, in requests for each slot, from which the first choices take no
-	// more requests. They are refused then and not sent to servers that do not know the object: those would take
-	// coldCost times longer and forget objects of their own, until nothing is where it is known. Less urgent requests
-	// stop earlier, so that the room that is left goes to the urgent ones.
-	urgentBound   = coldCost + 0.5
-	ordinaryBound = coldCost - 0.5
-	// queueingBound is the load from which a request probably has to wait. Below it the first choice has a free slot,
-	// and a second server that learns the object would forget another one.
-	queueingBound = 1.3
-	// avoidedShare is the largest share of servers that is passed over for failing often.
-	avoidedShare = 0.34
-)
-
 // Candidate is what a VM knows of one backend server at one moment. It is immutable.
 type Candidate struct {
 	ID     oleandervane.BackendServerID
@@ -87,9 +68,9 @@
 )
 
 // Decide chooses among candidates in the order of their ranking.
-func Decide(question Question, candidates []Candidate) Decision {
+func (policy Policy) Decide(question Question, candidates []Candidate) Decision {
 	sound := make([]int, 0, len(candidates))
-	mayAvoid := avoidable(candidates)
+	mayAvoid := policy.mayAvoid(candidates)
 	for i, candidate := range candidates {
 		if candidate.Resting || candidate.Doubtful && !question.Repeatable || candidate.Avoided && mayAvoid {
 			continue
@@ -102,11 +83,11 @@
 	if len(sound) == 0 {
 		return decideUnsound(candidates)
 	}
-	bound := ordinaryBound
+	bound := policy.OrdinaryBound
 	if question.Urgent {
-		bound = urgentBound
+		bound = policy.UrgentBound
 	}
-	chosen, reason := firstChoice(candidates, sound[:min(warmChoices, len(sound))])
+	chosen, reason := policy.firstChoice(candidates, sound[:min(policy.WarmChoices, len(sound))])
 	decision := Decision{Chosen: chosen, Reason: reason, Pressure: candidates[chosen].pressure(), Sound: len(sound)}
 	if decision.Pressure >= bound {
 		decision.Chosen, decision.Reason, decision.RetryAfter = -1, ReasonBusy, roomAfter(question, candidates, sound)
@@ -114,22 +95,22 @@
 	return decision
 }
 
-// avoidable says whether servers that fail often may be passed over. When many fail, the others would drown in the
+// mayAvoid says whether servers that fail often may be passed over. When many fail, the others would drown in the
 // load of all, and requests are better tried where their objects are known.
-func avoidable(candidates []Candidate) bool {
+func (policy Policy) mayAvoid(candidates []Candidate) bool {
 	avoided := 0
 	for _, candidate := range candidates {
 		if candidate.Avoided {
 			avoided++
 		}
 	}
-	return float64(avoided) <= avoidedShare*float64(len(candidates))
+	return float64(avoided) <= policy.AvoidedShare*float64(len(candidates))
 }
 
 // firstChoice returns the first server of the ranking, or another one with room for at least one more request.
-func firstChoice(candidates []Candidate, warm []int) (chosen int, reason string) {
+func (policy Policy) firstChoice(candidates []Candidate, warm []int) (chosen int, reason string) {
 	chosen, reason = warm[0], ReasonFirstChoice
-	if candidates[chosen].pressure() < queueingBound {
+	if candidates[chosen].pressure() < policy.QueueingBound {
 		return chosen, reason
 	}
 	for _, i := range warm[1:] {
--- a/entry/placement/decide_test.go
+++ b/entry/placement/decide_test.go
@@ -44,7 +44,7 @@
 	}
 	for _, decideCase := range cases {
 		t.Run(decideCase.name, func(t *testing.T) {
-			decision := Decide(decideCase.question, decideCase.candidates)
+			decision := DefaultPolicy().Decide(decideCase.question, decideCase.candidates)
 			assert.Equal(t, decision.Chosen, decideCase.chosen)
 			assert.Equal(t, decision.Reason, decideCase.reason)
 			assert.Equal(t, decision.RetryAfter > 0, decideCase.chosen < 0)
@@ -55,7 +55,7 @@
 // Guards against callers that return long before there is room.
 func TestRefusalTellsWhenTheQueueIsWorkedOff(t *testing.T) {
 	candidates := []Candidate{{ID: "a", Slots: 3, Load: 12}, {ID: "b", Slots: 3, Load: 9}}
-	decision := Decide(Question{WorkTime: 200 * time.Millisecond}, candidates)
+	decision := DefaultPolicy().Decide(Question{WorkTime: 200 * time.Millisecond}, candidates)
 	assert.Equal(t, decision.RetryAfter, 600*time.Millisecond)
 }
 
--- a/entry/placement/placer.go
+++ b/entry/placement/placer.go
@@ -28,6 +28,8 @@
 	Membership   oleandervane.Membership
 	// Observer is told what changes the belief about a server.
 	Observer Observer
+	// Policy is DefaultPolicy if it is zero.
+	Policy Policy
 }
 
 // Observer is told what changes the belief about a backend server.
@@ -56,6 +58,9 @@
 
 // NewPlacer returns a placer that knows no servers.
 func NewPlacer(settings Settings) *Placer {
+	if settings.Policy == (Policy{}) {
+		settings.Policy = DefaultPolicy()
+	}
 	placer := &Placer{settings: settings, times: map[string]time.Duration{}}
 	placer.view.Store(&view{})
 	return placer
@@ -143,7 +148,7 @@
 		preferred = need.Home
 	}
 	Rank(preferred, candidates)
-	chooser.decision = Decide(Question{
+	chooser.decision = placer.settings.Policy.Decide(Question{
 		Urgent:     need.Urgent,
 		Repeatable: need.Route.Idempotent(),
 		WorkTime:   placer.usualTime(need.Route.Name),
