Tell other VMs what is in flight, and choose the server that likely answers first

Cause: answers on time bind at high load: 28% of requests were late, 10% because their server had to learn the object, the rest because they waited in a queue that the VM did not know of. Reports of load come with answers, are seconds old at 16 VMs and older at 118, and miss requests on their way. The second choice counted requests and not what an unknown object costs there. Change: fleet/exchange sends each VM's requests in flight to its failure domain each 250 ms; two delegates of a domain take turns to send its sums to all others. Decide takes the server that likely answers first, from queue, pace and whether this VM sent the object there lately. Suspects of crashing servers travel along: two crashes anywhere refuse a request everywhere.

--- a/entry/forward/quarantine.go
+++ b/entry/forward/quarantine.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"oleandervane.example"
 )
 
@@ -21,6 +23,10 @@
 	DefaultQuarantinePeriod = time.Minute
 	// maxQuarantined bounds the list that is sent to peers, 24 bytes each.
 	maxQuarantined = 256
+	// suspectNews is how long a suspect is told to peers, which then have heard of it.
+	suspectNews = 3 * time.Second
+	// maxExportedSuspects bounds what is told at a time, 26 bytes each.
+	maxExportedSuspects = 16
 	// maxSuspects bounds the fingerprints that have ended one connection so far.
 	maxSuspects = 4096
 )
@@ -59,8 +65,9 @@
 }
 
 type suspect struct {
-	backendServer string
-	brokenAt      time.Time
+	// server is the hash of the backend server's id.
+	server   uint32
+	brokenAt time.Time
 }
 
 func newQuarantine(timerService oleandervane.TimerService, period time.Duration) *Quarantine {
@@ -110,9 +117,19 @@
 func (quarantine *Quarantine) noteBroken(fingerprint Fingerprint, backendServer string) {
 	quarantine.mutex.Lock()
 	defer quarantine.mutex.Unlock()
+	quarantine.suspect(fingerprint, ServerHash(backendServer), quarantine.timerService.Now())
+}
+
+// ServerHash is the hash by which VMs name a backend server to one another.
+func ServerHash(id string) uint32 {
+	return uint32(xxhash.Sum64String(id))
+}
+
+// suspect is called with the mutex held.
+func (quarantine *Quarantine) suspect(fingerprint Fingerprint, server uint32, brokenAt time.Time) {
 	now := quarantine.timerService.Now()
 	earlier, found := quarantine.suspects[fingerprint]
-	if found && earlier.backendServer != backendServer && now.Sub(earlier.brokenAt) < quarantine.period {
+	if found && earlier.server != server && now.Sub(earlier.brokenAt) < quarantine.period {
 		delete(quarantine.suspects, fingerprint)
 		quarantine.refuse(fingerprint, now, quarantine.period)
 		return
@@ -120,13 +137,49 @@
 	if !found {
 		quarantine.order = append(quarantine.order, fingerprint)
 	}
-	quarantine.suspects[fingerprint] = suspect{backendServer: backendServer, brokenAt: now}
+	quarantine.suspects[fingerprint] = suspect{server: server, brokenAt: brokenAt}
 	if len(quarantine.order) > maxSuspects {
 		delete(quarantine.suspects, quarantine.order[0])
 		quarantine.order = quarantine.order[1:]
 	}
 }
 
+// ExportSuspects returns the requests that broke a connection lately, the newest first, at most 16 of them. VMs tell one
+// another several times a second, so that each is told some times.
+func (quarantine *Quarantine) ExportSuspects() []oleandervane.SuspectRequest {
+	quarantine.mutex.Lock()
+	defer quarantine.mutex.Unlock()
+	now := quarantine.timerService.Now()
+	var list []oleandervane.SuspectRequest
+	for _, fingerprint := range slices.Backward(quarantine.order) {
+		suspect, found := quarantine.suspects[fingerprint]
+		if !found {
+			continue
+		}
+		age := now.Sub(suspect.brokenAt)
+		if age > suspectNews || len(list) == maxExportedSuspects {
+			break
+		}
+		list = append(list, oleandervane.SuspectRequest{Fingerprint: fingerprint, Server: suspect.server, Since: age})
+	}
+	return list
+}
+
+// ImportSuspects takes over requests that broke a connection of a peer. One that broke connections to two servers, at
+// whatever VMs, is refused from now on.
+func (quarantine *Quarantine) ImportSuspects(list []oleandervane.SuspectRequest) {
+	quarantine.mutex.Lock()
+	defer quarantine.mutex.Unlock()
+	now := quarantine.timerService.Now()
+	for _, one := range list {
+		fingerprint := Fingerprint(one.Fingerprint)
+		if known, found := quarantine.suspects[fingerprint]; found && known.server == one.Server || quarantine.Contains(fingerprint) {
+			continue
+		}
+		quarantine.suspect(fingerprint, one.Server, now.Add(-max(0, one.Since)))
+	}
+}
+
 // noteAnswered clears the suspicion: a request that is answered does not break backend servers.
 func (quarantine *Quarantine) noteAnswered(fingerprint Fingerprint) {
 	quarantine.mutex.Lock()
--- a/entry/placement/decide.go
+++ b/entry/placement/decide.go
@@ -24,6 +24,8 @@
 	Resting bool
 	// Avoided says that the server answers, but has failed many requests.
 	Avoided bool
+	// Familiar says that the server handled the object for this VM lately.
+	Familiar bool
 	// Unused says that the server has joined and received no request yet.
 	Unused bool
 	// index is the place of the server in the placer's list.
@@ -107,21 +109,29 @@
 	return float64(avoided) <= policy.AvoidedShare*float64(len(candidates))
 }
 
-// firstChoice returns the first server of the ranking, or another one with room for at least one more request.
+// firstChoice returns the server among the warm ones that is likely to answer first.
 func (policy Policy) firstChoice(candidates []Candidate, warm []int) (chosen int, reason string) {
 	chosen, reason = warm[0], ReasonFirstChoice
-	if candidates[chosen].pressure() < policy.QueueingBound {
-		return chosen, reason
-	}
+	least := candidates[chosen].answerTime(1)
 	for _, i := range warm[1:] {
-		oneMore := max(1, candidates[i].Pace) / float64(max(1, candidates[i].Slots))
-		if candidates[i].pressure()+oneMore <= candidates[chosen].pressure() {
-			chosen, reason = i, ReasonLessLoad
+		work := policy.ColdCost
+		if candidates[i].Familiar {
+			work = 1
+		}
+		if takes := candidates[i].answerTime(work); takes+policy.Margin <= least {
+			chosen, reason, least = i, ReasonLessLoad, takes
 		}
 	}
 	return chosen, reason
 }
 
+// answerTime estimates the time until the answer, in the usual time of a request at a server that knows the object.
+func (candidate Candidate) answerTime(work float64) float64 {
+	slots := float64(max(1, candidate.Slots))
+	waiting := max(0, candidate.Load+1-slots) / slots
+	return (waiting + work) * max(1, candidate.Pace)
+}
+
 func leastPressure(candidates []Candidate, among []int) int {
 	least := among[0]
 	for _, i := range among[1:] {
--- a/entry/placement/placer.go
+++ b/entry/placement/placer.go
@@ -46,6 +46,9 @@
 	// updates serializes Update.
 	updates sync.Mutex
 
+	foreign     foreignCounts
+	familiarity familiarity
+
 	timesMutex sync.Mutex
 	times      map[string]time.Duration
 }
@@ -54,6 +57,8 @@
 type view struct {
 	registry oleandervane.Registry
 	services map[oleandervane.ServiceName][]*server
+	// byHash finds the servers of counts.
+	byHash map[uint32]*server
 }
 
 // NewPlacer returns a placer that knows no servers.
@@ -61,7 +66,7 @@
 	if settings.Policy == (Policy{}) {
 		settings.Policy = DefaultPolicy()
 	}
-	placer := &Placer{settings: settings, times: map[string]time.Duration{}}
+	placer := &Placer{settings: settings, times: map[string]time.Duration{}, foreign: foreignCounts{sources: map[string]sourceCounts{}}}
 	placer.view.Store(&view{})
 	return placer
 }
@@ -79,7 +84,7 @@
 			known[server.ID] = server
 		}
 	}
-	next := &view{registry: registry, services: map[oleandervane.ServiceName][]*server{}}
+	next := &view{registry: registry, services: map[oleandervane.ServiceName][]*server{}, byHash: map[uint32]*server{}}
 	for id, registered := range registry.BackendServers {
 		current := renewed(known[id], registered, now)
 		if former.registry.Evacuated[registered.FailureDomain] && !registry.Evacuated[registered.FailureDomain] {
@@ -87,8 +92,9 @@
 		}
 		current = current.withWarms(ranksFirst(current.hash, self, vms, coldVMs))
 		next.services[registered.Service] = append(next.services[registered.Service], current)
+		next.byHash[uint32(current.hash)] = current
 	}
-	placer.view.Store(next)
+	placer.replaceView(next)
 }
 
 // renewed returns the server for an entry. A changed entry of the same run shares what is known of it.
@@ -162,7 +168,8 @@
 	}
 	server.inFlight.Add(1)
 	server.sent.Add(1)
-	return &reservation{placer: placer, server: server, route: need.Route.Name, takenAt: now}, nil
+	pair := candidates[chooser.decision.Chosen].Score
+	return &reservation{placer: placer, server: server, route: need.Route.Name, takenAt: now, pair: pair}, nil
 }
 
 // coldInterval is the time between two requests of this VM to a cold server.
@@ -179,14 +186,16 @@
 	view := placer.view.Load()
 	servers := view.services[need.Service]
 	object := objectHash(need.Object)
+	scale := placer.othersScale()
 	candidates := make([]Candidate, 0, len(servers))
 	for i, server := range servers {
 		if server.Leaving || view.registry.Evacuated[server.FailureDomain] || !need.Route.Allows(server.Region) ||
 			slices.Contains(excluded, string(server.ID)) {
 			continue
 		}
-		candidate := server.candidate(object, now)
+		candidate := server.candidate(object, scale, now)
 		candidate.index = i
+		candidate.Familiar = placer.familiarity.knows(candidate.Score, now)
 		candidates = append(candidates, candidate)
 	}
 	return servers, candidates
--- a/entry/placement/reservation.go
+++ b/entry/placement/reservation.go
@@ -10,9 +10,11 @@
 
 // reservation is a place at a server for one attempt.
 type reservation struct {
-	placer   *Placer
-	server   *server
-	route    string
+	placer *Placer
+	server *server
+	route  string
+	// pair stands for the server and the object.
+	pair     uint64
 	takenAt  time.Time
 	failed   atomic.Bool
 	idle     atomic.Bool
@@ -50,6 +52,7 @@
 			reservation.noteFailure(attemptResult, now)
 			return
 		}
+		reservation.placer.familiarity.note(reservation.pair, now)
 		relative := reservation.placer.noteTime(reservation.route, now.Sub(reservation.takenAt))
 		server.noteSuccess(relative, now, slowStart(reservation.placer.view.Load().registry, server.Service))
 	case oleandervane.AttemptShed:
--- a/entry/placement/server.go
+++ b/entry/placement/server.go
@@ -42,7 +42,9 @@
 // knowledge is what a VM knows of one run of a backend server beside its entry.
 type knowledge struct {
 	inFlight atomic.Int64
-	sent     atomic.Uint64
+	// others is what other VMs have in flight, as far as they told it.
+	others atomic.Int64
+	sent   atomic.Uint64
 
 	mutex sync.Mutex
 	// The fields below are guarded by mutex. reported is the load from other VMs at reportedAt, usual its average.
@@ -89,12 +91,17 @@
 	return &changed
 }
 
-// load estimates the requests that run or wait at the server: those of this VM, and those of others by the last
-// report, which fades into the usual load as it ages. It is called with the mutex held.
-func (server *server) load(now time.Time) float64 {
+// load estimates the requests that run or wait at the server: those of this VM and those of others. Others told theirs,
+// if scale is above zero; else they are known by the last report, which fades into the usual load as it ages. It is
+// called with the mutex held.
+func (server *server) load(scale float64, now time.Time) float64 {
+	own := float64(server.inFlight.Load())
+	if scale > 0 {
+		return own + scale*float64(server.others.Load())
+	}
 	age := now.Sub(server.reportedAt)
 	fresh := math.Exp(-float64(max(0, age)) / float64(reportDecay))
-	return float64(server.inFlight.Load()) + server.usual + (server.reported-server.usual)*fresh
+	return own + server.usual + (server.reported-server.usual)*fresh
 }
 
 // noteReport takes over a reported load, less what this VM itself has there.
@@ -167,7 +174,7 @@
 }
 
 // candidate returns what a decision has to know of the server.
-func (server *server) candidate(object uint64, now time.Time) Candidate {
+func (server *server) candidate(object uint64, scale float64, now time.Time) Candidate {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	cold := now.Before(server.coldUntil)
@@ -176,7 +183,7 @@
 		Region:   server.Region,
 		Score:    score(object, server.hash),
 		Slots:    server.Slots,
-		Load:     server.load(now),
+		Load:     server.load(scale, now),
 		Pace:     1,
 		Doubtful: server.doubtful,
 		Resting:  now.Before(server.restUntil) || cold && (!server.warms || now.Before(server.nextCold)),
--- a/entryvm/hosted/hosted.go
+++ b/entryvm/hosted/hosted.go
@@ -72,6 +72,7 @@
 	reception    *reception.Reception
 	beliefs      *beliefs
 	watcher      *registrywatch.Watcher
+	contact      *storeContact
 	stopping     atomic.Bool
 }
 
@@ -115,6 +116,7 @@
 		TimerService:  timerService,
 		Observer:      entryVM.observer,
 	})
+	entryVM.contact = &storeContact{timerService: timerService}
 	entryVM.addGauges()
 	return entryVM
 }
@@ -164,6 +166,11 @@
 	defer cancel()
 	go entryVM.watcher.Run(ctx)
 	go entryVM.roster.Run(ctx)
+	stopExchange, err := entryVM.startExchange(settings.PeerAddress)
+	if err != nil {
+		return err
+	}
+	defer stopExchange()
 	callerServer := webserver.New(settings.CallerAddress.String(), entryVM.reception)
 	callerServer.IdleTimeout, callerServer.ReadHeaderTimeout = callerIdleLimit, headerLimit
 	setKratosLog.Do(func() { klog.SetLogger(webserver.Logger(entryVM.log)) })
@@ -180,7 +187,7 @@
 		kratos.BeforeStop(func(context.Context) error { entryVM.drain(); return nil }),
 	)
 	entryVM.log.WithField("settings", settings).Info("entry VM starts")
-	err := app.Run()
+	err = app.Run()
 	entryVM.forwarder.Close()
 	entryVM.log.WithField("in_flight", entryVM.reception.InFlight()).Info("entry VM has stopped")
 	entryVM.logWriter.Close()
--- /dev/null
+++ b/entryvm/hosted/suspicions.go
@@ -0,0 +1,41 @@
+package hosted
+
+import (
+	"oleandervane.example"
+	"oleandervane.example/entry/forward"
+)
+
+// suspicions passes what the quarantine knows to other VMs and back.
+type suspicions struct {
+	quarantine *forward.Quarantine
+}
+
+// Suspects returns requests that broke one connection lately.
+func (suspicions suspicions) Suspects() []oleandervane.SuspectRequest {
+	return suspicions.quarantine.ExportSuspects()
+}
+
+// Refused returns requests that are refused.
+func (suspicions suspicions) Refused() []oleandervane.SuspectRequest {
+	quarantined := suspicions.quarantine.Export()
+	refused := make([]oleandervane.SuspectRequest, 0, len(quarantined))
+	for _, one := range quarantined {
+		refused = append(refused, oleandervane.SuspectRequest{Fingerprint: one.Fingerprint, Since: one.Left})
+	}
+	return refused
+}
+
+// Learn takes over what another VM knows.
+func (suspicions suspicions) Learn(suspects, refused []oleandervane.SuspectRequest) {
+	if len(suspects) > 0 {
+		suspicions.quarantine.ImportSuspects(suspects)
+	}
+	if len(refused) == 0 {
+		return
+	}
+	quarantined := make([]forward.Quarantined, 0, len(refused))
+	for _, one := range refused {
+		quarantined = append(quarantined, forward.Quarantined{Fingerprint: one.Fingerprint, Left: one.Since})
+	}
+	suspicions.quarantine.Import(quarantined)
+}
--- /dev/null
+++ b/fleet/exchange/exchange.go
@@ -0,0 +1,216 @@
+// Package exchange lets entry VMs tell one another several times a second what they have in flight at backend servers,
+// which requests broke connections, and how far they know the store.
+//
+// Each VM tells the VMs of its own failure domain. Two delegates of the domain take turns to tell all other VMs the sums
+// of the domain, so that what crosses domains grows with domains and not with VMs. Notices are datagrams: each replaces
+// the former one of its sender, and a lost one is made good by the next.
+package exchange
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"oleandervane.example"
+	"oleandervane.example/fleet/membership"
+	"oleandervane.example/fleet/peer"
+)
+
+const (
+	// Period is the time between two notices of a VM. Requests take a few hundred milliseconds.
+	Period = 250 * time.Millisecond
+	// noticeLifetime is how long a notice of a VM of the own domain counts for the sums of the domain.
+	noticeLifetime = time.Second
+	// delegates is the number of VMs that speak for a failure domain. With two, the death of one halves the pace.
+	delegates = 2
+	// delegatePurpose and delegateEpoch choose the delegates, the same ones as long as they live.
+	delegatePurpose = "exchange"
+	delegateEpoch   = 0
+	// maxSuspects bounds the requests in a notice, 26 bytes each.
+	maxSuspects = 16
+)
+
+// Sender sends a notice to VMs. It must not block.
+type Sender interface {
+	Send(to []oleandervane.EntryVM, notice *peer.Notice)
+}
+
+// Settings are the parts that an Exchange needs.
+type Settings struct {
+	TimerService oleandervane.TimerService
+	Membership   oleandervane.Membership
+	InFlight     oleandervane.InFlightKeeper
+	Suspicions   oleandervane.SuspicionKeeper
+	Store        oleandervane.StoreContact
+	Sender       Sender
+}
+
+// Exchange sends and takes in notices. All methods may be called from many goroutines at once.
+type Exchange struct {
+	settings Settings
+
+	mutex    sync.Mutex
+	sequence uint64
+	// heard has the newest notice of each sender and scope.
+	heard map[string]heardNotice
+}
+
+type heardNotice struct {
+	notice *peer.Notice
+	at     time.Time
+}
+
+// New returns an exchange.
+func New(settings Settings) *Exchange {
+	return &Exchange{settings: settings, heard: map[string]heardNotice{}}
+}
+
+// Run sends notices each Period until the returned function is called.
+func (exchange *Exchange) Run() (cancel func()) {
+	return exchange.settings.TimerService.Every(Period, func(time.Time) { exchange.Tell() })
+}
+
+// Tell sends the notices of one period.
+func (exchange *Exchange) Tell() {
+	self := exchange.settings.Membership.Self()
+	near, far := split(exchange.settings.Membership.EntryVMs(), self)
+	own := exchange.ownNotice(self)
+	others := slices.DeleteFunc(slices.Clone(near), func(vm oleandervane.EntryVM) bool { return vm.ID == self.ID })
+	exchange.settings.Sender.Send(others, own)
+	if len(far) == 0 || !speaks(near, self, own.Sequence) {
+		return
+	}
+	exchange.settings.Sender.Send(far, exchange.domainNotice(self, own))
+}
+
+// split divides VMs into those of the failure domain of self, and the others.
+func split(vms []oleandervane.EntryVM, self oleandervane.EntryVM) (near, far []oleandervane.EntryVM) {
+	for _, vm := range vms {
+		if vm.FailureDomain == self.FailureDomain {
+			near = append(near, vm)
+			continue
+		}
+		far = append(far, vm)
+	}
+	return near, far
+}
+
+// speaks says whether it is this VM's turn to speak for its failure domain.
+func speaks(near []oleandervane.EntryVM, self oleandervane.EntryVM, sequence uint64) bool {
+	rank := membership.Rank(self.ID, near, delegatePurpose, delegateEpoch)
+	turns := max(1, min(delegates, len(near)))
+	return rank < delegates && int(sequence%uint64(turns)) == rank%turns
+}
+
+// Delegates returns the VMs that speak for a failure domain, the first choice first.
+func Delegates(vms []oleandervane.EntryVM, failureDomain oleandervane.FailureDomain) []oleandervane.EntryVM {
+	near := slices.DeleteFunc(slices.Clone(vms), func(vm oleandervane.EntryVM) bool { return vm.FailureDomain != failureDomain })
+	chosen := make([]oleandervane.EntryVM, 0, delegates)
+	for _, id := range membership.Chosen(near, delegatePurpose, delegateEpoch, delegates) {
+		chosen = append(chosen, near[slices.IndexFunc(near, func(vm oleandervane.EntryVM) bool { return vm.ID == id })])
+	}
+	return chosen
+}
+
+// ownNotice is what this VM itself has in flight.
+func (exchange *Exchange) ownNotice(self oleandervane.EntryVM) *peer.Notice {
+	exchange.mutex.Lock()
+	exchange.sequence++
+	sequence := exchange.sequence
+	exchange.mutex.Unlock()
+	notice := &peer.Notice{Vm: string(self.ID), Incarnation: uint64(self.Incarnation), Sequence: sequence, Vms: 1}
+	setCounts(notice, exchange.settings.InFlight.InFlight())
+	notice.Suspects = encodeSuspects(exchange.settings.Suspicions.Suspects())
+	notice.Quarantined = encodeSuspects(exchange.settings.Suspicions.Refused())
+	notice.StoreRevision, notice.StoreFresh = exchange.settings.Store.StoreRevision()
+	return notice
+}
+
+// domainNotice is what the VMs of the own failure domain have in flight together.
+func (exchange *Exchange) domainNotice(self oleandervane.EntryVM, own *peer.Notice) *peer.Notice {
+	sums := map[uint32]int{}
+	addCounts(sums, own)
+	vms := 1
+	now := exchange.settings.TimerService.Now()
+	exchange.mutex.Lock()
+	for _, heard := range exchange.heard {
+		if heard.notice.FailureDomain == "" && now.Sub(heard.at) < noticeLifetime {
+			addCounts(sums, heard.notice)
+			vms++
+		}
+	}
+	exchange.mutex.Unlock()
+	notice := &peer.Notice{
+		Vm: own.Vm, Incarnation: own.Incarnation, Sequence: own.Sequence, FailureDomain: string(self.FailureDomain),
+		Vms: uint32(vms), Suspects: own.Suspects, Quarantined: own.Quarantined,
+	}
+	setSums(notice, sums)
+	return notice
+}
+
+// Receive takes in a notice. Those of VMs that are not known, of an earlier incarnation, or older than the last one are
+// left out.
+func (exchange *Exchange) Receive(notice *peer.Notice) {
+	sender, known := exchange.find(oleandervane.VMID(notice.GetVm()))
+	if !known || notice.GetFailureDomain() != "" && notice.GetFailureDomain() != string(sender.FailureDomain) {
+		return
+	}
+	if !exchange.note(notice) {
+		return
+	}
+	exchange.settings.Suspicions.Learn(decodeSuspects(notice.GetSuspects()), decodeSuspects(notice.GetQuarantined()))
+	exchange.settings.InFlight.Learn(source(notice), int(notice.GetVms()), counts(notice))
+}
+
+func (exchange *Exchange) find(id oleandervane.VMID) (oleandervane.EntryVM, bool) {
+	vms := exchange.settings.Membership.EntryVMs()
+	i, found := slices.BinarySearchFunc(vms, id, func(vm oleandervane.EntryVM, id oleandervane.VMID) int {
+		return strings.Compare(string(vm.ID), string(id))
+	})
+	if !found || id == exchange.settings.Membership.Self().ID {
+		return oleandervane.EntryVM{}, false
+	}
+	return vms[i], true
+}
+
+// note keeps the notice if it is newer than the last one of its sender and scope.
+func (exchange *Exchange) note(notice *peer.Notice) bool {
+	now := exchange.settings.TimerService.Now()
+	key := notice.GetVm() + "\x00" + notice.GetFailureDomain()
+	exchange.mutex.Lock()
+	defer exchange.mutex.Unlock()
+	if heard, found := exchange.heard[key]; found && !newer(notice, heard.notice) {
+		return false
+	}
+	exchange.heard[key] = heardNotice{notice: notice, at: now}
+	for key, heard := range exchange.heard {
+		if now.Sub(heard.at) > forgetAfter {
+			delete(exchange.heard, key)
+		}
+	}
+	return true
+}
+
+// forgetAfter is when a VM that fell silent is forgotten; a late datagram of before is then no longer told apart.
+const forgetAfter = 10 * time.Second
+
+func newer(notice, than *peer.Notice) bool {
+	if notice.GetIncarnation() != than.GetIncarnation() {
+		return notice.GetIncarnation() > than.GetIncarnation()
+	}
+	return notice.GetSequence() > than.GetSequence()
+}
+
+// StoreRevision returns how far a VM of the own failure domain knows the store, as its last notice says, if it is in
+// contact with the store and was heard a moment ago.
+func (exchange *Exchange) StoreRevision(id oleandervane.VMID, within time.Duration) (revision uint64, fresh bool) {
+	now := exchange.settings.TimerService.Now()
+	exchange.mutex.Lock()
+	defer exchange.mutex.Unlock()
+	heard, found := exchange.heard[string(id)+"\x00"]
+	if !found || now.Sub(heard.at) > within || !heard.notice.GetStoreFresh() {
+		return 0, false
+	}
+	return heard.notice.GetStoreRevision(), true
+}
--- /dev/null
+++ b/standin/emulation/exchange.go
@@ -0,0 +1,58 @@
+package emulation
+
+import (
+	"time"
+
+	"oleandervane.example"
+	"oleandervane.example/fleet/exchange"
+	"oleandervane.example/fleet/peer"
+)
+
+// startExchange lets a VM tell others what it has in flight, unless the variant leaves each VM to itself.
+func (vm *vm) startExchange() {
+	vm.exchange = exchange.New(exchange.Settings{
+		TimerService: vm.world.manual, Membership: vm, InFlight: vm.placer, Suspicions: noSuspicions{}, Store: noStore{}, Sender: vm,
+	})
+	if vm.world.variant.Alone {
+		return
+	}
+	// VMs do not start at the same moment.
+	offset := time.Duration(vm.world.random.Float64() * float64(exchange.Period))
+	started := vm.exchange
+	vm.world.manual.After(offset, func(time.Time) {
+		var cancel func()
+		cancel = vm.world.manual.Every(exchange.Period, func(time.Time) {
+			if vm.exchange != started {
+				cancel()
+				return
+			}
+			if !vm.down {
+				vm.exchange.Tell()
+			}
+		})
+	})
+}
+
+// Send carries a notice over the modelled links.
+func (vm *vm) Send(to []oleandervane.EntryVM, notice *peer.Notice) {
+	for _, other := range to {
+		receiver := vm.world.vms[other.ID]
+		vm.world.manual.After(vm.world.delay(vm.FailureDomain, receiver.FailureDomain), func(time.Time) {
+			if !receiver.down {
+				receiver.exchange.Receive(notice)
+			}
+		})
+	}
+}
+
+// noSuspicions knows no requests that crash servers: the models have none.
+type noSuspicions struct{}
+
+func (noSuspicions) Suspects() []oleandervane.SuspectRequest  { return nil }
+func (noSuspicions) Refused() []oleandervane.SuspectRequest   { return nil }
+func (noSuspicions) Learn(_, _ []oleandervane.SuspectRequest) {}
+
+// noStore is a store that VMs hear of otherwise.
+type noStore struct{}
+
+func (noStore) StoreRevision() (revision uint64, fresh bool) { return 0, false }
--- a/standin/emulation/vm.go
+++ b/standin/emulation/vm.go
@@ -9,6 +9,7 @@
 	"oleandervane.example/entry/forward"
 	"oleandervane.example/entry/placement"
 	"oleandervane.example/entry/route"
+	"oleandervane.example/fleet/exchange"
 )
 
 const (
@@ -22,10 +23,11 @@
 // vm is an entry VM: the real decisions and a model of the network around them.
 type vm struct {
 	oleandervane.EntryVM
-	world  *world
-	placer *placement.Placer
-	budget forward.RetryBudget
-	down   bool
+	world    *world
+	placer   *placement.Placer
+	budget   forward.RetryBudget
+	down     bool
+	exchange *exchange.Exchange
 }
 
 func newVM(world *world, domain Domain, number int) *vm {
@@ -41,6 +43,10 @@
 // start gives the VM the memory of a new process.
 func (vm *vm) start() {
 	retries := vm.world.scenario.Retries
+	if first := vm.world.first(); vm.world.variant.OneMind && first != nil && first != vm {
+		vm.placer, vm.budget, vm.exchange = first.placer, first.budget, first.exchange
+		return
+	}
 	vm.placer = placement.NewPlacer(placement.Settings{
 		TimerService: vm.world.manual, Membership: vm, Policy: vm.world.variant.policy(),
 	})
@@ -49,6 +55,7 @@
 		Base: func() float64 { return retries.Base / float64(max(1, len(vm.world.vms))) },
 	})
 	vm.placer.Update(vm.world.registry())
+	vm.startExchange()
 }
 
 // Self returns the VM as its peers see it.
--- a/standin/emulation/world.go
+++ b/standin/emulation/world.go
@@ -110,6 +110,14 @@
 	world.order = append(world.order, server)
 }
 
+// first returns the first VM, or nil before there is one.
+func (world *world) first() *vm {
+	if len(world.vmOrder) == 0 {
+		return nil
+	}
+	return world.vmOrder[0]
+}
+
 func (world *world) listVMs() {
 	var listed []oleandervane.EntryVM
 	for _, vm := range world.vmOrder {
