Let two VMs of a failure domain watch the store for the others

Ruled out: longer pauses between two watches, which the time limits of drains and configurations do not allow; stale reads, which may be seconds old. Change: the delegates of a failure domain watch; followers hear by notices how far a delegate is and that the store answered it a moment ago, and read the changes from it (fleet/relay, connect-go). A follower that hears of no such delegate for 0.8 s watches the store itself. Delegates with followers renew their lease twice a second, so that a cut shows within 0.9 s.

--- a/entryvm/hosted/beliefs.go
+++ b/entryvm/hosted/beliefs.go
@@ -127,6 +127,15 @@
 	beliefs.timerService.After(registrywatch.ReturnHold, func(time.Time) { beliefs.releaseHeld() })
 }
 
+// Following logs whether another VM passes the store on.
+func (beliefs *beliefs) Following(followed bool) {
+	if followed {
+		beliefs.log.Info("changes of the store are read from a delegate of the failure domain")
+		return
+	}
+	beliefs.log.Info("this VM watches the store itself")
+}
+
 // releaseHeld applies the removals of entries that did not come back.
 func (beliefs *beliefs) releaseHeld() {
 	beliefs.mutex.Lock()
--- a/entryvm/hosted/beliefs_test.go
+++ b/entryvm/hosted/beliefs_test.go
@@ -23,7 +23,7 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	self := oleandervane.EntryVM{ID: "vm-1", CallerAddress: netip.MustParseAddrPort("127.0.0.1:1")}
-	roster := roster.New(self, storestandin.New(manual), manual, &observer{})
+	roster := roster.New(self, storestandin.New(manual), manual, &observer{}, func() bool { return false })
 	reader := catalog.New(map[oleandervane.FailureDomain]oleandervane.Region{"kigali-a": "kigali"})
 	return newBeliefs(reader, roster, manual, logrus.NewEntry(logger), func(oleandervane.Registry) {})
 }
--- a/entryvm/hosted/hosted.go
+++ b/entryvm/hosted/hosted.go
@@ -23,7 +23,9 @@
 	"oleandervane.example/entry/reception"
 	"oleandervane.example/entryvm/incarnation"
 	"oleandervane.example/entryvm/webserver"
+	"oleandervane.example/fleet/exchange"
 	"oleandervane.example/fleet/registrywatch"
+	"oleandervane.example/fleet/relay"
 	"oleandervane.example/fleet/roster"
 	"oleandervane.example/platform/catalog"
 	"oleandervane.example/platform/dialect"
@@ -72,7 +74,11 @@
 	reception    *reception.Reception
 	beliefs      *beliefs
 	watcher      *registrywatch.Watcher
-	contact      *storeContact
+	contact      *relay.ObservedStore
+	notices      *exchange.Exchange
+	noticeSocket *exchange.Socket
+	board        *relay.Board
+	relayClient  *relay.Client
 	stopping     atomic.Bool
 }
 
@@ -86,11 +92,11 @@
 	})
 	entryVM.observer = &observer{log: entryVM.log, set: metrics.NewSet()}
 	entryVM.store = store.NewClient(settings.StoreURL, timerService)
-	entryVM.roster = roster.New(self, entryVM.store, timerService, entryVM.observer)
+	entryVM.contact = relay.Observe(entryVM.store, entryVM.store, timerService)
+	entryVM.roster = roster.New(self, entryVM.contact, timerService, entryVM.observer, func() bool { return entryVM.board.Followed() })
+	entryVM.board = relay.NewBoard(entryVM.roster, entryVM.contact)
 	entryVM.beliefs = newBeliefs(catalog.New(settings.FailureDomains), entryVM.roster, timerService, entryVM.log, entryVM.publish)
 	entryVM.observer.beliefs = entryVM.beliefs
-	entryVM.watcher = registrywatch.New(entryVM.store, timerService, entryVM.beliefs, settings.changeLimit())
-	entryVM.observer.storeFailed = entryVM.watcher.Interrupt
 	entryVM.placer = placement.NewPlacer(placement.Settings{
 		TimerService: timerService,
 		Membership:   entryVM.roster,
@@ -116,7 +122,7 @@
 		TimerService:  timerService,
 		Observer:      entryVM.observer,
 	})
-	entryVM.contact = &storeContact{timerService: timerService}
+	entryVM.joinFleet(settings)
 	entryVM.addGauges()
 	return entryVM
 }
@@ -138,6 +144,7 @@
 	set.NewGauge("oleandervane_requests_in_flight", func() float64 { return float64(entryVM.reception.InFlight()) })
 	set.NewGauge("oleandervane_log_lines_dropped", func() float64 { return float64(entryVM.logWriter.Dropped()) })
 	set.NewGauge("oleandervane_store_calls", func() float64 { return float64(entryVM.store.Calls().Total()) })
+	set.NewGauge("oleandervane_notices_dropped", func() float64 { return float64(entryVM.noticeSocket.Dropped()) })
 	set.NewGauge("oleandervane_beliefs_age_seconds", func() float64 { return entryVM.beliefs.age().Seconds() })
 }
 
@@ -166,11 +173,11 @@
 	defer cancel()
 	go entryVM.watcher.Run(ctx)
 	go entryVM.roster.Run(ctx)
-	stopExchange, err := entryVM.startExchange(settings.PeerAddress)
+	stopNotices, err := entryVM.startNotices(settings.PeerAddress)
 	if err != nil {
 		return err
 	}
-	defer stopExchange()
+	defer stopNotices()
 	callerServer := webserver.New(settings.CallerAddress.String(), entryVM.reception)
 	callerServer.IdleTimeout, callerServer.ReadHeaderTimeout = callerIdleLimit, headerLimit
 	setKratosLog.Do(func() { klog.SetLogger(webserver.Logger(entryVM.log)) })
@@ -182,6 +189,7 @@
 			entryVM.server(settings.DirectoryAddress, doorway.DirectoryHandler(entryVM)),
 			entryVM.server(settings.ReadinessAddress, doorway.ReadinessHandler(entryVM.unready)),
 			entryVM.server(settings.OperationsAddress, entryVM.operationsHandler()),
+			entryVM.server(settings.PeerAddress, entryVM.peerHandler()),
 		),
 		kratos.StopTimeout(time.Duration(settings.StopLimit)-acceptTime-stopMargin),
 		kratos.BeforeStop(func(context.Context) error { entryVM.drain(); return nil }),
@@ -189,6 +197,7 @@
 	entryVM.log.WithField("settings", settings).Info("entry VM starts")
 	err = app.Run()
 	entryVM.forwarder.Close()
+	entryVM.relayClient.Close()
 	entryVM.log.WithField("in_flight", entryVM.reception.InFlight()).Info("entry VM has stopped")
 	entryVM.logWriter.Close()
 	return eris.Wrap(err, "running the entry VM")
--- a/fleet/exchange/exchange_test.go
+++ b/fleet/exchange/exchange_test.go
@@ -216,14 +216,13 @@
 // Guards against notices that do not survive the socket.
 func TestSocket(t *testing.T) {
 	local := netip.MustParseAddrPort("127.0.0.1:0")
-	sender, err := Listen(local)
-	assert.NilError(t, err)
-	receiver, err := Listen(local)
-	assert.NilError(t, err)
+	sender, receiver := &Socket{}, &Socket{}
+	assert.NilError(t, sender.Open(local))
+	assert.NilError(t, receiver.Open(local))
 	received := make(chan *peer.Notice, 1)
 	go func() { _ = receiver.Receive(func(notice *peer.Notice) { received <- notice }) }()
-	address := receiver.conn.LocalAddr().String()
-	_, err = sender.conn.WriteToUDPAddrPort([]byte{0xff}, netip.MustParseAddrPort(address))
+	address := receiver.conn.Load().LocalAddr().String()
+	_, err := sender.conn.Load().WriteToUDPAddrPort([]byte{0xff}, netip.MustParseAddrPort(address))
 	assert.NilError(t, err)
 	sender.Send([]oleandervane.EntryVM{{PeerAddress: netip.MustParseAddrPort(address)}}, &peer.Notice{Vm: "a", Servers: []uint32{1}, Counts: []uint32{2}})
 	notice := <-received
--- a/fleet/exchange/socket.go
+++ b/fleet/exchange/socket.go
@@ -21,39 +21,42 @@
 
 // Socket sends and receives notices as datagrams.
 type Socket struct {
-	conn *net.UDPConn
+	// conn is nil until the socket is open.
+	conn atomic.Pointer[net.UDPConn]
 	// dropped counts notices that could not be sent or read.
 	dropped atomic.Uint64
 }
 
-// Listen opens a socket at an address.
-func Listen(address netip.AddrPort) (*Socket, error) {
+// Open binds the socket to an address. Notices that are sent before are dropped.
+func (socket *Socket) Open(address netip.AddrPort) error {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
 	if err != nil {
-		return nil, eris.Wrapf(ErrSocket, "address %s: %v", address, err)
+		return eris.Wrapf(ErrSocket, "address %s: %v", address, err)
 	}
-	return &Socket{conn: conn}, nil
+	socket.conn.Store(conn)
+	return nil
 }
 
 // Send sends a notice to VMs. Those that cannot be sent are counted; the next notice makes them good.
 func (socket *Socket) Send(to []oleandervane.EntryVM, notice *peer.Notice) {
 	datagram, err := proto.Marshal(notice)
-	if err != nil || len(datagram) > maxNoticeBytes {
+	conn := socket.conn.Load()
+	if err != nil || len(datagram) > maxNoticeBytes || conn == nil {
 		socket.dropped.Add(1)
 		return
 	}
 	for _, vm := range to {
-		if _, err := socket.conn.WriteToUDPAddrPort(datagram, vm.PeerAddress); err != nil {
+		if _, err := conn.WriteToUDPAddrPort(datagram, vm.PeerAddress); err != nil {
 			socket.dropped.Add(1)
 		}
 	}
 }
 
-// Receive passes notices on until the socket is closed, or fails. Datagrams that are no notices are counted.
+// Receive passes notices on until the socket, which must be open, is closed or fails. Datagrams that are no notices are counted.
 func (socket *Socket) Receive(receive func(notice *peer.Notice)) error {
 	buffer := make([]byte, maxNoticeBytes)
 	for {
-		count, _, err := socket.conn.ReadFromUDPAddrPort(buffer)
+		count, _, err := socket.conn.Load().ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -76,5 +79,5 @@
 
 // Close ends Receive.
 func (socket *Socket) Close() error {
-	return eris.Wrap(socket.conn.Close(), "closing the socket for notices")
+	return eris.Wrap(socket.conn.Load().Close(), "closing the socket for notices")
 }
--- a/fleet/registrywatch/watcher.go
+++ b/fleet/registrywatch/watcher.go
@@ -40,28 +40,59 @@
 	// Lost and Regained tell of the dependency on the store.
 	Lost(err error)
 	Regained(away time.Duration)
+	// Following tells whether another VM passes the store on from now on.
+	Following(followed bool)
 }
 
+// Relay offers the store as another VM passes it on, which costs no call to the store.
+type Relay interface {
+	// Delegated returns such a store that is at least at a revision, or false if this VM has to ask the store itself.
+	Delegated(revision uint64) (oleandervane.PrefixStore, bool)
+	// Follows says that this VM should read from another one when it can.
+	Follows() bool
+	// NeedsAll says that other VMs follow this one and it has no entries for them yet.
+	NeedsAll() bool
+}
+
+// NoRelay is a Relay of VMs that all ask the store themselves.
+type NoRelay struct{}
+
+// Delegated returns false.
+func (NoRelay) Delegated(uint64) (oleandervane.PrefixStore, bool) { return nil, false }
+
+// Follows returns false.
+func (NoRelay) Follows() bool { return false }
+
+// NeedsAll returns false.
+func (NoRelay) NeedsAll() bool { return false }
+
 // Watcher reads all keys of the store and then watches them.
 type Watcher struct {
 	store        oleandervane.PrefixStore
+	relay        Relay
 	timerService oleandervane.TimerService
 	sink         Sink
 	gather       time.Duration
 	// interrupt ends the watch that waits.
 	interrupt chan struct{}
 
+	// revision is how far the store is known, if listed is set.
+	revision uint64
+	listed   bool
 	// confirmed says that a whole watch has passed since the last listing or change.
-	confirmed    bool
+	confirmed bool
+	// followed says that the last call went to another VM.
+	followed     bool
 	failingSince time.Time
 	lost         bool
 	retry        time.Duration
 }
 
 // New returns a watcher that Run starts. A change has to be in force within changeLimit.
-func New(store oleandervane.PrefixStore, timerService oleandervane.TimerService, sink Sink, changeLimit time.Duration) *Watcher {
+func New(store oleandervane.PrefixStore, relay Relay, timerService oleandervane.TimerService, sink Sink, changeLimit time.Duration) *Watcher {
 	return &Watcher{
 		store:        store,
+		relay:        relay,
 		timerService: timerService,
 		sink:         sink,
 		gather:       time.Duration(gatherShare * float64(changeLimit)),
@@ -72,42 +103,65 @@
 
 // Run watches until ctx ends.
 func (watcher *Watcher) Run(ctx context.Context) {
-	revision, listed := uint64(0), false
 	for ctx.Err() == nil {
-		var err error
-		if listed {
-			revision, err = watcher.watch(ctx, revision)
-		} else {
-			revision, err = watcher.list(ctx)
-		}
+		store, followed := watcher.source()
+		err := watcher.read(ctx, store)
 		switch {
 		case err == nil:
-			listed = true
+			watcher.listed = true
 			watcher.noteContact()
-			watcher.pause(ctx, watcher.gather)
+			if !followed {
+				watcher.pause(ctx, watcher.gather)
+			}
 		case errors.Is(err, oleandervane.ErrHistoryGone):
-			listed = false
+			watcher.listed = false
+		case followed:
+			// Changes that another VM passes on are whole up to their revision, so that the next source goes on there.
 		default:
 			// A watch that was cut may have missed changes that its successor would not bring either, so all is
 			// read again.
-			listed = false
+			watcher.listed = false
 			watcher.noteFailure(ctx, err)
 		}
 	}
 }
 
-func (watcher *Watcher) list(ctx context.Context) (uint64, error) {
-	entries, revision, err := watcher.store.List(ctx, "")
+// source returns the store to read from, and whether another VM passes it on.
+func (watcher *Watcher) source() (store oleandervane.PrefixStore, followed bool) {
+	if watcher.relay.NeedsAll() {
+		watcher.listed = false
+	}
+	store, followed = watcher.relay.Delegated(watcher.revision)
+	if followed != watcher.followed {
+		watcher.followed, watcher.confirmed = followed, false
+		watcher.sink.Following(followed)
+	}
+	if !followed {
+		return watcher.store, false
+	}
+	return store, true
+}
+
+// read lists the store if it has to, and watches it else.
+func (watcher *Watcher) read(ctx context.Context, store oleandervane.PrefixStore) error {
+	if watcher.listed {
+		return watcher.watch(ctx, store)
+	}
+	return watcher.list(ctx, store)
+}
+
+func (watcher *Watcher) list(ctx context.Context, store oleandervane.PrefixStore) error {
+	entries, revision, err := store.List(ctx, "")
 	if err != nil {
-		return 0, err
+		return err
 	}
 	watcher.noteContact()
-	watcher.confirmed = false
+	watcher.confirmed, watcher.revision = false, revision
 	watcher.sink.Replace(entries, revision)
-	return revision, nil
+	return nil
 }
 
-func (watcher *Watcher) watch(ctx context.Context, revision uint64) (uint64, error) {
+func (watcher *Watcher) watch(ctx context.Context, store oleandervane.PrefixStore) error {
 	wait := confirmWait
 	if watcher.confirmed {
 		wait = watchWait
@@ -121,16 +175,18 @@
 		case <-ctx.Done():
 		}
 	}()
-	storeChanges, err := watcher.store.WatchPrefix(ctx, "", revision, wait)
+	storeChanges, err := store.WatchPrefix(ctx, "", watcher.revision, wait)
 	if err != nil {
-		return revision, err
+		return err
 	}
 	watcher.noteContact()
-	watcher.confirmed = len(storeChanges.Changes) == 0
-	if !watcher.confirmed {
+	// A VM that watches only while it hears of no delegate looks for one after each short watch.
+	watcher.confirmed = len(storeChanges.Changes) == 0 && !watcher.followed && !watcher.relay.Follows()
+	watcher.revision = storeChanges.Revision
+	if len(storeChanges.Changes) > 0 {
 		watcher.sink.Apply(storeChanges)
 	}
-	return storeChanges.Revision, nil
+	return nil
 }
 
 // noteContact records that the store answered.
--- a/fleet/registrywatch/watcher_test.go
+++ b/fleet/registrywatch/watcher_test.go
@@ -58,6 +58,8 @@
 	sink.regained++
 }
 
+func (sink *sink) Following(bool) {}
+
 func (sink *sink) has(key, value string) func(poll.LogT) poll.Result {
 	return func(poll.LogT) poll.Result {
 		sink.mutex.Lock()
@@ -92,7 +94,7 @@
 	sink := &sink{}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	watcher := registrywatch.New(store, timer.System{}, sink, 40*time.Millisecond)
+	watcher := registrywatch.New(store, registrywatch.NoRelay{}, timer.System{}, sink, 40*time.Millisecond)
 	go watcher.Run(ctx)
 	return sink, watcher
 }
--- a/fleet/roster/roster.go
+++ b/fleet/roster/roster.go
@@ -24,8 +24,9 @@
 	KeyPrefix = "vms/"
 	// leaseDuration is how long a VM that died stays listed. Callers are sent to it meanwhile.
 	leaseDuration = 3 * time.Second
-	// renewPeriod leaves room for two lost renewals within a lease.
-	renewPeriod = time.Second
+	// renewPeriod leaves room for two lost renewals within a lease, promptPeriod shows sooner that the store is away.
+	renewPeriod  = time.Second
+	promptPeriod = renewPeriod / 2
 )
 
 // ErrUnreadable is the error of an entry that cannot be read.
@@ -54,6 +55,8 @@
 	store        oleandervane.LeaseStore
 	timerService oleandervane.TimerService
 	observer     Observer
+	// prompt says that the lease is to be renewed each promptPeriod.
+	prompt func() bool
 	// vms has the VMs in the store; listed is what EntryVMs returns.
 	vms    map[oleandervane.VMID]oleandervane.EntryVM
 	listed atomic.Pointer[[]oleandervane.EntryVM]
@@ -65,9 +68,9 @@
 	leaving bool
 }
 
-// New returns a roster that lists only the VM itself.
-func New(self oleandervane.EntryVM, store oleandervane.LeaseStore, timerService oleandervane.TimerService, observer Observer) *Roster {
-	roster := &Roster{self: self, store: store, timerService: timerService, observer: observer, again: make(chan struct{}, 1)}
+// New returns a roster that lists only the VM itself. It renews its lease twice as often while prompt returns true.
+func New(self oleandervane.EntryVM, store oleandervane.LeaseStore, timerService oleandervane.TimerService, observer Observer, prompt func() bool) *Roster {
+	roster := &Roster{self: self, store: store, timerService: timerService, observer: observer, prompt: prompt, again: make(chan struct{}, 1)}
 	roster.vms = map[oleandervane.VMID]oleandervane.EntryVM{}
 	roster.list()
 	return roster
@@ -134,7 +137,8 @@
 // Run keeps this VM's entry in the store until ctx ends or Leave is called.
 func (roster *Roster) Run(ctx context.Context) {
 	tick := make(chan struct{}, 1)
-	defer roster.timerService.Every(renewPeriod, func(time.Time) { signal(tick) })()
+	defer roster.timerService.Every(promptPeriod, func(time.Time) { signal(tick) })()
+	ticks := 0
 	roster.register(ctx)
 	for {
 		select {
@@ -143,7 +147,10 @@
 		case <-roster.again:
 			roster.register(ctx)
 		case <-tick:
-			roster.renew(ctx)
+			ticks++
+			if ticks%int(renewPeriod/promptPeriod) == 0 || roster.prompt() {
+				roster.renew(ctx)
+			}
 		}
 	}
 }
--- a/fleet/roster/roster_test.go
+++ b/fleet/roster/roster_test.go
@@ -40,7 +40,7 @@
 
 func run(t *testing.T, store *storestandin.Store) *roster.Roster {
 	t.Helper()
-	own := roster.New(vm("vm-1", "kigali-a", "kigali"), store, timer.System{}, silentObserver{})
+	own := roster.New(vm("vm-1", "kigali-a", "kigali"), store, timer.System{}, silentObserver{}, func() bool { return false })
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go own.Run(ctx)
@@ -67,7 +67,7 @@
 	t.Run("store away at the start", func(t *testing.T) {
 		store := storestandin.New(timer.System{})
 		store.SetFaults(storestandin.Faults{Down: true})
-		own := roster.New(vm("vm-1", "kigali-a", "kigali"), store, timer.System{}, silentObserver{})
+		own := roster.New(vm("vm-1", "kigali-a", "kigali"), store, timer.System{}, silentObserver{}, func() bool { return false })
 		ctx, cancel := context.WithCancel(context.Background())
 		t.Cleanup(cancel)
 		go own.Run(ctx)
@@ -91,7 +91,7 @@
 
 // Guards against an unreadable entry that hides the others.
 func TestUnreadableEntry(t *testing.T) {
-	own := roster.New(vm("vm-1", "kigali-a", "kigali"), storestandin.New(timer.System{}), timer.System{}, silentObserver{})
+	own := roster.New(vm("vm-1", "kigali-a", "kigali"), storestandin.New(timer.System{}), timer.System{}, silentObserver{}, func() bool { return false })
 	err := own.Apply([]oleandervane.StoreChange{
 		{Entry: oleandervane.StoreEntry{Key: "vms/odd", Value: []byte("{")}},
 		{Entry: oleandervane.StoreEntry{Key: "vms/vm-2", Value: []byte(`{"incarnation":1,"region":"huye","failure_domain":"huye-a","caller_address":"10.0.0.1:1","peer_address":"10.0.0.1:2"}`)}},
