--- a/entry/placement/inflight.go
+++ b/entry/placement/inflight.go
@@ -12,7 +12,7 @@
 const (
 	// countsLifetime is how long the counts of a source are believed: some notices may be lost, and what a VM that died
 	// had in flight is over soon.
-	countsLifetime = time.Second
+	countsLifetime = 1500 * time.Millisecond
 	// enoughCovered is the share of the other VMs whose counts must be known. With fewer, the loads that servers report
 	// say more.
 	enoughCovered = 0.5
--- a/fleet/exchange/exchange.go
+++ b/fleet/exchange/exchange.go
@@ -18,10 +18,13 @@
 )
 
 const (
-	// Period is the time between two notices of a VM. Requests take a few hundred milliseconds.
-	Period = 250 * time.Millisecond
-	// noticeLifetime is how long a notice of a VM of the own domain counts for the sums of the domain.
-	noticeLifetime = time.Second
+	// DefaultPeriod is the time between two notices of a VM. Requests take a few hundred milliseconds.
+	DefaultPeriod = 250 * time.Millisecond
+	// crowd is the number of VMs of a failure domain from which each sends every second time only: a VM of a large
+	// domain has few requests in flight, and each notice costs all others a wake-up.
+	crowd = 9
+	// noticeLifetime is how long a notice of a VM of the own domain counts for the sums of the domain: one may be lost.
+	noticeLifetime = 1500 * time.Millisecond
 	// delegates is the number of VMs that speak for a failure domain. With two, the death of one halves the pace.
 	delegates = 2
 	// delegatePurpose and delegateEpoch choose the delegates, the same ones as long as they live.
@@ -44,6 +47,8 @@
 	Suspicions   oleandervane.SuspicionKeeper
 	Store        oleandervane.StoreContact
 	Sender       Sender
+	// Period is DefaultPeriod if it is zero.
+	Period time.Duration
 }
 
 // Exchange sends and takes in notices. All methods may be called from many goroutines at once.
@@ -63,49 +68,58 @@
 
 // New returns an exchange.
 func New(settings Settings) *Exchange {
+	if settings.Period == 0 {
+		settings.Period = DefaultPeriod
+	}
 	return &Exchange{settings: settings, heard: map[string]heardNotice{}}
 }
 
-// Run sends notices each Period until the returned function is called.
+// Run sends notices each period until the returned function is called.
 func (exchange *Exchange) Run() (cancel func()) {
-	return exchange.settings.TimerService.Every(Period, func(time.Time) { exchange.Tell() })
+	return exchange.settings.TimerService.Every(exchange.settings.Period, func(time.Time) { exchange.Tell() })
 }
 
 // Tell sends the notices of one period.
 func (exchange *Exchange) Tell() {
 	self := exchange.settings.Membership.Self()
-	near, far := split(exchange.settings.Membership.EntryVMs(), self)
+	vms := exchange.settings.Membership.EntryVMs()
+	near := within(vms, self.FailureDomain)
 	own := exchange.ownNotice(self)
-	others := slices.DeleteFunc(slices.Clone(near), func(vm oleandervane.EntryVM) bool { return vm.ID == self.ID })
-	exchange.settings.Sender.Send(others, own)
-	if len(far) == 0 || !speaks(near, self, own.Sequence) {
+	if len(near) > crowd && own.Sequence%2 == 1 {
+		return
+	}
+	exchange.settings.Sender.Send(slices.DeleteFunc(slices.Clone(near), func(vm oleandervane.EntryVM) bool { return vm.ID == self.ID }), own)
+	if len(near) == len(vms) || !speaks(near, self, own.Sequence) {
 		return
 	}
+	far := slices.DeleteFunc(slices.Clone(vms), func(vm oleandervane.EntryVM) bool { return vm.FailureDomain == self.FailureDomain })
 	exchange.settings.Sender.Send(far, exchange.domainNotice(self, own))
 }
 
-// split divides VMs into those of the failure domain of self, and the others.
-func split(vms []oleandervane.EntryVM, self oleandervane.EntryVM) (near, far []oleandervane.EntryVM) {
+// within returns the VMs of a failure domain.
+func within(vms []oleandervane.EntryVM, failureDomain oleandervane.FailureDomain) []oleandervane.EntryVM {
+	var near []oleandervane.EntryVM
 	for _, vm := range vms {
-		if vm.FailureDomain == self.FailureDomain {
+		if vm.FailureDomain == failureDomain {
 			near = append(near, vm)
-			continue
 		}
-		far = append(far, vm)
 	}
-	return near, far
+	return near
 }
 
 // speaks says whether it is this VM's turn to speak for its failure domain.
 func speaks(near []oleandervane.EntryVM, self oleandervane.EntryVM, sequence uint64) bool {
 	rank := membership.Rank(self.ID, near, delegatePurpose, delegateEpoch)
 	turns := max(1, min(delegates, len(near)))
+	if len(near) > crowd {
+		sequence /= 2
+	}
 	return rank < delegates && int(sequence%uint64(turns)) == rank%turns
 }
 
 // Delegates returns the VMs that speak for a failure domain, the first choice first.
 func Delegates(vms []oleandervane.EntryVM, failureDomain oleandervane.FailureDomain) []oleandervane.EntryVM {
-	near := slices.DeleteFunc(slices.Clone(vms), func(vm oleandervane.EntryVM) bool { return vm.FailureDomain != failureDomain })
+	near := within(vms, failureDomain)
 	chosen := make([]oleandervane.EntryVM, 0, delegates)
 	for _, id := range membership.Chosen(near, delegatePurpose, delegateEpoch, delegates) {
 		chosen = append(chosen, near[slices.IndexFunc(near, func(vm oleandervane.EntryVM) bool { return vm.ID == id })])
@@ -115,10 +129,7 @@
 
 // ownNotice is what this VM itself has in flight.
 func (exchange *Exchange) ownNotice(self oleandervane.EntryVM) *peer.Notice {
-	exchange.mutex.Lock()
-	exchange.sequence++
-	sequence := exchange.sequence
-	exchange.mutex.Unlock()
+	sequence := exchange.nextSequence()
 	notice := &peer.Notice{Vm: string(self.ID), Incarnation: uint64(self.Incarnation), Sequence: sequence, Vms: 1}
 	setCounts(notice, exchange.settings.InFlight.InFlight())
 	notice.Suspects = encodeSuspects(exchange.settings.Suspicions.Suspects())
@@ -127,6 +138,20 @@
 	return notice
 }
 
+// nextSequence returns the number of the next notice, and forgets VMs that fell silent.
+func (exchange *Exchange) nextSequence() uint64 {
+	now := exchange.settings.TimerService.Now()
+	exchange.mutex.Lock()
+	defer exchange.mutex.Unlock()
+	for key, heard := range exchange.heard {
+		if now.Sub(heard.at) > forgetAfter {
+			delete(exchange.heard, key)
+		}
+	}
+	exchange.sequence++
+	return exchange.sequence
+}
+
 // domainNotice is what the VMs of the own failure domain have in flight together.
 func (exchange *Exchange) domainNotice(self oleandervane.EntryVM, own *peer.Notice) *peer.Notice {
 	sums := map[uint32]int{}
@@ -184,11 +209,6 @@
 		return false
 	}
 	exchange.heard[key] = heardNotice{notice: notice, at: now}
-	for key, heard := range exchange.heard {
-		if now.Sub(heard.at) > forgetAfter {
-			delete(exchange.heard, key)
-		}
-	}
 	return true
 }
 
--- a/fleet/relay/follower.go
+++ b/fleet/relay/follower.go
@@ -13,10 +13,10 @@
 )
 
 const (
-	// noticeLimit is how long a delegate may be silent before its followers watch the store themselves: two notices may
-	// be lost.
-	noticeLimit = 800 * time.Millisecond
-	// checkPeriod is how often a follower looks whether its delegate has news. Notices come each 250 ms.
+	// noticeLimit is how long a delegate may be silent before its followers watch the store themselves. Notices come each
+	// 250 ms, in large domains each 500 ms; there one may be lost.
+	noticeLimit = 1100 * time.Millisecond
+	// checkPeriod is how often a follower looks whether its delegate has news.
 	checkPeriod = 100 * time.Millisecond
 	// callLimit bounds a call to a delegate, which answers from memory.
 	callLimit = 500 * time.Millisecond
--- a/standin/emulation/exchange.go
+++ b/standin/emulation/exchange.go
@@ -1,6 +1,7 @@
 package emulation
 
 import (
+	"cmp"
 	"time"
 
 	"oleandervane.example"
@@ -12,16 +13,18 @@
 func (vm *vm) startExchange() {
 	vm.exchange = exchange.New(exchange.Settings{
 		TimerService: vm.world.manual, Membership: vm, InFlight: vm.placer, Suspicions: noSuspicions{}, Store: noStore{}, Sender: vm,
+		Period: time.Duration(vm.world.variant.ExchangePeriod),
 	})
 	if vm.world.variant.Alone {
 		return
 	}
 	// VMs do not start at the same moment.
-	offset := time.Duration(vm.world.random.Float64() * float64(exchange.Period))
+	period := cmp.Or(time.Duration(vm.world.variant.ExchangePeriod), exchange.DefaultPeriod)
+	offset := time.Duration(vm.world.random.Float64() * float64(period))
 	started := vm.exchange
 	vm.world.manual.After(offset, func(time.Time) {
 		var cancel func()
-		cancel = vm.world.manual.Every(exchange.Period, func(time.Time) {
+		cancel = vm.world.manual.Every(period, func(time.Time) {
 			if vm.exchange != started {
 				cancel()
 				return
--- a/standin/emulation/variant.go
+++ b/standin/emulation/variant.go
@@ -20,6 +20,8 @@
 	Margin        float64 `toml:"margin"`
 	// OneMind lets all VMs know at once what any of them learns: the upper bound of what passing it on can bring.
 	OneMind bool `toml:"one_mind"`
+	// ExchangePeriod is the time between two notices of a VM.
+	ExchangePeriod settingsfile.Duration `toml:"exchange_period"`
 	// Alone lets VMs know only what they see themselves.
 	Alone bool `toml:"alone"`
 }
--- a/standin/emulation/world.go
+++ b/standin/emulation/world.go
@@ -129,9 +129,9 @@
 	world.listed = listed
 }
 
-// entryVMs returns the VMs that are listed. Callers may reorder the result.
+// entryVMs returns the VMs that are listed. The result must not be changed.
 func (world *world) entryVMs() []oleandervane.EntryVM {
-	return slices.Clone(world.listed)
+	return world.listed
 }
 
 // registry is what the store says now.
