Check evacuations, cold starts, the retry budget and versions in the soak

The soak now evacuates a failure domain, lets drained servers come back cold, sums up repeated requests over all VMs and asks VMs for versions that they have served. Drains and evacuations of the same thing no longer overlap: the end of the first would end the second as well.

--- a/standin/soak/backend.go
+++ b/standin/soak/backend.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -17,10 +18,41 @@
 	runs  map[string]int
 	// arrivals are the times of runs at each server.
 	arrivals map[string][]time.Time
+	// first and repeated are the times at which requests came for the first time, and again, to be run or rejected.
+	seen            map[string]bool
+	first, repeated []time.Time
 }
 
 func newJournal() *journal {
-	return &journal{runs: map[string]int{}, arrivals: map[string][]time.Time{}}
+	return &journal{runs: map[string]int{}, arrivals: map[string][]time.Time{}, seen: map[string]bool{}}
+}
+
+func (journal *journal) noteArrival(requestID string, at time.Time) {
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	if journal.seen[requestID] {
+		journal.repeated = append(journal.repeated, at)
+		return
+	}
+	journal.seen[requestID] = true
+	journal.first = append(journal.first, at)
+}
+
+// between returns the times of runs at a server from one moment until another.
+func (journal *journal) between(server string, from, until time.Time) []time.Time {
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	return between(journal.arrivals[server], from, until)
+}
+
+func between(times []time.Time, from, until time.Time) []time.Time {
+	var within []time.Time
+	for _, at := range times {
+		if at.After(from) && at.Before(until) {
+			within = append(within, at)
+		}
+	}
+	return within
 }
 
 func (journal *journal) noteRun(server, requestID string) {
@@ -60,14 +92,17 @@
 // backend is one backend server with the marks of the platform.
 type backend struct {
 	id      string
+	domain  string
 	journal *journal
 	server  *httptest.Server
 	proxy   *proxy
 	slots   chan struct{}
+	// leaving is set from the beginning of a drain until the server is warm again.
+	leaving atomic.Bool
 }
 
-func newBackend(id string, journal *journal) (*backend, error) {
-	backend := &backend{id: id, journal: journal, slots: make(chan struct{}, backendSlots)}
+func newBackend(id, domain string, journal *journal) (*backend, error) {
+	backend := &backend{id: id, domain: domain, journal: journal, slots: make(chan struct{}, backendSlots)}
 	backend.server = httptest.NewServer(backend)
 	proxy, err := newProxy(backend.server.Listener.Addr().String())
 	backend.proxy = proxy
@@ -76,8 +111,13 @@
 
 // entry is the backend server's entry in the store.
 func (backend *backend) entry(state string) string {
-	return fmt.Sprintf(`{"service":"ledger","address":%q,"zone":"kigali-a","concurrency_limit":%d,"state":%q}`,
-		backend.proxy.address(), backendSlots, state)
+	return backend.coldEntry(state, 0, 1)
+}
+
+// coldEntry is the entry of a run of the server that started at a time in Unix milliseconds and is cold for a while.
+func (backend *backend) coldEntry(state string, cold time.Duration, born int64) string {
+	return fmt.Sprintf(`{"service":"ledger","address":%q,"zone":%q,"concurrency_limit":%d,"state":%q,"warmup_left_s":%v,"born":%d}`,
+		backend.proxy.address(), backend.domain, backendSlots, state, cold.Seconds(), born)
 }
 
 // bodyOf is the answer to a request, by which callers recognize it.
@@ -93,6 +133,7 @@
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	backend.journal.noteArrival(requestID, time.Now())
 	select {
 	case backend.slots <- struct{}{}:
 		defer func() { <-backend.slots }()
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -18,8 +18,17 @@
 	recoveredShare = 0.9
 	// enoughAnswers is the number of answers below which a run has shown too little.
 	enoughAnswers = 300
-	// enoughEvents is the number of drains and of configurations that have to be checked.
+	// enoughEvents is the number of drains, evacuations, cold starts and configurations that have to be checked.
 	enoughEvents = 1
+	// evacuationLimit is the time in which a failure domain that is evacuated must get no new requests.
+	evacuationLimit = 5 * time.Second
+	// A cold server bears coldMargin times its rate and coldExtra more in any second, from all VMs together.
+	coldMargin = 1.5
+	coldExtra  = 5
+	// retryRatio, retryBase and budgetWindow are the retry budget of all VMs together, as their settings have it.
+	retryRatio   = 0.2
+	retryBase    = 100
+	budgetWindow = 10 * time.Second
 )
 
 // answer is what a caller got for one request.
@@ -42,6 +51,9 @@
 	broken   []string
 	drains   int
 	versions int
+	// evacuations and coldStarts count what was checked of these.
+	evacuations int
+	coldStarts  int
 }
 
 func (check *check) fail(format string, arguments ...any) {
@@ -100,7 +112,45 @@
 	if float64(served) < recoveredShare*float64(asked) {
 		check.fail("%d of %d requests were served after the last fault", served, asked)
 	}
-	if len(answers) < enoughAnswers || asked == 0 || check.drains < enoughEvents || check.versions < enoughEvents {
-		check.fail("too little was checked: %d answers, %d after the last fault, %d drains, %d versions", len(answers), asked, check.drains, check.versions)
+	check.checkBudget()
+	if len(answers) < enoughAnswers || asked == 0 || min(check.drains, check.versions, check.evacuations, check.coldStarts) < enoughEvents {
+		check.fail("too little was checked: %d answers, %d after the last fault, %d drains, %d versions, %d evacuations, %d cold starts",
+			len(answers), asked, check.drains, check.versions, check.evacuations, check.coldStarts)
+	}
+}
+
+// checkBudget checks that in no window servers got more repeated requests than the budget of all VMs together. Requests
+// are counted in the window or in the one half a window before it, whichever has more.
+func (check *check) checkBudget() {
+	check.journal.mutex.Lock()
+	first, repeated := check.journal.first, check.journal.repeated
+	check.journal.mutex.Unlock()
+	for _, end := range repeated {
+		from := end.Add(-budgetWindow)
+		again := len(between(repeated, from, end)) + 1
+		requests := max(len(between(first, from, end)), len(between(first, from.Add(-budgetWindow/2), end.Add(-budgetWindow/2))))
+		if allowed := retryRatio*float64(requests) + retryBase; float64(again) > allowed {
+			check.fail("servers got %d repeated requests in %v, %0.f are allowed", again, budgetWindow, allowed)
+			return
+		}
+	}
+}
+
+// checkCold checks the requests that a server got while it was cold.
+func (check *check) checkCold(server string, arrivals []time.Time) {
+	check.count(&check.coldStarts)
+	for _, end := range arrivals {
+		last := len(between(arrivals, end.Add(-time.Second), end)) + 1
+		if allowed := coldMargin*coldPerSecond + coldExtra; float64(last) > allowed {
+			check.fail("%s got %d requests in a second while it was cold, %.0f are allowed", server, last, allowed)
+			return
+		}
+	}
+}
+
+// checkEvacuated checks that a server got nothing from the limit on until its failure domain was taken back.
+func (check *check) checkEvacuated(server string, arrivals []time.Time) {
+	if len(arrivals) > 0 {
+		check.fail("%s ran %d requests while its failure domain was evacuated", server, len(arrivals))
 	}
 }
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -35,12 +36,14 @@
 
 // Report tells what a run did and found.
 type Report struct {
-	Answers  int
-	Served   int
-	Faults   int
-	Drains   int
-	Versions int
-	Broken   []string
+	Answers     int
+	Served      int
+	Faults      int
+	Drains      int
+	Versions    int
+	Evacuations int
+	ColdStarts  int
+	Broken      []string
 }
 
 // Soak is one run.
@@ -53,6 +56,8 @@
 	check    *check
 	started  time.Time
 	faults   int
+	// evacuating says that the second failure domain is evacuated.
+	evacuating atomic.Bool
 
 	mutex   sync.Mutex
 	version int
@@ -84,10 +89,19 @@
 	return soak.report(), nil
 }
 
+// failureDomains are those of the backend servers; all VMs are in the first.
+var failureDomains = []string{"kigali-a", "kigali-b"}
+
+const (
+	// coldPerSecond is the rate that a cold server tolerates, and coldTime how long it is cold after a drain.
+	coldPerSecond = 6
+	coldTime      = 2 * time.Second
+)
+
 func (soak *Soak) open(storeAddress string) error {
 	soak.configure()
 	for i := range soak.options.Backends {
-		backend, err := newBackend(fmt.Sprintf("i-%d", i), soak.check.journal)
+		backend, err := newBackend(fmt.Sprintf("i-%d", i), failureDomains[i%len(failureDomains)], soak.check.journal)
 		if err != nil {
 			return err
 		}
@@ -114,8 +128,8 @@
 		name := fmt.Sprintf("version-%d", version)
 		routes = append(routes, route(name, "/"+name+"/", "safe"))
 	}
-	soak.write("op/config", fmt.Sprintf(`{"version":"r%d","resources":[%s,{"resource_type":"services","metadata":{"name":"ledger"},"spec":{"health_path":"/healthz","max_connections":600,"slow_start_s":0.5,"cold_per_s":50}}]}`,
-		soak.version, strings.Join(routes, ",")))
+	soak.write("op/config", fmt.Sprintf(`{"version":"r%d","resources":[%s,{"resource_type":"services","metadata":{"name":"ledger"},"spec":{"health_path":"/healthz","max_connections":600,"slow_start_s":0.5,"cold_per_s":%d}}]}`,
+		soak.version, strings.Join(routes, ","), coldPerSecond))
 	return soak.version
 }
 
@@ -131,6 +145,13 @@
 	}
 }
 
+// remove is a removal by the operator.
+func (soak *Soak) remove(key string) {
+	if _, err := soak.store.Commit(context.Background(), oleandervane.StoreTransaction{Removals: []string{key}}); err != nil {
+		soak.check.fail("the soak could not remove %s: %v", key, err)
+	}
+}
+
 const readyLimit = 20 * time.Second
 
 func (soak *Soak) waitReady(ctx context.Context) error {
@@ -191,7 +212,8 @@
 // checkCalm makes a change and a drain before the first fault, so that each run checks both.
 func (soak *Soak) checkCalm(ctx context.Context) {
 	soak.changeConfiguration(ctx)
-	soak.drain(soak.backends[len(soak.backends)-1])
+	soak.drain(soak.backends[0])
+	soak.evacuate()
 	soak.pending.Wait()
 }
 
@@ -206,7 +228,7 @@
 	backend := soak.backends[soak.random.IntN(len(soak.backends))]
 	duration := time.Duration(300+soak.random.IntN(2200)) * time.Millisecond
 	mode := 1 + soak.random.IntN(modeCount-1)
-	switch soak.random.IntN(11) {
+	switch soak.random.IntN(13) {
 	case 0:
 		soak.tell("%s is killed", vm.id)
 		vm.disturb(0)
@@ -247,6 +269,10 @@
 		soak.changeConfiguration(ctx)
 	case 10:
 		soak.drain(backend)
+	case 11:
+		soak.evacuate()
+	case 12:
+		soak.checkKnown(ctx, vm)
 	}
 }
 
@@ -273,6 +299,9 @@
 				if status == http.StatusNotFound {
 					soak.check.fail("%s does not know version %d after %v", vm.id, version, applyLimit)
 				}
+				if status == http.StatusOK {
+					vm.noteKnown(version, incarnation)
+				}
 			}
 		}
 	})
@@ -280,6 +309,9 @@
 
 // drain checks that a server that leaves gets no new requests after the limit, while no VM is disturbed.
 func (soak *Soak) drain(backend *backend) {
+	if backend.leaving.Swap(true) {
+		return
+	}
 	soak.tell("%s leaves", backend.id)
 	soak.write("servers/"+backend.id, backend.entry("draining"))
 	left := time.Now()
@@ -297,10 +329,62 @@
 				soak.check.fail("%s ran a request %v after it left", backend.id, last.Sub(left))
 			}
 		}
-		soak.write("servers/"+backend.id, backend.entry("ready"))
+		soak.startCold(backend)
 	})
 }
 
+// startCold lets a server come back as a new run that is cold, and checks what it gets meanwhile.
+func (soak *Soak) startCold(backend *backend) {
+	back := time.Now()
+	soak.write("servers/"+backend.id, backend.coldEntry("ready", coldTime, back.UnixMilli()))
+	soak.pending.Go(func() {
+		time.Sleep(coldTime)
+		soak.check.checkCold(backend.id, soak.check.journal.between(backend.id, back, back.Add(coldTime)))
+		backend.leaving.Store(false)
+	})
+}
+
+// evacuate empties the second failure domain and checks that its servers get no requests while no VM is disturbed.
+func (soak *Soak) evacuate() {
+	domain := failureDomains[1]
+	if soak.evacuating.Swap(true) {
+		return
+	}
+	soak.tell("%s is evacuated", domain)
+	soak.write("op/evacuate/"+domain, "{}")
+	began := time.Now()
+	soak.pending.Go(func() {
+		time.Sleep(evacuationLimit + time.Second)
+		ended, calm := time.Now(), true
+		for _, vm := range soak.vms {
+			calmSince, _ := vm.calmSince(began)
+			calm = calm && calmSince
+		}
+		if calm {
+			soak.check.count(&soak.check.evacuations)
+			for _, backend := range soak.backends {
+				if backend.domain == domain {
+					soak.check.checkEvacuated(backend.id, soak.check.journal.between(backend.id, began.Add(evacuationLimit), ended))
+				}
+			}
+		}
+		soak.remove("op/evacuate/" + domain)
+		soak.evacuating.Store(false)
+	})
+}
+
+// checkKnown checks that a VM still knows the newest version that the same run of it has served before.
+func (soak *Soak) checkKnown(ctx context.Context, vm *vm) {
+	version, incarnation := vm.newestKnown()
+	if version == 0 {
+		return
+	}
+	status := soak.probe(ctx, vm, version)
+	if _, now := vm.newestKnown(); status == http.StatusNotFound && now == incarnation {
+		soak.check.fail("%s has gone back behind version %d", vm.id, version)
+	}
+}
+
 func (soak *Soak) close() {
 	for _, vm := range soak.vms {
 		vm.close()
@@ -324,6 +408,7 @@
 	}
 	return Report{
 		Answers: len(soak.check.answers), Served: served, Faults: soak.faults,
-		Drains: soak.check.drains, Versions: soak.check.versions, Broken: soak.check.broken,
+		Drains: soak.check.drains, Versions: soak.check.versions, Evacuations: soak.check.evacuations,
+		ColdStarts: soak.check.coldStarts, Broken: soak.check.broken,
 	}
 }
--- a/standin/soak/vm.go
+++ b/standin/soak/vm.go
@@ -32,9 +32,11 @@
 	// disturbedUntil is the end of the last fault on this VM and a time after it.
 	disturbedUntil time.Time
 	told           bool
-	closing        bool
-	ownExits       int
-	ended          chan struct{}
+	// knownVersion is the newest version that the run knownBy of the process has served.
+	knownVersion, knownBy int
+	closing               bool
+	ownExits              int
+	ended                 chan struct{}
 }
 
 func freeAddress() (string, error) {
@@ -137,6 +139,22 @@
 	return moment.After(vm.disturbedUntil), vm.incarnation
 }
 
+func (vm *vm) noteKnown(version, incarnation int) {
+	vm.mutex.Lock()
+	defer vm.mutex.Unlock()
+	vm.knownVersion, vm.knownBy = version, incarnation
+}
+
+// newestKnown returns the newest version that the current run of the process has served, and the number of the run.
+func (vm *vm) newestKnown() (version, incarnation int) {
+	vm.mutex.Lock()
+	defer vm.mutex.Unlock()
+	if vm.knownBy != vm.incarnation {
+		return 0, vm.incarnation
+	}
+	return vm.knownVersion, vm.incarnation
+}
+
 func (vm *vm) close() {
 	vm.mutex.Lock()
 	vm.closing = true
