Say where the load of a decision comes from, and pick ports of the soak below outgoing ones

Ports are now picked at random below the range of outgoing connections. The line of a request says load_from entry_vms or server_reports, and a change of that has a line.

--- a/entry/placement/decide.go
+++ b/entry/placement/decide.go
@@ -57,6 +57,8 @@
 	// be chosen, for logs.
 	Pressure float64
 	Sound    int
+	// CountsKnown says that the load is what VMs have in flight, and not what servers reported.
+	CountsKnown bool
 }
 
 // The reasons of decisions.
--- a/entry/placement/inflight.go
+++ b/entry/placement/inflight.go
@@ -57,7 +57,7 @@
 	view.addOthers(foreign.sources[source].counts, -1)
 	view.addOthers(counts, 1)
 	foreign.sources[source] = sourceCounts{at: placer.settings.TimerService.Now(), vms: vms, counts: counts}
-	foreign.rescale(len(placer.settings.Membership.EntryVMs()) - 1)
+	placer.rescale()
 }
 
 func (placer *Placer) forgetSilent() {
@@ -72,20 +72,23 @@
 			delete(foreign.sources, name)
 		}
 	}
-	foreign.rescale(len(placer.settings.Membership.EntryVMs()) - 1)
+	placer.rescale()
 }
 
-// rescale is called with the mutex held.
-func (foreign *foreignCounts) rescale(others int) {
-	covered := 0
-	for _, source := range foreign.sources {
+// rescale is called with the mutex of the counts held.
+func (placer *Placer) rescale() {
+	others, covered := len(placer.settings.Membership.EntryVMs())-1, 0
+	for _, source := range placer.foreign.sources {
 		covered += source.vms
 	}
 	scale := 0.0
 	if covered > 0 && float64(covered) >= enoughCovered*float64(others) {
 		scale = max(1, float64(others)/float64(covered))
 	}
-	foreign.scale.Store(math.Float64bits(scale))
+	former := math.Float64frombits(placer.foreign.scale.Swap(math.Float64bits(scale)))
+	if observer := placer.settings.Observer; observer != nil && (former > 0) != (scale > 0) {
+		observer.CountsKnown(scale > 0, covered, others)
+	}
 }
 
 // addOthers adds counts times a factor to what others have in flight. Servers that are not known here are left out.
--- a/entry/placement/placer.go
+++ b/entry/placement/placer.go
@@ -36,6 +36,8 @@
 type Observer interface {
 	// ServerRests says that a server gets no requests for a while after failures.
 	ServerRests(id oleandervane.BackendServerID, attemptResult oleandervane.AttemptResult, rest time.Duration)
+	// CountsKnown says whether enough other VMs tell what they have in flight: covered of the others.
+	CountsKnown(known bool, covered, others int)
 }
 
 // Placer keeps what this VM knows of the backend servers and places requests. All methods may be called from many
@@ -159,6 +161,7 @@
 		Repeatable: need.Route.Idempotent(),
 		WorkTime:   placer.usualTime(need.Route.Name),
 	}, candidates)
+	chooser.decision.CountsKnown = placer.othersScale() > 0
 	if chooser.decision.Chosen < 0 {
 		return nil, eris.Wrap(oleandervane.ErrNoBackendServer, chooser.decision.Reason)
 	}
--- a/entryvm/hosted/observer.go
+++ b/entryvm/hosted/observer.go
@@ -40,6 +40,7 @@
 		"choice":     completion.Decision.Reason,
 		"pressure":   math.Round(completion.Decision.Pressure*100) / 100,
 		"sound":      completion.Decision.Sound,
+		"load_from":  loadSource(completion.Decision.CountsKnown),
 		"attempts":   completion.Attempts,
 		"outcome":    completion.Outcome,
 		"status":     completion.Status,
@@ -79,6 +80,24 @@
 		Warn("backend server failed and gets no requests for a while")
 }
 
+// CountsKnown logs whether loads are known from other VMs or only from what servers report.
+func (observer *observer) CountsKnown(known bool, covered, others int) {
+	entry := observer.log.WithFields(logrus.Fields{"told_by": covered, "others": others, "load_from": loadSource(known)})
+	if known {
+		entry.Info("other VMs tell what they have in flight")
+		return
+	}
+	entry.Warn("too few other VMs tell what they have in flight; loads are known from reports of servers")
+}
+
+// loadSource names where the load of a decision comes from.
+func loadSource(countsKnown bool) string {
+	if countsKnown {
+		return "entry_vms"
+	}
+	return "server_reports"
+}
+
 // Registered logs that the VM is listed in the store.
 func (observer *observer) Registered(lease oleandervane.LeaseID) {
 	observer.log.WithField("lease", lease).Info("entry VM is listed in the store")
--- a/standin/soak/vm.go
+++ b/standin/soak/vm.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -39,13 +40,39 @@
 	ended                 chan struct{}
 }
 
+const (
+	// firstPort and portCount are a range below that of outgoing connections: a VM that starts again must find its ports
+	// as it left them.
+	firstPort = 16384
+	portCount = 16000
+	// portTries bounds the search for a free port.
+	portTries = 100
+)
+
+// freeAddress returns a loopback address whose port is free for TCP and UDP. Ports are picked at random, so that soaks
+// that run side by side do not pick the same.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	var err error
+	for range portTries {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		if err = tryPort(address); err == nil {
+			return address, nil
+		}
+	}
+	return "", err
+}
+
+func tryPort(address string) error {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return "", err
+		return err
 	}
 	defer listener.Close()
-	return listener.Addr().String(), nil
+	conn, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
 }
 
 func newVM(id, program, folder, storeAddress string) (*vm, error) {
