--- a/entry/forward/retry_test.go
+++ b/entry/forward/retry_test.go
@@ -21,6 +21,7 @@
 
 	"oleandervane.example"
 	"oleandervane.example/figure"
+	"oleandervane.example/timer"
 )
 
 // failingOpener opens connections on which every request breaks after it was written, and counts the requests.
@@ -320,3 +321,22 @@
 		})
 	}
 }
+
+// Guards against a request that crashes one server at each VM before it is refused: two crashes at two VMs are enough,
+// and the same crash that is told twice is one.
+func TestQuarantineHearsOfPeers(t *testing.T) {
+	manual := timer.NewManual(time.Unix(1000, 0))
+	first, second := newQuarantine(manual, time.Minute), newQuarantine(manual, time.Minute)
+	fingerprint := Fingerprint{1}
+	first.noteBroken(fingerprint, "i-1")
+	for range 2 {
+		second.ImportSuspects(first.ExportSuspects())
+		assert.Assert(t, !second.Contains(fingerprint))
+	}
+	second.noteBroken(fingerprint, "i-2")
+	assert.Assert(t, second.Contains(fingerprint))
+	first.Import(second.Export())
+	assert.Assert(t, first.Contains(fingerprint))
+	manual.Advance(suspectNews + time.Second)
+	assert.Equal(t, len(first.ExportSuspects()), 0)
+}
--- a/standin/soak/vm.go
+++ b/standin/soak/vm.go
@@ -2,12 +2,12 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -46,15 +46,23 @@
 	firstPort = 16384
 	portCount = 16000
 	// portTries bounds the search for a free port.
-	portTries = 100
+	portTries = 1000
+	// portsEach is the distance between the first ports of two processes, enough for a few runs.
+	portsEach = 500
 )
 
-// freeAddress returns a loopback address whose port is free for TCP and UDP. Ports are picked at random, so that soaks
-// that run side by side do not pick the same.
+// nextPort counts the ports that this process has tried. It starts where other soaks on the machine hardly do.
+var nextPort atomic.Int64
+
+func init() {
+	nextPort.Store(int64(os.Getpid()) * portsEach)
+}
+
+// freeAddress returns a loopback address whose port is free for TCP and UDP and was not returned before.
 func freeAddress() (string, error) {
 	var err error
 	for range portTries {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
 		if err = tryPort(address); err == nil {
 			return address, nil
 		}
