--- a/cmd/internal/program/program.go
+++ b/cmd/internal/program/program.go
@@ -4,9 +4,11 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/rotisserie/eris"
 )
 
 // Exit statuses, as in the operators' program.
@@ -39,3 +41,16 @@
 	fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
 	os.Exit(statusFailed)
 }
+
+// WriteFile makes a file and lets write fill it.
+func WriteFile(path string, write func(file io.Writer) error) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return eris.Wrap(err, "writing a result")
+	}
+	err = write(file)
+	if closeErr := file.Close(); err == nil {
+		err = closeErr
+	}
+	return eris.Wrapf(err, "writing %s", path)
+}
--- a/cmd/oleandervane-compare/main.go
+++ b/cmd/oleandervane-compare/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 
@@ -51,7 +52,7 @@
 }
 
 func writeTable(path string, results []*comparison.Result) error {
-	return writeFile(path, func(file *os.File) error { return comparison.WriteTable(file, results) })
+	return program.WriteFile(path, func(file io.Writer) error { return comparison.WriteTable(file, results) })
 }
 
 func writePlots(folder string, result *comparison.Result) error {
@@ -61,22 +62,10 @@
 	}
 	for _, serviceName := range deployment.Services {
 		path := filepath.Join(folder, fmt.Sprintf("%s-%s-%s.svg", result.Case.Name, result.Strategy, serviceName))
-		err := writeFile(path, func(file *os.File) error { return comparison.WriteLoadPlot(file, result, serviceName) })
+		err := program.WriteFile(path, func(file io.Writer) error { return comparison.WriteLoadPlot(file, result, serviceName) })
 		if err != nil {
 			return err
 		}
 	}
 	return nil
 }
-
-func writeFile(path string, write func(file *os.File) error) error {
-	file, err := os.Create(path)
-	if err != nil {
-		return eris.Wrap(err, "writing a result")
-	}
-	err = write(file)
-	if closeErr := file.Close(); err == nil {
-		err = closeErr
-	}
-	return eris.Wrapf(err, "writing %s", path)
-}
--- a/cmd/oleandervane-lab/main.go
+++ b/cmd/oleandervane-lab/main.go
@@ -78,27 +78,15 @@
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return eris.Wrap(err, "making the output folder")
 	}
-	err := writeFile(filepath.Join(folder, "results.csv"), func(file io.Writer) error { return emulation.WriteCSV(file, results) })
+	err := program.WriteFile(filepath.Join(folder, "results.csv"), func(file io.Writer) error { return emulation.WriteCSV(file, results) })
 	if err != nil {
 		return err
 	}
 	for _, scenario := range experiment.Scenarios {
 		path := filepath.Join(folder, scenario.Name+".svg")
-		if err := writeFile(path, func(file io.Writer) error { return emulation.WritePlot(file, scenario.Name, results) }); err != nil {
+		if err := program.WriteFile(path, func(file io.Writer) error { return emulation.WritePlot(file, scenario.Name, results) }); err != nil {
 			return err
 		}
 	}
 	return nil
 }
-
-func writeFile(path string, write func(file io.Writer) error) error {
-	file, err := os.Create(path)
-	if err != nil {
-		return eris.Wrap(err, "writing a result")
-	}
-	err = write(file)
-	if closeErr := file.Close(); err == nil {
-		err = closeErr
-	}
-	return eris.Wrapf(err, "writing %s", path)
-}
