Read the store itself after a delegate that vouches for it did not answer

A follower whose calls to a delegate failed while its notices arrived called it for ever and heard of no change. TestFollowersLeaveDelegatesThatDoNotAnswer failed (3 s without the change) and passes. Change: after a failed call the next one goes to the store.

--- a/fleet/registrywatch/watcher.go
+++ b/fleet/registrywatch/watcher.go
@@ -81,6 +81,8 @@
 	listed   bool
 	// confirmed says that a whole watch has passed since the last listing or change.
 	confirmed bool
+	// direct says that the next call goes to the store, because the last one to another VM failed.
+	direct bool
 	// followed says that the last call went to another VM.
 	followed     bool
 	failingSince time.Time
@@ -116,7 +118,8 @@
 		case errors.Is(err, oleandervane.ErrHistoryGone):
 			watcher.listed = false
 		case followed:
-			// Changes that another VM passes on are whole up to their revision, so that the next source goes on there.
+			// Changes that another VM passes on are whole up to their revision, so that the store goes on there.
+			watcher.direct = true
 		default:
 			// A watch that was cut may have missed changes that its successor would not bring either, so all is
 			// read again.
@@ -131,7 +134,10 @@
 	if watcher.relay.NeedsAll() {
 		watcher.listed = false
 	}
-	store, followed = watcher.relay.Delegated(watcher.revision)
+	if !watcher.direct {
+		store, followed = watcher.relay.Delegated(watcher.revision)
+	}
+	watcher.direct = false
 	if followed != watcher.followed {
 		watcher.followed, watcher.confirmed = followed, false
 		watcher.sink.Following(followed)
--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -29,8 +29,8 @@
 	board  *relay.Board
 	// path is the VM's own path to the store.
 	path *path
-	// silent says that others hear no notices of this VM and cannot call it.
-	silent atomic.Bool
+	// silent says that others hear no notices of this VM and cannot call it, mute that they cannot call it only.
+	silent, mute atomic.Bool
 
 	mutex  sync.Mutex
 	values map[string]string
@@ -110,7 +110,7 @@
 func handlerOf(vm *vm) http.Handler {
 	_, handler := relay.NewHandler(vm)
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		if vm.silent.Load() {
+		if vm.silent.Load() || vm.mute.Load() {
 			http.Error(writer, "the VM does not answer", http.StatusServiceUnavailable)
 			return
 		}
@@ -262,6 +262,19 @@
 	}
 }
 
+// Replays delegates whose notices arrive while calls to them fail. Guards against followers that call them for ever.
+func TestFollowersLeaveDelegatesThatDoNotAnswer(t *testing.T) {
+	domain := newDomain(t, 5)
+	domain.write(t, "a", "1")
+	domain.waitFor(t, "a", "1")
+	delegates, _ := domain.divide()
+	for _, vm := range delegates {
+		vm.mute.Store(true)
+	}
+	domain.write(t, "a", "2")
+	domain.waitFor(t, "a", "2")
+}
+
 // Guards against a delegate that passes on changes of which it has forgotten the first.
 func TestBoardKeepsSomeChanges(t *testing.T) {
 	domain := &domain{}
