--- a/entry/placement/placer_test.go
+++ b/entry/placement/placer_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"oleandervane.example"
+	"oleandervane.example/entry/forward"
 	"oleandervane.example/timer"
 )
 
@@ -187,3 +188,24 @@
 	take(oleandervane.AttemptTimedOut, 1500*time.Millisecond)
 	assert.Assert(t, servers[0].candidate(0, 0, manual.Now()).Pace > 1.5*before)
 }
+
+// Replays an address that another server has taken over (incident inc-5983 of igihe-vane-grown): the entry of the former
+// server stays for seconds, and each request of its objects spends an attempt there. Guards against requests that go on
+// to a server which is known not to be at its address.
+func TestServerWhoseAddressIsTakenIsLeftAlone(t *testing.T) {
+	manual := timer.NewManual(time.Unix(1000, 0))
+	placer := fleet(manual, 1)[0]
+	placer.Update(registryOf(registered("a", "kigali-a"), registered("b", "kigali-b")))
+	reservation, err := placer.Chooser(need("x")).Choose(nil)
+	assert.NilError(t, err)
+	taken := reservation.Target().ID
+	reservation.(forward.AnswerObserver).ObserveAnswer(oleandervane.Answer{NotRun: true, Misdirected: true})
+	reservation.Release(oleandervane.AttemptShed)
+	for range 3 {
+		manual.Advance(time.Second)
+		reservation, err := placer.Chooser(need("x")).Choose(nil)
+		assert.NilError(t, err)
+		assert.Assert(t, reservation.Target().ID != taken, "%v after the address was taken", manual.Now().Sub(time.Unix(1000, 0)))
+		reservation.Release(oleandervane.AttemptAnswered)
+	}
+}
