--- a/standin/emulation/server.go
+++ b/standin/emulation/server.go
@@ -81,7 +81,7 @@
 	now := server.world.manual.Now()
 	if server.cold(now) && server.overrun(now) {
 		server.world.tally.coldOverruns++
-		server.crash(server.world.crashTime)
+		server.crash(crashTime)
 	}
 	switch {
 	case server.down:
--- a/standin/emulation/world.go
+++ b/standin/emulation/world.go
@@ -35,14 +35,13 @@
 	listed  []oleandervane.EntryVM
 	servers map[string]*server
 	order   []*server
-	// evacuated and gone are what the store says.
+	// evacuated and storeAway are the state of the store.
 	evacuated map[oleandervane.FailureDomain]bool
 	storeAway bool
 
 	bursts       map[oleandervane.FailureDomain]float64
 	abusiveShare float64
 	abuseTimes   int
-	crashTime    time.Duration
 }
 
 // Run plays a scenario with a variant of the policy.
@@ -69,7 +68,7 @@
 	world := &world{
 		scenario: scenario, variant: variant, manual: timer.NewManual(startedAt), startedAt: startedAt,
 		random: rand.New(rand.NewPCG(seed, 0)), index: route.NewIndex(scenario.table()),
-		vms: map[oleandervane.VMID]*vm{}, servers: map[string]*server{}, crashTime: crashTime,
+		vms: map[oleandervane.VMID]*vm{}, servers: map[string]*server{},
 		evacuated: map[oleandervane.FailureDomain]bool{}, bursts: map[oleandervane.FailureDomain]float64{},
 	}
 	world.tally = newTally(world)
