Read settings files in one place, and spare work on the path of a request

Found in reading the change once more; behaviour is the same but for one error text of the lab (reading settings, was reading scenario or variants). - settingsfile.Load takes the place of four copies of reading a file and decoding it; hosted.ParseSettings, which nothing else called, is gone; variants have a type in place of a struct written twice. - strings.HasPrefix takes the place of a copy of it; List of a followed store takes any prefix. - A follower asks for the furthest delegate once a tick and not twice. - What a VM knows of objects is read under one lock a request, not one a candidate. - The comment of Watcher.Interrupt says what happens when another VM passes the store on.

--- a/entry/placement/familiar.go
+++ b/entry/placement/familiar.go
@@ -29,9 +29,12 @@
 	familiarity.pairs[pair] = now
 }
 
-func (familiarity *familiarity) knows(pair uint64, now time.Time) bool {
+// mark sets the candidates that know the object by which they are scored.
+func (familiarity *familiarity) mark(candidates []Candidate, now time.Time) {
 	familiarity.mutex.Lock()
 	defer familiarity.mutex.Unlock()
-	at, found := familiarity.pairs[pair]
-	return found && now.Sub(at) < familiarFor
+	for i, candidate := range candidates {
+		at, found := familiarity.pairs[candidate.Score]
+		candidates[i].Familiar = found && now.Sub(at) < familiarFor
+	}
 }
--- a/entry/placement/placer.go
+++ b/entry/placement/placer.go
@@ -198,9 +198,9 @@
 		}
 		candidate := server.candidate(object, scale, now)
 		candidate.index = i
-		candidate.Familiar = placer.familiarity.knows(candidate.Score, now)
 		candidates = append(candidates, candidate)
 	}
+	placer.familiarity.mark(candidates, now)
 	return servers, candidates
 }
 
--- a/entryvm/hosted/settings.go
+++ b/entryvm/hosted/settings.go
@@ -4,10 +4,8 @@
 	"maps"
 	"net/netip"
 	"net/url"
-	"os"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"oleandervane.example"
@@ -78,17 +76,8 @@
 
 // LoadSettings reads and checks the settings in a TOML file. All faults of the file are reported at once.
 func LoadSettings(path string) (Settings, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return Settings{}, eris.Wrapf(settingsfile.ErrSettings, "reading settings: %v", err)
-	}
-	return ParseSettings(path, text)
-}
-
-// ParseSettings checks the settings in text; name stands for the file in errors.
-func ParseSettings(name string, text []byte) (Settings, error) {
 	settings := DefaultSettings()
-	if err := settingsfile.Decode(name, text, &settings, Settings.check); err != nil {
+	if err := settingsfile.Load(path, &settings, Settings.check); err != nil {
 		return Settings{}, err
 	}
 	return settings, nil
--- a/entryvm/settings.go
+++ b/entryvm/settings.go
@@ -3,10 +3,8 @@
 import (
 	"net/netip"
 	"net/url"
-	"os"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"oleandervane.example"
@@ -82,11 +80,11 @@
 
 // LoadSettings reads and checks the settings in a TOML file. All faults of the file are reported at once.
 func LoadSettings(path string) (Settings, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return Settings{}, eris.Wrapf(settingsfile.ErrSettings, "reading settings: %v", err)
+	settings := DefaultSettings()
+	if err := settingsfile.Load(path, &settings, Settings.check); err != nil {
+		return Settings{}, err
 	}
-	return ParseSettings(path, text)
+	return settings, nil
 }
 
 // ParseSettings checks the settings in text; name stands for the file in errors.
--- a/entryvm/settingsfile/settingsfile.go
+++ b/entryvm/settingsfile/settingsfile.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"os"
 	"strings"
 	"time"
 
@@ -38,6 +39,15 @@
 	}
 }
 
+// Load reads and checks the file at path as Decode does its text.
+func Load[Settings any](path string, settings *Settings, check func(settings Settings, faults *Faults)) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return eris.Wrapf(ErrSettings, "reading settings: %v", err)
+	}
+	return Decode(path, text, settings, check)
+}
+
 // Decode reads text into settings, which have the defaults, and checks them; name stands for the file in errors.
 // Keys that the settings do not have are faults.
 func Decode[Settings any](name string, text []byte, settings *Settings, check func(settings Settings, faults *Faults)) error {
--- a/fleet/registrywatch/watcher.go
+++ b/fleet/registrywatch/watcher.go
@@ -219,7 +219,8 @@
 	watcher.retry = min(2*watcher.retry, retryLongest)
 }
 
-// Interrupt ends the watch that waits and has all keys listed again. It is called when another call to the store has
+// Interrupt ends the watch that waits. Of the store itself all keys are listed again; one that another VM passes on is
+// watched in the store instead. It is called when another call to the store has
 // failed: a watch that waited through an outage may never hear of anything.
 func (watcher *Watcher) Interrupt() {
 	select {
--- a/fleet/relay/follower.go
+++ b/fleet/relay/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -92,24 +93,26 @@
 // Delegated returns a store that reads from a delegate which knows the store at least up to a revision. It is false when
 // this VM has to watch the store itself.
 func (follower *Follower) Delegated(revision uint64) (oleandervane.PrefixStore, bool) {
-	if _, found := follower.delegate(revision); !found {
+	if _, _, found := follower.delegate(revision); !found {
 		return nil, false
 	}
 	return followed{follower}, true
 }
 
-// delegate returns the delegate in contact with the store that is furthest, if it is at least at the given revision.
-func (follower *Follower) delegate(revision uint64) (delegate oleandervane.EntryVM, found bool) {
+// delegate returns the delegate in contact with the store that is furthest, and how far it is, if that is at least a
+// revision.
+func (follower *Follower) delegate(revision uint64) (delegate oleandervane.EntryVM, reached uint64, found bool) {
 	roles := rolesOf(follower.settings.Membership)
 	if roles.isDelegate {
-		return oleandervane.EntryVM{}, false
+		return oleandervane.EntryVM{}, 0, false
 	}
+	reached = revision
 	for _, other := range roles.others {
-		if reached, fresh := follower.settings.Notices.StoreRevision(other.ID, noticeLimit); fresh && reached >= revision {
-			delegate, found, revision = other, true, reached
+		if known, fresh := follower.settings.Notices.StoreRevision(other.ID, noticeLimit); fresh && known >= reached {
+			delegate, reached, found = other, known, true
 		}
 	}
-	return delegate, found
+	return delegate, reached, found
 }
 
 // followed is the store as a delegate passes it on.
@@ -117,7 +120,7 @@
 	follower *Follower
 }
 
-// List returns all entries that a delegate knows. The prefix must be empty.
+// List returns the entries with a prefix that a delegate knows.
 func (followed followed) List(ctx context.Context, prefix string) ([]oleandervane.StoreEntry, uint64, error) {
 	changes, _, revision, err := followed.read(ctx, 0)
 	if err != nil {
@@ -127,11 +130,7 @@
 	for _, change := range changes {
 		entries = append(entries, change.Entry)
 	}
-	return slices.DeleteFunc(entries, func(entry oleandervane.StoreEntry) bool { return !hasPrefix(entry, prefix) }), revision, nil
-}
-
-func hasPrefix(entry oleandervane.StoreEntry, prefix string) bool {
-	return len(entry.Key) >= len(prefix) && entry.Key[:len(prefix)] == prefix
+	return slices.DeleteFunc(entries, func(entry oleandervane.StoreEntry) bool { return !strings.HasPrefix(entry.Key, prefix) }), revision, nil
 }
 
 // WatchPrefix waits for news of a delegate, at most for wait. It fails with ErrNoDelegate when no delegate is in contact
@@ -148,7 +147,7 @@
 	if whole {
 		return oleandervane.StoreChanges{}, eris.Wrap(oleandervane.ErrHistoryGone, "reading changes from a delegate")
 	}
-	changes = slices.DeleteFunc(changes, func(change oleandervane.StoreChange) bool { return !hasPrefix(change.Entry, prefix) })
+	changes = slices.DeleteFunc(changes, func(change oleandervane.StoreChange) bool { return !strings.HasPrefix(change.Entry.Key, prefix) })
 	return oleandervane.StoreChanges{Changes: changes, Revision: revision}, nil
 }
 
@@ -163,12 +162,13 @@
 		}
 	})()
 	for end := timerService.Now().Add(wait); ; {
-		if _, further := followed.follower.delegate(after + 1); further {
-			return true, nil
-		}
-		if _, found := followed.follower.delegate(after); !found {
+		_, reached, found := followed.follower.delegate(after)
+		if !found {
 			return false, eris.Wrap(ErrNoDelegate, "following the store")
 		}
+		if reached > after {
+			return true, nil
+		}
 		if !timerService.Now().Before(end) {
 			return false, nil
 		}
@@ -182,7 +182,7 @@
 
 func (followed followed) read(ctx context.Context, after uint64) (changes []oleandervane.StoreChange, whole bool, revision uint64, err error) {
 	follower := followed.follower
-	delegate, found := follower.delegate(after)
+	delegate, _, found := follower.delegate(after)
 	if !found {
 		return nil, false, 0, eris.Wrap(ErrNoDelegate, "reading changes")
 	}
--- a/standin/emulation/caller.go
+++ b/standin/emulation/caller.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"oleandervane.example"
 	"oleandervane.example/fleet/roster"
 )
 
@@ -120,7 +121,7 @@
 	request.refused = request.refused || outcome == refused
 	again := request.attempts <= request.kind.CallerRetries || request.abusive && request.attempts <= world.abuseTimes
 	// What may have run is sent again only if it is idempotent.
-	mayRepeat := outcome == refused || routeKinds[request.kind.Kind] != routeKinds["unsafe"]
+	mayRepeat := outcome == refused || routeKinds[request.kind.Kind] != oleandervane.RouteUnsafe
 	if !again || !mayRepeat || left <= 0 {
 		world.tally.fail(request, outcome)
 		return
--- a/standin/emulation/scenario.go
+++ b/standin/emulation/scenario.go
@@ -2,12 +2,9 @@
 
 import (
 	"maps"
-	"os"
 	"slices"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"oleandervane.example"
 	"oleandervane.example/entryvm/settingsfile"
 )
@@ -152,12 +149,8 @@
 
 // LoadScenario reads and checks a scenario in a TOML file. All faults of the file are reported at once.
 func LoadScenario(path string) (Scenario, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return Scenario{}, eris.Wrapf(settingsfile.ErrSettings, "reading scenario: %v", err)
-	}
 	scenario := DefaultScenario()
-	if err := settingsfile.Decode(path, text, &scenario, Scenario.check); err != nil {
+	if err := settingsfile.Load(path, &scenario, Scenario.check); err != nil {
 		return Scenario{}, err
 	}
 	return scenario, nil
--- a/standin/emulation/variant.go
+++ b/standin/emulation/variant.go
@@ -2,9 +2,6 @@
 
 import (
 	"cmp"
-	"os"
-
-	"github.com/rotisserie/eris"
 
 	"oleandervane.example/entry/placement"
 	"oleandervane.example/entryvm/settingsfile"
@@ -36,23 +33,21 @@
 		WithColdCost(cmp.Or(variant.ColdCost, policy.ColdCost))
 }
 
+// variantFile is a TOML file with variants.
+type variantFile struct {
+	Variants []Variant `toml:"variants"`
+}
+
+func (variantFile variantFile) check(faults *settingsfile.Faults) {
+	faults.Check(len(variantFile.Variants) > 0, "variants", "are missing")
+	for _, variant := range variantFile.Variants {
+		faults.Check(variant.Name != "", "variants.name", "is missing")
+	}
+}
+
 // LoadVariants reads and checks variants in a TOML file.
 func LoadVariants(path string) ([]Variant, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, eris.Wrapf(settingsfile.ErrSettings, "reading variants: %v", err)
-	}
-	var file struct {
-		Variants []Variant `toml:"variants"`
-	}
-	err = settingsfile.Decode(path, text, &file, func(settings struct {
-		Variants []Variant `toml:"variants"`
-	}, faults *settingsfile.Faults,
-	) {
-		faults.Check(len(settings.Variants) > 0, "variants", "are missing")
-		for _, variant := range settings.Variants {
-			faults.Check(variant.Name != "", "variants.name", "is missing")
-		}
-	})
+	var file variantFile
+	err := settingsfile.Load(path, &file, variantFile.check)
 	return file.Variants, err
 }
