Leave a server alone whose address another one has taken

Ruled out: resting it like an unreachable server, for 0.5 to 4 s: the address does not come back, and an entry can outlive its server for as long as the store is away. Change: the server gets nothing until its entry changes, or for 30 s, after which one that answered 421 by mistake is tried again. TestServerWhoseAddressWasTakenComesBack is new.

--- a/entry/placement/placer_test.go
+++ b/entry/placement/placer_test.go
@@ -209,3 +209,26 @@
 		reservation.Release(oleandervane.AttemptAnswered)
 	}
 }
+
+// Guards against a server that stays unused although a changed entry says that it is there, or that is never tried again.
+func TestServerWhoseAddressWasTakenComesBack(t *testing.T) {
+	manual := timer.NewManual(time.Unix(1000, 0))
+	placer := fleet(manual, 1)[0]
+	only := registered("a", "kigali-a")
+	misdirect := func() {
+		reservation, err := placer.Chooser(need("x")).Choose(nil)
+		assert.NilError(t, err)
+		reservation.(forward.AnswerObserver).ObserveAnswer(oleandervane.Answer{NotRun: true, Misdirected: true})
+		reservation.Release(oleandervane.AttemptShed)
+		_, err = placer.Chooser(need("x")).Choose(nil)
+		assert.ErrorIs(t, err, oleandervane.ErrNoBackendServer)
+	}
+	placer.Update(registryOf(only))
+	misdirect()
+	only.Software = "v2"
+	placer.Update(registryOf(only))
+	misdirect()
+	manual.Advance(misdirectedRest)
+	_, err := placer.Chooser(need("x")).Choose(nil)
+	assert.NilError(t, err)
+}
--- a/entry/placement/reservation.go
+++ b/entry/placement/reservation.go
@@ -14,11 +14,13 @@
 	server *server
 	route  string
 	// pair stands for the server and the object.
-	pair     uint64
-	takenAt  time.Time
-	failed   atomic.Bool
-	idle     atomic.Bool
-	released atomic.Bool
+	pair    uint64
+	takenAt time.Time
+	failed  atomic.Bool
+	// misdirected says that another server has the address.
+	misdirected atomic.Bool
+	idle        atomic.Bool
+	released    atomic.Bool
 }
 
 // Target returns the server.
@@ -29,7 +31,8 @@
 // ObserveAnswer learns from the header of the answer.
 func (reservation *reservation) ObserveAnswer(answer oleandervane.Answer) {
 	now := reservation.placer.settings.TimerService.Now()
-	reservation.failed.Store(answer.Failed || answer.Unproven || answer.Misdirected)
+	reservation.failed.Store(answer.Failed || answer.Unproven)
+	reservation.misdirected.Store(answer.Misdirected)
 	if answer.LoadKnown {
 		reservation.server.noteReport(answer.Load, now)
 		reservation.idle.Store(answer.Load.Running < answer.Load.Slots)
@@ -56,6 +59,10 @@
 		relative := reservation.placer.noteTime(reservation.route, now.Sub(reservation.takenAt))
 		server.noteSuccess(relative, now, slowStart(reservation.placer.view.Load().registry, server.Service))
 	case oleandervane.AttemptShed:
+		if reservation.misdirected.Load() {
+			reservation.tellRest(attemptResult, server.noteMisdirected(now))
+			return
+		}
 		// A server that rejects requests although it has free slots is not merely busy.
 		if reservation.idle.Load() || reservation.failed.Load() {
 			reservation.noteFailure(attemptResult, now)
@@ -70,7 +77,10 @@
 }
 
 func (reservation *reservation) noteFailure(attemptResult oleandervane.AttemptResult, now time.Time) {
-	rest := reservation.server.noteFailure(attemptResult == oleandervane.AttemptUnreachable, now)
+	reservation.tellRest(attemptResult, reservation.server.noteFailure(attemptResult == oleandervane.AttemptUnreachable, now))
+}
+
+func (reservation *reservation) tellRest(attemptResult oleandervane.AttemptResult, rest time.Duration) {
 	if rest > 0 && reservation.placer.settings.Observer != nil {
 		reservation.placer.settings.Observer.ServerRests(reservation.server.ID, attemptResult, rest)
 	}
--- a/entry/placement/server.go
+++ b/entry/placement/server.go
@@ -28,6 +28,10 @@
 	failureWeight = 0.2
 	// failureBound is the share of failures from which a server rests although it answers.
 	failureBound = 0.45
+	// misdirectedRest is how long a server whose address belongs to another one gets nothing, unless its entry changes
+	// before: entries of servers that are gone last until the store drops them, longer while it is away. A server that
+	// said so by mistake is tried again afterwards.
+	misdirectedRest = 30 * time.Second
 )
 
 // server is an entry of a backend server and what this VM knows of that run of it.
@@ -58,9 +62,11 @@
 	restUntil  time.Time
 	// avoidUntil is the end of the time in which the server is avoided because it failed often although it answers.
 	avoidUntil time.Time
-	doubtful   bool
-	coldUntil  time.Time
-	nextCold   time.Time
+	// misdirectedUntil is the end of the time in which the address is taken to belong to another server.
+	misdirectedUntil time.Time
+	doubtful         bool
+	coldUntil        time.Time
+	nextCold         time.Time
 }
 
 func newServer(registered oleandervane.RegisteredServer, now time.Time) *server {
@@ -75,6 +81,7 @@
 func (server *server) with(registered oleandervane.RegisteredServer, now time.Time) *server {
 	changed := newServer(registered, now)
 	changed.knowledge = server.knowledge
+	changed.believeAddress()
 	if registered.ColdLeft > 0 {
 		changed.extendCold(now.Add(registered.ColdLeft))
 	}
@@ -173,6 +180,21 @@
 	return server.rest
 }
 
+// noteMisdirected has the server rest because its address belongs to another one.
+func (server *server) noteMisdirected(now time.Time) time.Duration {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.misdirectedUntil = now.Add(misdirectedRest)
+	return misdirectedRest
+}
+
+// believeAddress ends the rest of a server whose entry has changed.
+func (server *server) believeAddress() {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.misdirectedUntil = time.Time{}
+}
+
 // candidate returns what a decision has to know of the server.
 func (server *server) candidate(object uint64, scale float64, now time.Time) Candidate {
 	server.mutex.Lock()
@@ -186,7 +208,7 @@
 		Load:     server.load(scale, now),
 		Pace:     1,
 		Doubtful: server.doubtful,
-		Resting:  now.Before(server.restUntil) || cold && (!server.warms || now.Before(server.nextCold)),
+		Resting:  server.resting(cold, now),
 		Avoided:  now.Before(server.avoidUntil),
 		Unused:   server.sent.Load() == 0 && cold && server.warms,
 	}
@@ -200,6 +222,14 @@
 	return candidate
 }
 
+// resting says whether the server gets no requests of this VM for now. It is called with the mutex held.
+func (server *server) resting(cold bool, now time.Time) bool {
+	if now.Before(server.restUntil) || now.Before(server.misdirectedUntil) {
+		return true
+	}
+	return cold && (!server.warms || now.Before(server.nextCold))
+}
+
 // takeCold counts a request to a cold server. Until the next interval has passed it gets no other from this VM.
 func (server *server) takeCold(interval time.Duration, now time.Time) (allowed bool) {
 	server.mutex.Lock()
