Bound the retries of a fleet in every window

Cause: a VM limited the retries since the beginning of a window of whole buckets. When the oldest bucket left, the window was 9 s, and a VM could spend its budget twice within 10 s; and each VM spent up to its own peak of requests, which sums to more than the fleet's budget. Ruled out: only more and finer buckets. Change: a VM earns half of its allowance as requests come and time passes, and keeps a reserve of the other half, in the measure of the requests of the last window. Both bounds are sums, so that they hold for the whole fleet in any window. The time is that since the start, which a step of the clock does not change. TestFigureRetryAmplification and TestChoosers looked into the former budget; they now use a budget that permits all and counts, with the same checks.

--- a/entry/forward/budget.go
+++ b/entry/forward/budget.go
@@ -12,8 +12,11 @@
 	// backend servers grows by at most a tenth when all of them fail.
 	defaultBudgetWindow = 10 * time.Second
 	defaultRetryRatio   = 0.1
-	// budgetBuckets divide the window; the oldest leaves it as a whole.
-	budgetBuckets = 10
+	// earnedShare is the part of an allowance that a VM earns as requests come and time passes. The rest is a reserve,
+	// refilled from the earnings, for failures that come in a pulse.
+	earnedShare = 0.5
+	// budgetBuckets divide the window.
+	budgetBuckets = 20
 )
 
 // Allowance is how many retries a VM may make within a window.
@@ -26,31 +29,32 @@
 	Base func() float64
 }
 
-func (allowance Allowance) permits(retries, requests int64) bool {
-	limit := allowance.Ratio * float64(requests)
-	if allowance.Base != nil {
-		limit += allowance.Base()
+func (allowance Allowance) base() float64 {
+	if allowance.Base == nil {
+		return 0
 	}
-	return float64(retries) <= limit
+	return allowance.Base()
 }
 
-// budget counts the requests and retries of each service.
+// budget bounds the retries of each service. The retries within any window are at most the earnings of that window and the
+// reserve at its beginning, which follows from the requests of the window before. Both are sums, so that the bound also
+// holds for all VMs together, whatever window is looked at. A limit on the retries since one window ago has no such sum:
+// each VM would spend up to its own peak.
 type budget struct {
 	timerService oleandervane.TimerService
 	allowance    Allowance
+	startedAt    time.Time
 	mutex        sync.Mutex
 	services     map[oleandervane.ServiceName]*serviceBudget
 }
 
 type serviceBudget struct {
-	// number is that of the newest bucket; it never goes back, also when the clock does.
+	// number is that of the newest bucket. Each has the requests of its part of the window.
 	number  int64
-	buckets [budgetBuckets]budgetBucket
-}
-
-type budgetBucket struct {
-	requests int64
-	retries  int64
+	buckets [budgetBuckets]int64
+	// retries are those that may be made now.
+	retries  float64
+	earnedAt time.Time
 }
 
 // NewRetryBudget returns a budget with the allowance for each service.
@@ -58,26 +62,32 @@
 	if allowance.Window == 0 {
 		allowance.Window = defaultBudgetWindow
 	}
-	return &budget{timerService: timerService, allowance: allowance, services: map[oleandervane.ServiceName]*serviceBudget{}}
+	return &budget{
+		timerService: timerService,
+		allowance:    allowance,
+		startedAt:    timerService.Now(),
+		services:     map[oleandervane.ServiceName]*serviceBudget{},
+	}
 }
 
 // NoteRequest counts a request.
 func (budget *budget) NoteRequest(serviceName oleandervane.ServiceName) {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
-	budget.current(serviceName).requests++
+	service := budget.current(serviceName)
+	service.buckets[service.number%budgetBuckets]++
+	service.retries += earnedShare * budget.allowance.Ratio
 }
 
 // TakeRetry counts a retry if the budget has room for it.
 func (budget *budget) TakeRetry(serviceName oleandervane.ServiceName) bool {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
-	current := budget.current(serviceName)
-	total := budget.services[serviceName].total()
-	if !budget.allowance.permits(total.retries+1, total.requests) {
+	service := budget.current(serviceName)
+	if service.retries < 1 {
 		return false
 	}
-	current.retries++
+	service.retries--
 	return true
 }
 
@@ -85,19 +95,21 @@
 func (budget *budget) ReturnRetry(serviceName oleandervane.ServiceName) {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
-	current := budget.current(serviceName)
-	current.retries = max(0, current.retries-1)
+	budget.current(serviceName).retries++
 }
 
-func (budget *budget) current(serviceName oleandervane.ServiceName) *budgetBucket {
+// current returns the state of a service at this moment. It goes by the time since the start, which a step of the clock does
+// not change.
+func (budget *budget) current(serviceName oleandervane.ServiceName) *serviceBudget {
+	now := budget.timerService.Now()
 	service := budget.services[serviceName]
 	if service == nil {
-		service = &serviceBudget{}
+		service = &serviceBudget{earnedAt: now, retries: (1 - earnedShare) * budget.allowance.base()}
 		budget.services[serviceName] = service
 	}
-	number := budget.timerService.Now().UnixNano() / int64(budget.allowance.Window/budgetBuckets)
-	service.advance(number)
-	return &service.buckets[service.number%budgetBuckets]
+	service.advance(int64(now.Sub(budget.startedAt) / (budget.allowance.Window / budgetBuckets)))
+	service.earn(budget.allowance, now)
+	return service
 }
 
 func (service *serviceBudget) advance(number int64) {
@@ -106,15 +118,18 @@
 	}
 	for service.number < number {
 		service.number++
-		service.buckets[service.number%budgetBuckets] = budgetBucket{}
+		service.buckets[service.number%budgetBuckets] = 0
 	}
 }
 
-func (service *serviceBudget) total() budgetBucket {
-	total := budgetBucket{}
-	for _, bucket := range service.buckets {
-		total.requests += bucket.requests
-		total.retries += bucket.retries
+// earn adds what the time since the last call has brought, up to the reserve.
+func (service *serviceBudget) earn(allowance Allowance, now time.Time) {
+	base, requests := allowance.base(), int64(0)
+	for _, count := range service.buckets {
+		requests += count
 	}
-	return total
+	passed := max(0, now.Sub(service.earnedAt).Seconds()) / allowance.Window.Seconds()
+	service.earnedAt = now
+	reserve := (1 - earnedShare) * (allowance.Ratio*float64(requests) + base)
+	service.retries = min(service.retries+earnedShare*base*passed, reserve)
 }
--- a/entry/forward/retry_test.go
+++ b/entry/forward/retry_test.go
@@ -40,6 +40,22 @@
 	}
 }
 
+// countingBudget permits all retries and counts them.
+type countingBudget struct {
+	retries int
+}
+
+func (*countingBudget) NoteRequest(oleandervane.ServiceName) {}
+
+func (countingBudget *countingBudget) TakeRetry(oleandervane.ServiceName) bool {
+	countingBudget.retries++
+	return true
+}
+
+func (countingBudget *countingBudget) ReturnRetry(oleandervane.ServiceName) {
+	countingBudget.retries--
+}
+
 // amplification returns attempts per request when every backend server fails, under random bursts and pauses.
 func amplification(t *testing.T, prepare func(*Forwarder)) float64 {
 	const requests = 5000
@@ -63,11 +79,7 @@
 
 // Guards against retries that add more than a tenth to the load while every backend server fails.
 func TestFigureRetryAmplification(t *testing.T) {
-	unbounded := amplification(t, func(forwarder *Forwarder) {
-		for range 100_000 {
-			forwarder.budget.NoteRequest("ledger")
-		}
-	})
+	unbounded := amplification(t, func(forwarder *Forwarder) { forwarder.budget = &countingBudget{} })
 	assert.Assert(t, unbounded > 1.1, "the check finds nothing without the budget: %v", unbounded)
 	value := amplification(t, func(*Forwarder) {})
 	assert.Assert(t, value > 1.01, "retries do not happen at all: %v", value)
@@ -297,10 +309,11 @@
 	result := forwarder.Forward(context.Background(), testRequest(true, "GET", ""), RelayVMs(nil, ""))
 	assert.Equal(t, result.Outcome, oleandervane.NotRun)
 	assert.Equal(t, result.Reason, ReasonNoBackendServer)
-	allowRetries(forwarder)
+	counting := &countingBudget{}
+	forwarder.budget = counting
 	stubborn := &stubbornChooser{targets{list: []Target{scripted(t, "b1", "read; close").target}}}
 	assert.Equal(t, forwarder.Forward(context.Background(), testRequest(true, "GET", ""), stubborn).Attempts, 1)
-	assert.Equal(t, forwarder.budget.(*budget).services["ledger"].total().retries, int64(0))
+	assert.Equal(t, counting.retries, 0)
 }
 
 // Measures what a new connection costs a non-idempotent request, over an idempotent one on a pooled connection.
