Bound answers that do not end, and do not wait for the body of a refusal

Ruled out: a bound on bodies without a length only: a length can be as large as the server likes. Change: a response is passed on up to max_response_megabytes, then its caller's connection is broken, the reason is response_too_long, and the server counts as failing, the request not as one that breaks servers. The body of a refusal is read up to 4 KB for at most 50 ms.

--- a/entry/forward/attempt.go
+++ b/entry/forward/attempt.go
@@ -13,6 +13,15 @@
 	"oleandervane.example"
 )
 
+const (
+	// maxRefusalBytes is the size up to which the body of a refusal is read, so that its connection can be used again.
+	maxRefusalBytes = 4 << 10
+	// refusalBodyLimit is how long that may take. Servers send the body together with the header.
+	refusalBodyLimit = 50 * time.Millisecond
+)
+
+var errRefusalBody = errors.New("the body of the refusal did not end in time")
+
 // attempt is one try to run a request at one target.
 type attempt struct {
 	forwarder   *Forwarder
@@ -189,6 +198,8 @@
 		return ReasonDeadline, oleandervane.AttemptTimedOut
 	case errors.Is(err, ErrSilent):
 		return ReasonSilent, oleandervane.AttemptTimedOut
+	case errors.Is(err, ErrTooLong):
+		return ReasonTooLong, oleandervane.AttemptBroken
 	case errors.Is(err, ErrMismatch):
 		return ReasonMismatch, oleandervane.AttemptBroken
 	case errors.As(err, &refusal):
@@ -253,7 +264,7 @@
 		return attemptOutcome{outcome: outcome, response: result}
 	}
 	result.finish = finish
-	result.rest = &stream{body: response.Body, finish: finish}
+	result.rest = &stream{body: response.Body, left: attempt.forwarder.settings.MaxResponseBytes - int64(len(beginning)), finish: finish}
 	return attemptOutcome{outcome: outcome, response: result}
 }
 
@@ -263,7 +274,7 @@
 	if outcome == oleandervane.NotRun {
 		attemptResult = oleandervane.AttemptShed
 	}
-	if _, whole, err := readBeginning(response.Body, attempt.forwarder.settings.MaxBufferedBytes); whole && err == nil && framed(response) {
+	if attempt.drain(response) {
 		attempt.giveBack()
 	} else {
 		attempt.connection.close()
@@ -272,6 +283,18 @@
 	return attemptOutcome{outcome: outcome, reason: reason}
 }
 
+// drain reads the body of a refusal and says whether the connection can be used again. What the target has said is in the
+// header, so that the request does not wait for a body that is long or does not end.
+func (attempt *attempt) drain(response *http.Response) bool {
+	if !framed(response) {
+		return false
+	}
+	stop := attempt.limit(refusalBodyLimit, errRefusalBody)
+	_, whole, err := readBeginning(response.Body, maxRefusalBytes)
+	stop()
+	return whole && err == nil
+}
+
 func (attempt *attempt) truncated(err error) attemptOutcome {
 	result := attempt.failAfterTake(err)
 	if result.reason == ReasonBroken {
--- /dev/null
+++ b/entry/forward/endless_test.go
@@ -0,0 +1,150 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"oleandervane.example"
+	"oleandervane.example/timer"
+)
+
+const (
+	// endlessBound is the largest response that is passed on in these tests.
+	endlessBound = 1 << 20
+	// endlessTime is the time limit of the requests. An endless answer must be over long before it.
+	endlessTime = 5 * time.Second
+)
+
+func newEndlessForwarder(t *testing.T) *Forwarder {
+	forwarder := New(Settings{UnframedBodies: true, MaxResponseBytes: endlessBound}, timer.System{})
+	t.Cleanup(forwarder.Close)
+	return forwarder
+}
+
+func endlessRequest() Request {
+	request := testRequest(true, "GET", "")
+	request.Deadline = time.Now().Add(endlessTime)
+	return request
+}
+
+// ask sends one request through an entry VM and returns the status and the bytes that its caller got, and whether the
+// answer seemed whole.
+func ask(t *testing.T, forwarder *Forwarder, target Target) (result Result, status int, got int64, whole bool) {
+	t.Helper()
+	entry := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		result = forwarder.Forward(request.Context(), endlessRequest(), &targets{list: []Target{target}})
+		if result.Response == nil {
+			panic(http.ErrAbortHandler)
+		}
+		if result.Err = result.Response.Send(writer); result.Err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer entry.Close()
+	response, err := http.Get(entry.URL)
+	if err != nil {
+		return result, 0, 0, false
+	}
+	defer response.Body.Close()
+	got, err = io.Copy(io.Discard, response.Body)
+	return result, response.StatusCode, got, err == nil
+}
+
+// Guards against servers whose bytes do not end: a caller that waits for its whole time, an answer without a bound, a part
+// that looks whole, and a connection that stays open.
+func TestEndlessAnswers(t *testing.T) {
+	table, err := os.ReadFile("testdata/endless.txt")
+	assert.NilError(t, err)
+	for line := range strings.Lines(string(table)) {
+		if strings.HasPrefix(line, "#") {
+			continue
+		}
+		fields := strings.Split(line, "|")
+		for index := range fields {
+			fields[index] = strings.TrimSpace(fields[index])
+		}
+		t.Run(fields[0], func(t *testing.T) { checkEndless(t, fields) })
+	}
+}
+
+func checkEndless(t *testing.T, fields []string) {
+	t.Helper()
+	server := scripted(t, "b1", fields[1])
+	wanted, err := strconv.Atoi(fields[4])
+	assert.NilError(t, err)
+	startedAt := time.Now()
+	result, status, got, whole := ask(t, newEndlessForwarder(t), server.target)
+	took := time.Since(startedAt)
+	assert.Equal(t, result.Outcome, oleandervane.Outcome(fields[2]), "%v", result.Err)
+	if fields[3] == string(ReasonTooLong) {
+		assert.ErrorIs(t, result.Err, ErrTooLong)
+	} else {
+		assert.Equal(t, string(result.Reason), fields[3])
+	}
+	assert.Equal(t, status, wanted)
+	assert.Equal(t, whole, wanted != 0 && fields[3] == "", "the answer seemed whole")
+	assert.Assert(t, got <= endlessBound, "%d bytes were passed on", got)
+	assert.Assert(t, took < endlessTime/2, "the caller waited for %v", took)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if server.repeated.Load() == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("the connection is still open")
+	})
+}
+
+// Guards against a refusal that holds the request because its body does not end: the request goes to another server.
+func TestEndlessRefusalIsRetriedAtOnce(t *testing.T) {
+	refusing := scripted(t, "b1", `read; send "HTTP/1.1 503 Busy\r\nOleandervane-Shed: 1\r\nContent-Length: 100\r\n\r\nslow"; hang`)
+	other := scripted(t, "b2", "read; "+okAction)
+	forwarder := newEndlessForwarder(t)
+	allowRetries(forwarder)
+	startedAt := time.Now()
+	result := forwarder.Forward(context.Background(), endlessRequest(), &targets{list: []Target{refusing.target, other.target}})
+	assert.Equal(t, result.Outcome, oleandervane.Answered)
+	assert.Equal(t, result.Attempts, 2)
+	assert.Assert(t, time.Since(startedAt) < endlessTime/4)
+}
+
+// Guards against memory that grows with servers whose bodies do not end, and against such servers holding up others.
+func TestManyEndlessAnswersAtOnce(t *testing.T) {
+	const servers, growthBound = 50, 64 << 20
+	forwarder := newEndlessForwarder(t)
+	sound := scripted(t, "sound", "read; "+okAction)
+	var before, during runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var group sync.WaitGroup
+	for range servers {
+		endless := scripted(t, "endless", `read; send "HTTP/1.1 200 OK\r\n\r\n"; repeat "0123456789abcdef"`)
+		group.Go(func() {
+			result := forwarder.Forward(context.Background(), endlessRequest(), &targets{list: []Target{endless.target}})
+			_, err := io.Copy(io.Discard, result.Response.Reader())
+			assert.Check(t, errors.Is(err, ErrTooLong), "%v", err)
+			result.Response.Close()
+		})
+	}
+	for range 20 {
+		startedAt := time.Now()
+		result := forwarder.Forward(context.Background(), endlessRequest(), &targets{list: []Target{sound.target}})
+		assert.Equal(t, result.Outcome, oleandervane.Answered)
+		assert.Assert(t, time.Since(startedAt) < endlessTime/2)
+	}
+	group.Wait()
+	runtime.GC()
+	runtime.ReadMemStats(&during)
+	assert.Assert(t, during.HeapInuse < before.HeapInuse+growthBound, "%d bytes more", during.HeapInuse-before.HeapInuse)
+}
--- a/entry/forward/forwarder.go
+++ b/entry/forward/forwarder.go
@@ -15,6 +15,8 @@
 const (
 	// DefaultMaxBufferedBytes is the size up to which a response is held until it is complete.
 	DefaultMaxBufferedBytes = 256 << 10
+	// DefaultMaxResponseBytes bounds what is passed on of a response that does not end.
+	DefaultMaxResponseBytes = 64 << 20
 	// DefaultMaxAttempts bounds the attempts of one request, whatever the budget allows.
 	DefaultMaxAttempts = 3
 	// DefaultMaxIdle bounds the idle connections to one target, which has 3 or 9 slots shared by several VMs.
@@ -24,6 +26,8 @@
 // Settings are the settings of a Forwarder. Zero values take the defaults.
 type Settings struct {
 	MaxBufferedBytes int
+	// MaxResponseBytes bounds the body of a response. A longer one is cut off, and its server counts as broken.
+	MaxResponseBytes int64
 	MaxAttempts      int
 	MaxIdle          int
 	IdleLimit        time.Duration
@@ -56,6 +60,9 @@
 	if settings.MaxBufferedBytes == 0 {
 		settings.MaxBufferedBytes = DefaultMaxBufferedBytes
 	}
+	if settings.MaxResponseBytes == 0 {
+		settings.MaxResponseBytes = DefaultMaxResponseBytes
+	}
 	if settings.MaxAttempts == 0 {
 		settings.MaxAttempts = DefaultMaxAttempts
 	}
--- a/entry/forward/harness_test.go
+++ b/entry/forward/harness_test.go
@@ -26,6 +26,8 @@
 	requests    atomic.Int64
 	bytes       atomic.Int64
 	connections atomic.Int64
+	// repeated counts the connections that the forwarder closed while the server went on sending.
+	repeated atomic.Int64
 	// read receives the number of the connection after each request that was read.
 	read chan int64
 }
@@ -82,6 +84,16 @@
 				panic(err)
 			}
 			_, _ = io.WriteString(conn, strings.ReplaceAll(unquoted, "ID", requestID))
+		case "repeat":
+			unquoted, err := strconv.Unquote(text)
+			if err != nil {
+				panic(err)
+			}
+			for batch := []byte(strings.Repeat(unquoted, 64)); err == nil; {
+				_, err = conn.Write(batch)
+			}
+			server.repeated.Add(1)
+			return false
 		case "reset":
 			_ = conn.(*net.TCPConn).SetLinger(0)
 			_ = conn.Close()
--- a/entry/forward/request.go
+++ b/entry/forward/request.go
@@ -55,6 +55,7 @@
 	ReasonBroken          Reason = "connection_broken"
 	ReasonSilent          Reason = "connection_silent"
 	ReasonTruncated       Reason = "response_truncated"
+	ReasonTooLong         Reason = "response_too_long"
 	ReasonMismatch        Reason = "response_of_another_request"
 	ReasonNoOutcome       Reason = "no_outcome_stated"
 )
@@ -64,6 +65,7 @@
 	ErrDeadline  = errors.New("the deadline of the request has passed")
 	ErrSilent    = errors.New("the connection went silent")
 	ErrTruncated = errors.New("the response was cut off")
+	ErrTooLong   = errors.New("the response is longer than the largest one that is passed on")
 	ErrMismatch  = errors.New("the response belongs to another request")
 )
 
--- a/entry/forward/response.go
+++ b/entry/forward/response.go
@@ -63,12 +63,18 @@
 
 // stream reads the rest of a body and finishes the attempt at its end.
 type stream struct {
-	body   io.Reader
+	body io.Reader
+	// left is the number of bytes that may still come.
+	left   int64
 	finish func(err error)
 }
 
 func (stream *stream) Read(buffer []byte) (int, error) {
 	count, err := stream.body.Read(buffer)
+	if int64(count) > stream.left {
+		count, err = int(stream.left), ErrTooLong
+	}
+	stream.left -= int64(count)
 	if err == io.EOF {
 		stream.finish(nil)
 		return count, io.EOF
--- a/entry/reception/reception.go
+++ b/entry/reception/reception.go
@@ -294,6 +294,9 @@
 	visit.completion.Status = response.Status
 	if err := response.Send(visit.writer); err != nil {
 		visit.completion.Outcome, visit.completion.Reason, visit.completion.Err = oleandervane.Unknown, forward.ReasonTruncated, err
+		if errors.Is(err, forward.ErrTooLong) {
+			visit.completion.Reason = forward.ReasonTooLong
+		}
 		visit.aborted = true
 	}
 }
--- a/entryvm/hosted/hosted.go
+++ b/entryvm/hosted/hosted.go
@@ -106,11 +106,12 @@
 		Observer:     entryVM.observer,
 	})
 	entryVM.forwarder = forward.New(forward.Settings{
-		IdleLimit:      idleLimit,
-		Dialect:        dialect.Dialect{},
-		UnframedBodies: true,
-		TrustReused:    true,
-		OpenLimit:      openLimit,
+		IdleLimit:        idleLimit,
+		MaxResponseBytes: int64(settings.MaxResponseMegabytes) * megabyte,
+		Dialect:          dialect.Dialect{},
+		UnframedBodies:   true,
+		TrustReused:      true,
+		OpenLimit:        openLimit,
 		RetryBudget: forward.NewRetryBudget(timerService, forward.Allowance{
 			Window: time.Duration(settings.Retries.Window),
 			Ratio:  settings.Retries.Ratio,
--- a/entryvm/hosted/settings.go
+++ b/entryvm/hosted/settings.go
@@ -37,6 +37,8 @@
 	ProcessorSpeed float64 `toml:"processor_speed"`
 	// LinkMegabits is the bandwidth of the VM, in Mbit/s.
 	LinkMegabits float64 `toml:"link_megabits"`
+	// MaxResponseMegabytes bounds the answer of a backend server. A longer one is cut off.
+	MaxResponseMegabytes int `toml:"max_response_megabytes"`
 	// StopLimit is the time from the request to stop until the process is killed.
 	StopLimit settingsfile.Duration `toml:"stop_limit"`
 	// DrainLimit is the time in which a backend server that leaves must get no new requests, and ApplyLimit that in
@@ -66,11 +68,13 @@
 		ProcessorShare:  1,
 		ProcessorSpeed:  1,
 		LinkMegabits:    1000,
-		StopLimit:       settingsfile.Duration(6 * time.Second),
-		DrainLimit:      settingsfile.Duration(2 * time.Second),
-		ApplyLimit:      settingsfile.Duration(2 * time.Second),
-		LookupLifetime:  settingsfile.Duration(2 * time.Second),
-		Retries:         Retries{Ratio: 0.1, Window: settingsfile.Duration(10 * time.Second)},
+		// Answers are at most some megabytes; what is longer probably has no end.
+		MaxResponseMegabytes: 64,
+		StopLimit:            settingsfile.Duration(6 * time.Second),
+		DrainLimit:           settingsfile.Duration(2 * time.Second),
+		ApplyLimit:           settingsfile.Duration(2 * time.Second),
+		LookupLifetime:       settingsfile.Duration(2 * time.Second),
+		Retries:              Retries{Ratio: 0.1, Window: settingsfile.Duration(10 * time.Second)},
 	}
 }
 
@@ -98,6 +102,7 @@
 	_, err = logrus.ParseLevel(settings.LogLevel)
 	faults.Check(err == nil, "log_level", "must be one of error, warn, info, debug")
 	faults.Check(settings.MemoryMegabytes > 0, "memory_megabytes", "must be above 0")
+	faults.Check(settings.MaxResponseMegabytes > 0, "max_response_megabytes", "must be above 0")
 	faults.Check(settings.ProcessorShare > 0 && settings.ProcessorSpeed > 0, "processor_share", "and processor_speed must be above 0")
 	faults.Check(settings.LinkMegabits > 0, "link_megabits", "must be above 0")
 	faults.Check(settings.StopLimit >= minStopLimit, "stop_limit", "must be at least 2s")
