Let an unexpected error cost one step, and bound the lines of the log

Cause: a panic in a notice, a timer or a part that runs all the time ended the process; one in a request was written to standard error by the HTTP library, past the structured log, as were bytes that servers send behind an answer. TestLogNeverBlocks failed once in seven runs: the log writer took lines out of its queue as fast as they came, so that they gathered without a bound in its batch and none was dropped. Lines of libraries go to the structured log, 300 bytes each. Batches of the log have 256 lines at most. A notice can make a server seem busy with 1,024 requests at most.

--- a/entry/reception/reception.go
+++ b/entry/reception/reception.go
@@ -6,10 +6,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -41,6 +43,7 @@
 	reasonBodyTooLarge    forward.Reason = "body_too_large"
 	reasonBodyUnread      forward.Reason = "body_not_received"
 	reasonStopping        forward.Reason = "vm_stops"
+	reasonPanic           forward.Reason = "unexpected_error"
 )
 
 // Placer places requests at backend servers.
@@ -334,7 +337,13 @@
 	return time.Duration(float64(delay) * (0.75 + rand.Float64()/2))
 }
 
+// finish is deferred. A panic in one request breaks its connection only: the request may have run.
 func (visit *visit) finish() {
+	if recovered := recover(); recovered != nil {
+		visit.completion.Outcome, visit.completion.Reason = oleandervane.Unknown, reasonPanic
+		visit.completion.Err = fmt.Errorf("panic: %v at %s", recovered, debug.Stack())
+		visit.aborted = true
+	}
 	visit.completion.Took = visit.reception.parts.TimerService.Now().Sub(visit.startedAt)
 	visit.reception.parts.Observer.Finished(visit.completion)
 	if visit.aborted {
--- a/entryvm/hosted/fleet.go
+++ b/entryvm/hosted/fleet.go
@@ -6,6 +6,7 @@
 
 	"oleandervane.example"
 	"oleandervane.example/fleet/exchange"
+	"oleandervane.example/fleet/peer"
 	"oleandervane.example/fleet/registrywatch"
 	"oleandervane.example/fleet/relay"
 )
@@ -69,7 +70,10 @@
 		return nil, err
 	}
 	go func() {
-		if err := entryVM.noticeSocket.Receive(entryVM.notices.Receive); err != nil {
+		receive := func(notice *peer.Notice) {
+			entryVM.guard.run("notice", func() { entryVM.notices.Receive(notice) })
+		}
+		if err := entryVM.noticeSocket.Receive(receive); err != nil {
 			entryVM.log.WithError(err).Error("notices of other VMs are no longer received; loads are known from servers only")
 		}
 	}()
--- a/entryvm/hosted/hosted.go
+++ b/entryvm/hosted/hosted.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log"
 	"net/http"
 	"net/netip"
 	"runtime/debug"
@@ -59,8 +60,8 @@
 	leaveLimit = 1500 * time.Millisecond
 )
 
-// setKratosLog guards the logger of kratos, which all VMs of a process share.
-var setKratosLog sync.Once
+// setLibraryLogs guards the loggers of kratos and of the standard library, which all VMs of a process share.
+var setLibraryLogs sync.Once
 
 // EntryVM is a hosted entry VM: all parts, joined and ready to run.
 type EntryVM struct {
@@ -70,6 +71,7 @@
 	log          *logrus.Entry
 	logWriter    *logWriter
 	observer     *observer
+	guard        guard
 	store        *store.Client
 	roster       *roster.Roster
 	placer       *placement.Placer
@@ -88,12 +90,15 @@
 // New returns an entry VM that logs to output. It opens no connection before Run.
 func New(settings Settings, timerService oleandervane.TimerService, output io.Writer) *EntryVM {
 	self := settings.Self(incarnation.New(timerService.Now()))
-	entryVM := &EntryVM{timerService: timerService, logWriter: newLogWriter(output)}
+	entryVM := &EntryVM{logWriter: newLogWriter(output)}
 	entryVM.settings.Store(&settings)
 	entryVM.log = newLogger(settings, entryVM.logWriter).WithFields(logrus.Fields{
 		"vm": self.ID, "incarnation": self.Incarnation, "failure_domain": self.FailureDomain,
 	})
 	entryVM.observer = &observer{log: entryVM.log, set: metrics.NewSet()}
+	entryVM.guard = guard{observer: entryVM.observer}
+	timerService = guardedTimers{TimerService: timerService, guard: entryVM.guard}
+	entryVM.timerService = timerService
 	entryVM.store = store.NewClient(settings.StoreURL, timerService)
 	entryVM.contact = relay.Observe(entryVM.store, entryVM.store, timerService)
 	entryVM.roster = roster.New(self, entryVM.contact, timerService, entryVM.observer, func() bool { return entryVM.board.Followed() })
@@ -176,8 +181,8 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMegabytes) * megabyte))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go entryVM.watcher.Run(ctx)
-	go entryVM.roster.Run(ctx)
+	go entryVM.guard.keepRunning(ctx, "watcher", entryVM.watcher.Run)
+	go entryVM.guard.keepRunning(ctx, "roster", entryVM.roster.Run)
 	stopNotices, err := entryVM.startNotices(settings.PeerAddress)
 	if err != nil {
 		return err
@@ -185,7 +190,11 @@
 	defer stopNotices()
 	callerServer := webserver.New(settings.CallerAddress.String(), entryVM.reception)
 	callerServer.IdleTimeout, callerServer.ReadHeaderTimeout = callerIdleLimit, headerLimit
-	setKratosLog.Do(func() { klog.SetLogger(webserver.Logger(entryVM.log)) })
+	setLibraryLogs.Do(func() {
+		klog.SetLogger(webserver.Logger(entryVM.log))
+		log.SetFlags(0)
+		log.SetOutput(webserver.LibraryLog(entryVM.log))
+	})
 	app := kratos.New(
 		kratos.ID(string(settings.ID)),
 		kratos.Name("oleandervane-hosted"),
--- a/entryvm/hosted/hosted_test.go
+++ b/entryvm/hosted/hosted_test.go
@@ -277,6 +277,33 @@
 	assert.Assert(t, logWriter.Dropped() > 0)
 }
 
+// lineCounter keeps the largest number of lines that were written with one call.
+type lineCounter struct {
+	total, largest int
+}
+
+func (lineCounter *lineCounter) Write(batch []byte) (int, error) {
+	lines := bytes.Count(batch, []byte("\n"))
+	lineCounter.total += lines
+	lineCounter.largest = max(lineCounter.largest, lines)
+	return len(batch), nil
+}
+
+// Guards against lines that gather without a bound beside the queue, so that none is dropped (TestLogNeverBlocks failed by
+// it once in seven runs), and against lines that are lost when the writer is closed.
+func TestLogBatchesAreBounded(t *testing.T) {
+	counter := &lineCounter{}
+	logWriter := &logWriter{output: counter, lines: make(chan []byte, queuedLines), closing: make(chan struct{}), done: make(chan struct{})}
+	for range queuedLines {
+		_, err := logWriter.Write([]byte("line\n"))
+		assert.NilError(t, err)
+	}
+	go logWriter.run()
+	logWriter.Close()
+	assert.Equal(t, counter.total, queuedLines)
+	assert.Assert(t, counter.largest <= batchLines, "%d lines at once", counter.largest)
+}
+
 // Replays a caller that leaves while its filing waits at a full server: guards against a second server that runs it for
 // nobody.
 func TestUnsafeRequestIsNotRetriedForACallerThatLeft(t *testing.T) {
--- a/entryvm/hosted/logwriter.go
+++ b/entryvm/hosted/logwriter.go
@@ -8,6 +8,10 @@
 // queuedLines bounds the log lines that wait for a slow reader of standard output; at 300 bytes each they take 1 MB.
 const queuedLines = 4096
 
+// batchLines bounds the lines that are written with one call. Without a bound, lines that come as fast as they are taken
+// out of the queue would gather beside it.
+const batchLines = 256
+
 // logWriter writes log lines from a goroutine of its own, so that a full pipe never holds up a request. Lines that do
 // not fit are dropped and counted.
 type logWriter struct {
@@ -45,7 +49,7 @@
 	<-logWriter.done
 }
 
-// run writes all lines that are queued at a time with one call.
+// run writes the lines that are queued at a time with one call, up to a bound.
 func (logWriter *logWriter) run() {
 	defer close(logWriter.done)
 	for {
@@ -53,14 +57,16 @@
 		case line := <-logWriter.lines:
 			logWriter.writeQueued(line)
 		case <-logWriter.closing:
-			logWriter.writeQueued(nil)
+			for len(logWriter.lines) > 0 {
+				logWriter.writeQueued(nil)
+			}
 			return
 		}
 	}
 }
 
 func (logWriter *logWriter) writeQueued(batch []byte) {
-	for len(logWriter.lines) > 0 {
+	for count := 1; count < batchLines && len(logWriter.lines) > 0; count++ {
 		batch = append(batch, <-logWriter.lines...)
 	}
 	// Standard output is all there is to report a failure of standard output on.
--- a/entryvm/webserver/webserver.go
+++ b/entryvm/webserver/webserver.go
@@ -2,7 +2,10 @@
 package webserver
 
 import (
+	"bytes"
+	"io"
 	"net/http"
+	"strings"
 
 	klog "github.com/go-kratos/kratos/v2/log"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
@@ -51,6 +54,25 @@
 	return nil
 }
 
+// maxLibraryLine bounds a line of a library, which may quote what a peer sent.
+const maxLibraryLine = 300
+
+// LibraryLog returns a writer that logs each line of a library, for the standard logger.
+func LibraryLog(entry *logrus.Entry) io.Writer {
+	return libraryLog{entry: entry}
+}
+
+type libraryLog struct {
+	entry *logrus.Entry
+}
+
+// Write logs one line. It never fails.
+func (libraryLog libraryLog) Write(line []byte) (int, error) {
+	text := strings.ToValidUTF8(string(bytes.TrimSpace(line[:min(len(line), maxLibraryLine)])), "?")
+	libraryLog.entry.WithField(FieldPart, "library").Warn(text)
+	return len(line), nil
+}
+
 // logrusLevel maps the levels of kratos one step down, because its lines about starting and stopping
 // servers are of interest only to developers.
 func logrusLevel(level klog.Level) logrus.Level {
--- a/fleet/exchange/notice.go
+++ b/fleet/exchange/notice.go
@@ -9,6 +9,9 @@
 	"oleandervane.example/fleet/peer"
 )
 
+// maxCount bounds how busy a notice can make a server seem. Servers have a few slots and a short queue.
+const maxCount = 1024
+
 // source names whose requests a notice counts: those of a VM, or of a failure domain whoever speaks for it.
 func source(notice *peer.Notice) string {
 	if domain := notice.GetFailureDomain(); domain != "" {
@@ -42,7 +45,7 @@
 	servers, numbers := notice.GetServers(), notice.GetCounts()
 	counts := make([]oleandervane.ServerCount, 0, len(servers))
 	for i := range min(len(servers), len(numbers)) {
-		counts = append(counts, oleandervane.ServerCount{Server: servers[i], Count: int(numbers[i])})
+		counts = append(counts, oleandervane.ServerCount{Server: servers[i], Count: int(min(numbers[i], maxCount))})
 	}
 	return counts
 }
