Tell all VMs which servers know which objects, and tell it sooner for fewer bytes

Load pattern: 95 to 142 VMs share the requests of a few hundred objects. A VM sees too few of them to know that the second server of an object knows it as well (another VM sent it there), and queues at the first one; counts in flight are 0.25 to 0.5 s old; short requests stand behind long ones of the same service, and a queue of long ones is taken for a short one. Change: notices carry marks of objects and servers that are news. The sums of a failure domain go to one delegate of each other domain, which passes them on, instead of to each VM; VMs tell each 125 ms, or each 250 ms when they hear 20 senders or more (each 250 and 500 ms before). The queue of a server counts by the usual work of its service.

--- a/entry/placement/decide.go
+++ b/entry/placement/decide.go
@@ -43,8 +43,10 @@
 	Urgent bool
 	// Repeatable requests may be sent to a server that is being tried again.
 	Repeatable bool
-	// WorkTime is the usual time of the request at a server that knows the object; zero when it is not known.
+	// WorkTime is the usual time from the choice to the answer; zero when it is not known.
 	WorkTime time.Duration
+	// Work says how long requests of this route and of its service usually take.
+	Work Work
 }
 
 // Decision is the choice for a question: a candidate, or how long until there may be room.
@@ -91,7 +93,7 @@
 	if question.Urgent {
 		bound = policy.UrgentBound
 	}
-	chosen, reason := policy.firstChoice(candidates, sound[:min(policy.WarmChoices, len(sound))])
+	chosen, reason := policy.firstChoice(question.Work, candidates, sound[:min(policy.WarmChoices, len(sound))])
 	decision := Decision{Chosen: chosen, Reason: reason, Pressure: candidates[chosen].pressure(), Sound: len(sound)}
 	if decision.Pressure >= bound {
 		decision.Chosen, decision.Reason, decision.RetryAfter = -1, ReasonBusy, roomAfter(question, candidates, sound)
@@ -112,26 +114,35 @@
 }
 
 // firstChoice returns the server among the warm ones that is likely to answer first.
-func (policy Policy) firstChoice(candidates []Candidate, warm []int) (chosen int, reason string) {
+func (policy Policy) firstChoice(work Work, candidates []Candidate, warm []int) (chosen int, reason string) {
+	others := work.others()
+	if policy.EqualWork {
+		others = 1
+	}
 	chosen, reason = warm[0], ReasonFirstChoice
-	least := candidates[chosen].answerTime(1)
+	least := candidates[chosen].answerTime(1, others)
 	for _, i := range warm[1:] {
-		work := policy.ColdCost
+		own := policy.ColdCost
 		if candidates[i].Familiar {
-			work = 1
+			own = 1
 		}
-		if takes := candidates[i].answerTime(work); takes+policy.Margin <= least {
+		if takes := candidates[i].answerTime(own, others); takes+policy.Margin <= least {
 			chosen, reason, least = i, ReasonLessLoad, takes
 		}
 	}
 	return chosen, reason
 }
 
-// answerTime estimates the time until the answer, in the usual time of a request at a server that knows the object.
-func (candidate Candidate) answerTime(work float64) float64 {
+// waiting is the number of requests that a slot has to finish before a request that is sent to the server now.
+func (candidate Candidate) waiting() float64 {
 	slots := float64(max(1, candidate.Slots))
-	waiting := max(0, candidate.Load+1-slots) / slots
-	return (waiting + work) * max(1, candidate.Pace)
+	return max(0, candidate.Load+1-slots) / slots
+}
+
+// answerTime estimates the time until the answer, in the usual time of the request at a server that knows the object. own
+// is the time of the request itself, others that of the requests before it.
+func (candidate Candidate) answerTime(own, others float64) float64 {
+	return (candidate.waiting()*others + own) * max(1, candidate.Pace)
 }
 
 func leastPressure(candidates []Candidate, among []int) int {
--- a/entry/placement/decide_test.go
+++ b/entry/placement/decide_test.go
@@ -34,6 +34,8 @@
 		{"ordinary request is refused", Question{}, []Candidate{{ID: "a", Slots: 3, Load: 9}, {ID: "b", Slots: 3, Load: 9}}, -1, ReasonBusy},
 		{"urgent request takes the last room", Question{Urgent: true}, []Candidate{{ID: "a", Slots: 3, Load: 9}, {ID: "b", Slots: 3, Load: 9}}, 0, ReasonFirstChoice},
 		{"urgent request is refused", Question{Urgent: true}, []Candidate{{ID: "a", Slots: 3, Load: 11}, {ID: "b", Slots: 3, Load: 11}}, -1, ReasonBusy},
+		{"short request avoids a queue of long ones", Question{Work: Work{Route: 1, Service: 4}}, []Candidate{{ID: "a", Slots: 3, Load: 4}, second, third}, 1, ReasonLessLoad},
+		{"long request waits behind short ones", Question{Work: Work{Route: 4, Service: 1}}, []Candidate{{ID: "a", Slots: 3, Load: 7}, second, third}, 0, ReasonFirstChoice},
 		{"slow server counts as loaded", Question{}, []Candidate{{ID: "a", Slots: 3, Load: 1, Pace: 5}, {ID: "b", Slots: 3, Load: 1}}, 1, ReasonLessLoad},
 		{"resting server is passed over", Question{}, []Candidate{{ID: "a", Slots: 3, Resting: true}, second}, 1, ReasonFirstChoice},
 		{"unsafe request avoids a doubtful server", Question{}, []Candidate{{ID: "a", Slots: 3, Doubtful: true}, second}, 1, ReasonFirstChoice},
--- a/entry/placement/placer.go
+++ b/entry/placement/placer.go
@@ -50,6 +50,7 @@
 
 	foreign     foreignCounts
 	familiarity familiarity
+	work        workTimes
 
 	timesMutex sync.Mutex
 	times      map[string]time.Duration
@@ -68,7 +69,12 @@
 	if settings.Policy == (Policy{}) {
 		settings.Policy = DefaultPolicy()
 	}
-	placer := &Placer{settings: settings, times: map[string]time.Duration{}, foreign: foreignCounts{sources: map[string]sourceCounts{}}}
+	placer := &Placer{
+		settings: settings,
+		times:    map[string]time.Duration{},
+		foreign:  foreignCounts{sources: map[string]sourceCounts{}},
+		work:     workTimes{routes: map[string]time.Duration{}, services: map[oleandervane.ServiceName]time.Duration{}},
+	}
 	placer.view.Store(&view{})
 	return placer
 }
@@ -160,19 +166,23 @@
 		Urgent:     need.Urgent,
 		Repeatable: need.Route.Idempotent(),
 		WorkTime:   placer.usualTime(need.Route.Name),
+		Work:       placer.work.get(need.Route.Name, need.Service),
 	}, candidates)
 	chooser.decision.CountsKnown = placer.othersScale() > 0
 	if chooser.decision.Chosen < 0 {
 		return nil, eris.Wrap(oleandervane.ErrNoBackendServer, chooser.decision.Reason)
 	}
-	server := servers[candidates[chooser.decision.Chosen].index]
+	candidate := candidates[chooser.decision.Chosen]
+	server := servers[candidate.index]
 	if !server.takeCold(placer.coldInterval(need.Service), now) {
 		return nil, eris.Wrap(oleandervane.ErrNoBackendServer, "cold server was taken by another request")
 	}
 	server.inFlight.Add(1)
 	server.sent.Add(1)
-	pair := candidates[chooser.decision.Chosen].Score
-	return &reservation{placer: placer, server: server, route: need.Route.Name, takenAt: now, pair: pair}, nil
+	return &reservation{
+		placer: placer, server: server, route: need.Route.Name, takenAt: now,
+		pair: candidate.Score, waiting: candidate.waiting(),
+	}, nil
 }
 
 // coldInterval is the time between two requests of this VM to a cold server.
--- a/entry/placement/reservation.go
+++ b/entry/placement/reservation.go
@@ -16,6 +16,8 @@
 	// pair stands for the server and the object.
 	pair    uint64
 	takenAt time.Time
+	// waiting is that of the server when it was chosen.
+	waiting float64
 	failed  atomic.Bool
 	// misdirected says that another server has the address.
 	misdirected atomic.Bool
@@ -56,6 +58,7 @@
 			return
 		}
 		reservation.placer.familiarity.note(reservation.pair, now)
+		reservation.noteWork(now)
 		relative := reservation.placer.noteTime(reservation.route, now.Sub(reservation.takenAt))
 		server.noteSuccess(relative, now, slowStart(reservation.placer.view.Load().registry, server.Service))
 	case oleandervane.AttemptShed:
@@ -69,6 +72,7 @@
 		}
 	case oleandervane.AttemptCancelled:
 	case oleandervane.AttemptTimedOut:
+		reservation.noteWork(now)
 		server.notePace(reservation.placer.relative(reservation.route, now.Sub(reservation.takenAt)))
 		reservation.noteFailure(attemptResult, now)
 	default:
@@ -76,6 +80,11 @@
 	}
 }
 
+func (reservation *reservation) noteWork(now time.Time) {
+	took := now.Sub(reservation.takenAt)
+	reservation.placer.work.note(reservation.route, reservation.server.Service, took, reservation.waiting)
+}
+
 func (reservation *reservation) noteFailure(attemptResult oleandervane.AttemptResult, now time.Time) {
 	reservation.tellRest(attemptResult, reservation.server.noteFailure(attemptResult == oleandervane.AttemptUnreachable, now))
 }
--- a/entryvm/hosted/fleet.go
+++ b/entryvm/hosted/fleet.go
@@ -18,6 +18,7 @@
 		TimerService: entryVM.timerService,
 		Membership:   entryVM.roster,
 		InFlight:     entryVM.placer,
+		Familiarity:  entryVM.placer,
 		Suspicions:   suspicions{entryVM.forwarder.Quarantine()},
 		Store:        entryVM.board,
 		Sender:       entryVM.noticeSocket,
--- a/exchange.go
+++ b/exchange.go
@@ -18,6 +18,14 @@
 	Learn(source string, vms int, counts []ServerCount)
 }
 
+// FamiliarityKeeper knows which backend servers handled which objects lately, as marks of pairs of both.
+type FamiliarityKeeper interface {
+	// FamiliarNews returns the marks of this VM's own requests that it has not told lately.
+	FamiliarNews() []uint32
+	// LearnFamiliar takes over what other VMs told.
+	LearnFamiliar(marks []uint32)
+}
+
 // SuspectRequest is a request that broke the connection to a backend server and may do so again. It is immutable.
 type SuspectRequest struct {
 	Fingerprint [16]byte
--- a/fleet/exchange/exchange.go
+++ b/fleet/exchange/exchange.go
@@ -1,9 +1,10 @@
 // Package exchange lets entry VMs tell one another several times a second what they have in flight at backend servers,
 // which requests broke connections, and how far they know the store.
 //
-// Each VM tells the VMs of its own failure domain. Two delegates of the domain take turns to tell all other VMs the sums
-// of the domain, so that what crosses domains grows with domains and not with VMs. Notices are datagrams: each replaces
-// the former one of its sender, and a lost one is made good by the next.
+// Each VM tells the VMs of its own failure domain. Two delegates of the domain take turns to tell the sums of the domain to
+// one delegate of each other domain, which passes them on to the VMs of its own, so that what crosses domains grows with
+// domains and not with VMs. Notices are datagrams: each replaces the former one of its sender, and a lost one is made good
+// by the next.
 package exchange
 
 import (
@@ -12,6 +13,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"oleandervane.example"
 	"oleandervane.example/fleet/membership"
 	"oleandervane.example/fleet/peer"
@@ -19,10 +22,10 @@
 
 const (
 	// DefaultPeriod is the time between two notices of a VM. Requests take a few hundred milliseconds.
-	DefaultPeriod = 250 * time.Millisecond
-	// crowd is the number of VMs of a failure domain from which each sends every second time only: a VM of a large
-	// domain has few requests in flight, and each notice costs all others a wake-up.
-	crowd = 9
+	DefaultPeriod = 125 * time.Millisecond
+	// manySources is the number of senders that a VM hears, VMs of its domain and other domains, from which each sends
+	// every second time only: each notice costs a wake-up at all receivers.
+	manySources = 20
 	// noticeLifetime is how long a notice of a VM of the own domain counts for the sums of the domain: one may be lost.
 	noticeLifetime = 1500 * time.Millisecond
 	// delegates is the number of VMs that speak for a failure domain. With two, the death of one halves the pace.
@@ -32,6 +35,8 @@
 	delegateEpoch   = 0
 	// maxSuspects bounds the requests in a notice, 26 bytes each.
 	maxSuspects = 16
+	// maxFamiliar bounds the marks of familiar pairs in a notice, 4 bytes each.
+	maxFamiliar = 1024
 )
 
 // Sender sends a notice to VMs. It must not block.
@@ -44,6 +49,7 @@
 	TimerService oleandervane.TimerService
 	Membership   oleandervane.Membership
 	InFlight     oleandervane.InFlightKeeper
+	Familiarity  oleandervane.FamiliarityKeeper
 	Suspicions   oleandervane.SuspicionKeeper
 	Store        oleandervane.StoreContact
 	Sender       Sender
@@ -56,7 +62,10 @@
 	settings Settings
 
 	mutex    sync.Mutex
+	periods  uint64
 	sequence uint64
+	// familiar are marks that VMs of the own domain told since this VM last spoke for it.
+	familiar []uint32
 	// heard has the newest notice of each sender and scope.
 	heard map[string]heardNotice
 }
@@ -83,19 +92,57 @@
 func (exchange *Exchange) Tell() {
 	self := exchange.settings.Membership.Self()
 	vms := exchange.settings.Membership.EntryVMs()
-	near := within(vms, self.FailureDomain)
+	near, domains := within(vms, self.FailureDomain), otherDomains(vms, self.FailureDomain)
+	if !exchange.due(len(near) + len(domains)) {
+		return
+	}
 	own := exchange.ownNotice(self)
-	if len(near) > crowd && own.Sequence%2 == 1 {
+	exchange.settings.Sender.Send(without(near, self.ID), own)
+	if !isDelegate(near, self) {
+		exchange.forgetFamiliar()
 		return
 	}
-	exchange.settings.Sender.Send(slices.DeleteFunc(slices.Clone(near), func(vm oleandervane.EntryVM) bool { return vm.ID == self.ID }), own)
-	if len(near) == len(vms) || !speaks(near, self, own.Sequence) {
+	if len(domains) == 0 || !speaks(near, self, own.Sequence) {
 		return
 	}
-	far := slices.DeleteFunc(slices.Clone(vms), func(vm oleandervane.EntryVM) bool { return vm.FailureDomain == self.FailureDomain })
+	far := make([]oleandervane.EntryVM, 0, len(domains))
+	for _, domain := range domains {
+		far = append(far, receiver(vms, domain, own.Sequence))
+	}
 	exchange.settings.Sender.Send(far, exchange.domainNotice(self, own))
 }
 
+// due says whether this period is one in which the VM sends.
+func (exchange *Exchange) due(sources int) bool {
+	exchange.mutex.Lock()
+	defer exchange.mutex.Unlock()
+	exchange.periods++
+	return sources < manySources || exchange.periods%2 == 0
+}
+
+func without(vms []oleandervane.EntryVM, id oleandervane.VMID) []oleandervane.EntryVM {
+	return slices.DeleteFunc(slices.Clone(vms), func(vm oleandervane.EntryVM) bool { return vm.ID == id })
+}
+
+// otherDomains returns the failure domains of VMs beside the given one, in order.
+func otherDomains(vms []oleandervane.EntryVM, own oleandervane.FailureDomain) []oleandervane.FailureDomain {
+	var domains []oleandervane.FailureDomain
+	for _, vm := range vms {
+		if vm.FailureDomain != own {
+			domains = append(domains, vm.FailureDomain)
+		}
+	}
+	slices.Sort(domains)
+	return slices.Compact(domains)
+}
+
+// receiver returns the VM of a failure domain that is told this time. It is another one than the last time that the sender
+// spoke, so that the death of one halves the pace.
+func receiver(vms []oleandervane.EntryVM, domain oleandervane.FailureDomain, sequence uint64) oleandervane.EntryVM {
+	chosen := Delegates(vms, domain)
+	return chosen[int(sequence/delegates)%len(chosen)]
+}
+
 // within returns the VMs of a failure domain.
 func within(vms []oleandervane.EntryVM, failureDomain oleandervane.FailureDomain) []oleandervane.EntryVM {
 	var near []oleandervane.EntryVM
@@ -107,14 +154,19 @@
 	return near
 }
 
-// speaks says whether it is this VM's turn to speak for its failure domain.
+// rank is the place of a VM in the choice of the delegates of its failure domain.
+func rank(near []oleandervane.EntryVM, self oleandervane.EntryVM) int {
+	return membership.Rank(self.ID, near, delegatePurpose, delegateEpoch)
+}
+
+func isDelegate(near []oleandervane.EntryVM, self oleandervane.EntryVM) bool {
+	return rank(near, self) < delegates
+}
+
+// speaks says whether it is the turn of a delegate to speak for its failure domain.
 func speaks(near []oleandervane.EntryVM, self oleandervane.EntryVM, sequence uint64) bool {
-	rank := membership.Rank(self.ID, near, delegatePurpose, delegateEpoch)
 	turns := max(1, min(delegates, len(near)))
-	if len(near) > crowd {
-		sequence /= 2
-	}
-	return rank < delegates && int(sequence%uint64(turns)) == rank%turns
+	return int(sequence%uint64(turns)) == rank(near, self)%turns
 }
 
 // Delegates returns the VMs that speak for a failure domain, the first choice first.
@@ -135,9 +187,28 @@
 	notice.Suspects = encodeSuspects(exchange.settings.Suspicions.Suspects())
 	notice.Quarantined = encodeSuspects(exchange.settings.Suspicions.Refused())
 	notice.StoreRevision, notice.StoreFresh = exchange.settings.Store.StoreRevision()
+	notice.Familiar = exchange.settings.Familiarity.FamiliarNews()
+	exchange.gather(notice.Familiar)
 	return notice
 }
 
+// gather keeps marks of the own domain for the next time that this VM speaks for it. Of too many, the oldest are dropped.
+func (exchange *Exchange) gather(marks []uint32) {
+	exchange.mutex.Lock()
+	defer exchange.mutex.Unlock()
+	exchange.familiar = append(exchange.familiar, marks...)
+	if excess := len(exchange.familiar) - maxFamiliar; excess > 0 {
+		exchange.familiar = slices.Clone(exchange.familiar[excess:])
+	}
+}
+
+// forgetFamiliar drops marks that a VM which speaks for nobody would pass on only when they are old.
+func (exchange *Exchange) forgetFamiliar() {
+	exchange.mutex.Lock()
+	defer exchange.mutex.Unlock()
+	exchange.familiar = nil
+}
+
 // nextSequence returns the number of the next notice, and forgets VMs that fell silent.
 func (exchange *Exchange) nextSequence() uint64 {
 	now := exchange.settings.TimerService.Now()
@@ -165,10 +236,13 @@
 			vms++
 		}
 	}
+	familiar := exchange.familiar
+	exchange.familiar = nil
 	exchange.mutex.Unlock()
 	notice := &peer.Notice{
 		Vm: own.Vm, Incarnation: own.Incarnation, Sequence: own.Sequence, FailureDomain: string(self.FailureDomain),
 		Vms: uint32(vms), Suspects: own.Suspects, Quarantined: own.Quarantined,
+		Familiar: familiar,
 	}
 	setSums(notice, sums)
 	return notice
@@ -186,6 +260,23 @@
 	}
 	exchange.settings.Suspicions.Learn(decodeSuspects(notice.GetSuspects()), decodeSuspects(notice.GetQuarantined()))
 	exchange.settings.InFlight.Learn(source(notice), int(notice.GetVms()), counts(notice))
+	exchange.settings.Familiarity.LearnFamiliar(notice.GetFamiliar())
+	if notice.GetFailureDomain() == "" {
+		exchange.gather(notice.GetFamiliar())
+		return
+	}
+	exchange.passOn(notice)
+}
+
+// passOn tells the VMs of the own failure domain what another domain told this VM.
+func (exchange *Exchange) passOn(notice *peer.Notice) {
+	self := exchange.settings.Membership.Self()
+	if notice.GetPassedOn() || notice.GetFailureDomain() == string(self.FailureDomain) {
+		return
+	}
+	passedOn := proto.Clone(notice).(*peer.Notice)
+	passedOn.PassedOn = true
+	exchange.settings.Sender.Send(without(within(exchange.settings.Membership.EntryVMs(), self.FailureDomain), self.ID), passedOn)
 }
 
 func (exchange *Exchange) find(id oleandervane.VMID) (oleandervane.EntryVM, bool) {
--- a/fleet/exchange/exchange_test.go
+++ b/fleet/exchange/exchange_test.go
@@ -17,18 +17,21 @@
 
 // node is a VM whose notices reach the others at once, unless they are cut off.
 type node struct {
-	self      oleandervane.EntryVM
-	site      *site
-	exchange  *Exchange
-	inFlight  []oleandervane.ServerCount
-	learned   map[string][]oleandervane.ServerCount
-	vms       map[string]int
-	suspects  []oleandervane.SuspectRequest
-	heard     []oleandervane.SuspectRequest
-	sent      int
-	cut       bool
-	revision  uint64
-	inContact bool
+	self     oleandervane.EntryVM
+	site     *site
+	exchange *Exchange
+	inFlight []oleandervane.ServerCount
+	learned  map[string][]oleandervane.ServerCount
+	vms      map[string]int
+	suspects []oleandervane.SuspectRequest
+	heard    []oleandervane.SuspectRequest
+	// sent counts notices within the failure domain, crossed those to other domains.
+	sent, crossed int
+	news          []uint32
+	familiar      []uint32
+	cut           bool
+	revision      uint64
+	inContact     bool
 }
 
 func (node *node) Self() oleandervane.EntryVM              { return node.self }
@@ -42,9 +45,21 @@
 	node.learned[source], node.vms[source] = counts, vms
 }
 
+func (node *node) LearnFamiliar(marks []uint32) { node.familiar = append(node.familiar, marks...) }
+
+func (node *node) FamiliarNews() []uint32 {
+	news := node.news
+	node.news = nil
+	return news
+}
+
 func (node *node) Send(to []oleandervane.EntryVM, notice *peer.Notice) {
 	for _, vm := range to {
-		node.sent++
+		if vm.FailureDomain == node.self.FailureDomain {
+			node.sent++
+		} else {
+			node.crossed++
+		}
 		if receiver := node.site.nodes[vm.ID]; !node.cut && !receiver.cut {
 			receiver.exchange.Receive(notice)
 		}
@@ -76,7 +91,7 @@
 	for _, vm := range site.vms {
 		node := &node{self: vm, site: site, learned: map[string][]oleandervane.ServerCount{}, vms: map[string]int{}}
 		node.exchange = New(Settings{
-			TimerService: site.manual, Membership: node, InFlight: node, Suspicions: suspicionsOf{node}, Store: node, Sender: node,
+			TimerService: site.manual, Membership: node, InFlight: node, Familiarity: node, Suspicions: suspicionsOf{node}, Store: node, Sender: node,
 		})
 		site.nodes[vm.ID] = node
 	}
@@ -121,7 +136,8 @@
 	}
 }
 
-// Guards against an exchange whose cost grows with the square of the fleet.
+// Guards against an exchange whose cost grows with the square of the fleet, and against notices that cross domains for each
+// VM there: what crosses costs most.
 func TestNoticesBetweenDomainsGrowWithDomains(t *testing.T) {
 	const domains, periods = 6, 8
 	for _, each := range []int{2, 20} {
@@ -129,17 +145,38 @@
 		for range periods {
 			site.tell()
 		}
-		sent := 0
+		sent, crossed := 0, 0
 		for _, node := range site.nodes {
-			sent += node.sent
+			sent, crossed = sent+node.sent, crossed+node.crossed
 		}
 		tellings := periods
-		if each > crowd {
+		if each+domains-1 >= manySources {
 			tellings /= 2
 		}
-		within := tellings * domains * each * (each - 1)
-		between := tellings * domains * (domains - 1) * each
-		assert.Equal(t, sent, within+between)
+		assert.Equal(t, crossed, tellings*domains*(domains-1))
+		passedOn := crossed * (each - 1)
+		assert.Equal(t, sent, tellings*domains*each*(each-1)+passedOn)
+	}
+}
+
+// Guards against objects of which only VMs of the same failure domain learn which servers know them, marks that are told
+// again and again, and old ones that a VM passes on when it becomes a delegate.
+func TestFamiliarPairsReachAllVMs(t *testing.T) {
+	for _, each := range []int{1, 3, 12} {
+		site := newSite(3, each)
+		teller := site.nodes[oleandervane.VMID(fmt.Sprintf("vm-0-%02d", each-1))]
+		teller.news = []uint32{42}
+		for range 12 {
+			site.tell()
+		}
+		for id, node := range site.nodes {
+			if node == teller {
+				continue
+			}
+			assert.Assert(t, slices.Contains(node.familiar, 42), "%s of %d", id, each)
+			assert.Assert(t, len(node.familiar) <= delegates, "%s of %d heard of it %d times", id, each, len(node.familiar))
+			assert.Equal(t, len(node.exchange.familiar), 0, "%s of %d", id, each)
+		}
 	}
 }
 
--- a/standin/emulation/emulation_test.go
+++ b/standin/emulation/emulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"os"
 	"path/filepath"
 	"strings"
@@ -17,7 +18,12 @@
 
 func association(t *testing.T) Scenario {
 	t.Helper()
-	scenario, err := LoadScenario(associationPath)
+	return example(t, "association")
+}
+
+func example(t *testing.T, name string) Scenario {
+	t.Helper()
+	scenario, err := LoadScenario(filepath.Join(filepath.Dir(associationPath), name+".toml"))
 	assert.NilError(t, err)
 	return scenario
 }
@@ -26,11 +32,13 @@
 type replay struct {
 	Name   string  `toml:"name"`
 	Why    string  `toml:"why"`
-	Load   float64 `toml:"load"`
-	Figure string  `toml:"figure"`
-	Margin float64 `toml:"margin"`
-	Events []Event `toml:"events"`
-	Loser  Variant `toml:"loser"`
+	// Scenario is an example; the association's if it is empty.
+	Scenario string  `toml:"scenario"`
+	Load     float64 `toml:"load"`
+	Figure   string  `toml:"figure"`
+	Margin   float64 `toml:"margin"`
+	Events   []Event `toml:"events"`
+	Loser    Variant `toml:"loser"`
 }
 
 // Replays the load pattern that each decision answers: guards against a change that loses what the decision gained.
@@ -50,7 +58,7 @@
 	assert.NilError(t, err)
 	for _, replay := range file.Replays {
 		t.Run(replay.Name, func(t *testing.T) {
-			scenario := association(t).WithLoad(replay.Load).WithEvents(replay.Events...)
+			scenario := example(t, cmp.Or(replay.Scenario, "association")).WithLoad(replay.Load).WithEvents(replay.Events...)
 			experiment := Experiment{Scenarios: []Scenario{scenario}, Variants: []Variant{{Name: "in_use"}, replay.Loser}, Seeds: seeds}
 			groups := Groups(experiment.Run(nil))
 			inUse, loser := groups[0].Mean(figureOf(t, replay.Figure)), groups[1].Mean(figureOf(t, replay.Figure))
--- a/standin/emulation/exchange.go
+++ b/standin/emulation/exchange.go
@@ -12,7 +12,8 @@
 // startExchange lets a VM tell others what it has in flight, unless the variant leaves each VM to itself.
 func (vm *vm) startExchange() {
 	vm.exchange = exchange.New(exchange.Settings{
-		TimerService: vm.world.manual, Membership: vm, InFlight: vm.placer, Suspicions: noSuspicions{}, Store: noStore{}, Sender: vm,
+		TimerService: vm.world.manual, Membership: vm, InFlight: vm.placer, Familiarity: vm.familiarity(),
+		Suspicions: noSuspicions{}, Store: noStore{}, Sender: vm,
 		Period: time.Duration(vm.world.variant.ExchangePeriod),
 	})
 	if vm.world.variant.Alone {
@@ -48,6 +49,20 @@
 	}
 }
 
+// familiarity is what the VM tells others of the objects that servers know.
+func (vm *vm) familiarity() oleandervane.FamiliarityKeeper {
+	if vm.world.variant.OwnFamiliarity {
+		return noFamiliarity{}
+	}
+	return vm.placer
+}
+
+// noFamiliarity tells nothing and learns nothing.
+type noFamiliarity struct{}
+
+func (noFamiliarity) FamiliarNews() []uint32   { return nil }
+func (noFamiliarity) LearnFamiliar(_ []uint32) {}
+
 // noSuspicions knows no requests that crash servers: the models have none.
 type noSuspicions struct{}
 
--- a/standin/emulation/variant.go
+++ b/standin/emulation/variant.go
@@ -15,6 +15,10 @@
 	OrdinaryBound float64 `toml:"ordinary_bound"`
 	ColdCost      float64 `toml:"cold_cost"`
 	Margin        float64 `toml:"margin"`
+	// EqualWork takes all requests of a service to be equally long.
+	EqualWork bool `toml:"equal_work"`
+	// OwnFamiliarity lets VMs know only by their own requests which objects servers know.
+	OwnFamiliarity bool `toml:"own_familiarity"`
 	// OneMind lets all VMs know at once what any of them learns: the upper bound of what passing it on can bring.
 	OneMind bool `toml:"one_mind"`
 	// ExchangePeriod is the time between two notices of a VM.
@@ -30,7 +34,8 @@
 	return policy.
 		WithWarmChoices(cmp.Or(variant.WarmChoices, policy.WarmChoices)).
 		WithBounds(cmp.Or(variant.UrgentBound, policy.UrgentBound), cmp.Or(variant.OrdinaryBound, policy.OrdinaryBound)).
-		WithColdCost(cmp.Or(variant.ColdCost, policy.ColdCost))
+		WithColdCost(cmp.Or(variant.ColdCost, policy.ColdCost)).
+		WithEqualWork(variant.EqualWork)
 }
 
 // variantFile is a TOML file with variants.
