--- a/standin/emulation/emulation_test.go
+++ b/standin/emulation/emulation_test.go
@@ -30,8 +30,8 @@
 
 // replay is a case of testdata/replays.toml.
 type replay struct {
-	Name   string  `toml:"name"`
-	Why    string  `toml:"why"`
+	Name string `toml:"name"`
+	Why  string `toml:"why"`
 	// Scenario is an example; the association's if it is empty.
 	Scenario string  `toml:"scenario"`
 	Load     float64 `toml:"load"`
