Close the callers' listener only when no connection waits to be accepted

Change: a listener that drains accepts what waits, and is closed at once after a millisecond without a connection, at the latest after 100 ms.

--- a/entryvm/hosted/hosted.go
+++ b/entryvm/hosted/hosted.go
@@ -89,7 +89,9 @@
 	noticeSocket *exchange.Socket
 	board        *relay.Board
 	relayClient  *relay.Client
-	stopping     atomic.Bool
+	// callers is the listener for callers; nil before Run.
+	callers  atomic.Pointer[webserver.DrainListener]
+	stopping atomic.Bool
 }
 
 // New returns an entry VM that logs to output. It opens no connection before Run.
@@ -199,6 +201,7 @@
 	if err != nil {
 		return eris.Wrap(err, "listening for callers")
 	}
+	entryVM.callers.Store(callerListener)
 	callerServer := webserver.NewOn(entryVM.pipeline.Listen(callerListener), entryVM.pipeline)
 	callerServer.IdleTimeout, callerServer.ReadHeaderTimeout = callerIdleLimit, headerLimit
 	callerServer.ConnContext = pipeline.ConnContext
@@ -218,7 +221,7 @@
 			entryVM.server(settings.PeerAddress, entryVM.peerHandler()),
 		),
 		kratos.StopTimeout(time.Duration(settings.StopLimit)-acceptTime-stopMargin),
-		kratos.BeforeStop(func(context.Context) error { entryVM.drain(callerListener); return nil }),
+		kratos.BeforeStop(func(context.Context) error { entryVM.drain(); return nil }),
 	)
 	entryVM.log.WithField("settings", settings).Info("entry VM starts")
 	err = app.Run()
@@ -234,7 +237,7 @@
 }
 
 // drain takes the VM off the list and serves on while callers still hold its address.
-func (entryVM *EntryVM) drain(callers *webserver.DrainListener) {
+func (entryVM *EntryVM) drain() {
 	entryVM.stopping.Store(true)
 	now := entryVM.timerService.Now()
 	entryVM.log.Info("entry VM leaves")
@@ -246,7 +249,7 @@
 		entryVM.log.WithError(err).Warn("entry of this VM could not be removed; it goes when its lease ends")
 	}
 	entryVM.sleep(acceptTime - settleTime - entryVM.timerService.Now().Sub(now))
-	if err := callers.Drain(); err != nil {
+	if err := entryVM.callers.Load().Drain(); err != nil {
 		entryVM.log.WithError(err).Warn("callers' listener could not be closed")
 	}
 	entryVM.sleep(settleTime)
--- a/entryvm/webserver/drainlistener.go
+++ b/entryvm/webserver/drainlistener.go
@@ -1,8 +1,18 @@
 package webserver
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// emptyTime is how long no connection must have come before a listener that drains is closed.
+	emptyTime = time.Millisecond
+	// drainLimit bounds the time until then, while callers come all the time.
+	drainLimit = 100 * time.Millisecond
 )
 
 // DrainListener is a listener that can stop taking connections before its server is shut down. The server of the standard
@@ -10,9 +20,10 @@
 // before it are read and answered in the time between.
 type DrainListener struct {
 	net.Listener
-	draining  chan struct{}
+	// drainedBy is when the listener is closed at the latest; nil while it does not drain.
+	drainedBy atomic.Pointer[time.Time]
+	accepted  atomic.Int64
 	closed    chan struct{}
-	drainOnce sync.Once
 	closeOnce sync.Once
 }
 
@@ -22,36 +33,66 @@
 	if err != nil {
 		return nil, err
 	}
-	return &DrainListener{Listener: listener, draining: make(chan struct{}), closed: make(chan struct{})}, nil
+	return &DrainListener{Listener: listener, closed: make(chan struct{})}, nil
 }
 
-// Accept returns the next connection. While the listener drains, it waits until it is closed.
+// Accept returns the next connection. While the listener drains, it returns those that wait to be accepted, and then waits
+// until the listener is closed.
 func (drainListener *DrainListener) Accept() (net.Conn, error) {
-	conn, err := drainListener.Listener.Accept()
+	conn, err := drainListener.acceptDue()
 	if err == nil {
+		drainListener.accepted.Add(1)
 		return conn, nil
 	}
-	select {
-	case <-drainListener.draining:
+	if drainListener.drainedBy.Load() != nil {
+		// Closed here, at once after the queue was empty: the system resets connections that come between.
+		_ = drainListener.Listener.Close()
 		<-drainListener.closed
-	default:
 	}
 	return nil, err
 }
 
-// Drain refuses further connections. Those that are open stay open.
+// acceptDue returns the next connection, and while the listener drains only one that comes in a moment.
+func (drainListener *DrainListener) acceptDue() (net.Conn, error) {
+	if drainedBy := drainListener.drainedBy.Load(); drainedBy != nil {
+		if now := time.Now(); now.Before(*drainedBy) {
+			if err := drainListener.setDeadline(now.Add(emptyTime)); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return drainListener.Listener.Accept()
+}
+
+func (drainListener *DrainListener) setDeadline(deadline time.Time) error {
+	if tcpListener, limits := drainListener.Listener.(*net.TCPListener); limits {
+		return tcpListener.SetDeadline(deadline)
+	}
+	return nil
+}
+
+// Accepted returns the number of connections that were accepted.
+func (drainListener *DrainListener) Accepted() int64 {
+	return drainListener.accepted.Load()
+}
+
+// Drain refuses further connections as soon as none waits to be accepted, at the latest after a limit. Those that are open
+// stay open.
 func (drainListener *DrainListener) Drain() error {
-	var err error
-	drainListener.drainOnce.Do(func() {
-		close(drainListener.draining)
-		err = drainListener.Listener.Close()
-	})
-	return err
+	now := time.Now()
+	drainedBy := now.Add(drainLimit)
+	if !drainListener.drainedBy.CompareAndSwap(nil, &drainedBy) {
+		return nil
+	}
+	return drainListener.setDeadline(now.Add(emptyTime))
 }
 
 // Close ends Accept.
 func (drainListener *DrainListener) Close() error {
-	err := drainListener.Drain()
+	err := drainListener.Listener.Close()
+	if errors.Is(err, net.ErrClosed) {
+		err = nil
+	}
 	drainListener.closeOnce.Do(func() { close(drainListener.closed) })
 	return err
 }
