--- a/entryvm/webserver/webserver.go
+++ b/entryvm/webserver/webserver.go
@@ -16,22 +16,21 @@
 // New returns a kratos HTTP server that passes every request to the handler as it is: the kratos router would
 // redirect paths that it cleans, and its timeout would cut long requests.
 func New(address string, handler http.Handler) *khttp.Server {
-	return newServer(khttp.Address(address), handler)
-}
-
-// NewOn returns such a server on a listener.
-func NewOn(listener net.Listener, handler http.Handler) *khttp.Server {
-	return newServer(khttp.Listener(listener), handler)
-}
-
-func newServer(place khttp.ServerOption, handler http.Handler) *khttp.Server {
 	return khttp.NewServer(
-		place,
+		khttp.Address(address),
 		khttp.Timeout(0),
 		khttp.Filter(func(http.Handler) http.Handler { return handler }),
 	)
 }
 
+// NewOn returns such a server on a listener.
+func NewOn(listener net.Listener, handler http.Handler) *khttp.Server {
+	// Without the address, kratos looks for one among the interfaces of the machine, which it may not be allowed to list.
+	server := New(listener.Addr().String(), handler)
+	khttp.Listener(listener)(server)
+	return server
+}
+
 // Logger returns a kratos logger that writes to entry.
 func Logger(entry *logrus.Entry) klog.Logger {
 	return kratosLogger{entry: entry}
