Hold answers without a length for callers of HTTP/1.0 until they are whole

Cause: such a caller takes the end of the connection for the end of the body. An answer without a length that the server cut off after the first 256 KB reached it as a complete success (TestCutAnswerOfAnOldCaller: status 200, 307,200 bytes). Change: up to 4 MB are read before the caller gets any of them; a longer or cut body ends in 502.

--- a/entry/forward/response.go
+++ b/entry/forward/response.go
@@ -51,6 +51,23 @@
 	return io.MultiReader(beginning, response.rest)
 }
 
+// Hold reads the rest of a streamed body up to a number of bytes, so that the whole body is held. It fails with ErrTruncated
+// when the target cuts the body off, and with ErrTooLong when it is longer.
+func (response *Response) Hold(limit int) error {
+	if response.rest == nil {
+		return nil
+	}
+	rest, err := io.ReadAll(io.LimitReader(response.rest, int64(limit-len(response.Body))+1))
+	if err != nil {
+		return fmt.Errorf("reading the response: %w", err)
+	}
+	if len(response.Body)+len(rest) > limit {
+		return ErrTooLong
+	}
+	response.Body, response.rest = append(response.Body, rest...), nil
+	return nil
+}
+
 // Close gives the connection and the reservation back. A streamed response that was not read to its end is
 // cancelled at the target. Later calls have no effect.
 func (response *Response) Close() {
--- a/entry/reception/reception.go
+++ b/entry/reception/reception.go
@@ -33,6 +33,8 @@
 	// minRetryAfter and maxRetryAfter bound what callers are told; callers leave when it is too long for them.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
+	// oldCallerBytes is the largest body without a length for a caller of HTTP/1.0.
+	oldCallerBytes = 4 << 20
 	// abortMargin is the time before the end of a stop at which requests in flight are given up.
 	abortMargin = 500 * time.Millisecond
 )
@@ -306,15 +308,35 @@
 // that a part never looks like the whole.
 func (visit *visit) answer(response *forward.Response) {
 	visit.completion.Status = response.Status
+	if err := visit.holdForOldCaller(response); err != nil {
+		response.Close()
+		visit.completion.Err = err
+		visit.fail(cutReason(err))
+		return
+	}
 	if err := response.Send(visit.writer); err != nil {
-		visit.completion.Outcome, visit.completion.Reason, visit.completion.Err = oleandervane.Unknown, forward.ReasonTruncated, err
-		if errors.Is(err, forward.ErrTooLong) {
-			visit.completion.Reason = forward.ReasonTooLong
-		}
+		visit.completion.Outcome, visit.completion.Reason, visit.completion.Err = oleandervane.Unknown, cutReason(err), err
 		visit.aborted = true
 	}
 }
 
+// holdForOldCaller reads a body without a length to its end before a caller of HTTP/1.0 gets any of it: such a caller takes
+// the end of the connection for the end of the body, also when it was cut off.
+func (visit *visit) holdForOldCaller(response *forward.Response) error {
+	if visit.request.ProtoAtLeast(1, 1) || response.Header.Get("Content-Length") != "" {
+		return nil
+	}
+	return response.Hold(oldCallerBytes)
+}
+
+// cutReason is the reason of an answer that the server did not complete.
+func cutReason(err error) forward.Reason {
+	if errors.Is(err, forward.ErrTooLong) {
+		return forward.ReasonTooLong
+	}
+	return forward.ReasonTruncated
+}
+
 // refuse answers that the request has not run and never will.
 func (visit *visit) refuse(status int, reason forward.Reason, retryAfter time.Duration) {
 	if retryAfter > 0 {
--- a/entryvm/hosted/hosted_test.go
+++ b/entryvm/hosted/hosted_test.go
@@ -378,3 +378,33 @@
 	}
 	assert.Assert(t, time.Since(startedAt) < 2*work, "%v", time.Since(startedAt))
 }
+
+// Guards against an answer that broke off and looks whole to a caller of HTTP/1.0, who knows its end by that of the
+// connection only.
+func TestCutAnswerOfAnOldCaller(t *testing.T) {
+	large := strings.Repeat("x", 300<<10)
+	server := newBackend(t)
+	site := newSite(t, server)
+	for _, cut := range []bool{false, true} {
+		server.answer(func(writer http.ResponseWriter, _ *http.Request) {
+			writer.Header().Set("X-Response-Signature", "m")
+			writer.WriteHeader(http.StatusOK)
+			_, _ = io.WriteString(writer, large)
+			writer.(http.Flusher).Flush()
+			if cut {
+				panic(http.ErrAbortHandler)
+			}
+		})
+		conn, err := net.Dial("tcp", site.settings.CallerAddress.String())
+		assert.NilError(t, err)
+		_, err = fmt.Fprintf(conn, "GET /lohu/%v HTTP/1.0\r\nHost: a.example\r\nX-Request-Id: o%v\r\n\r\n", cut, cut)
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		body, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode == http.StatusOK, !cut, "status %d with %d bytes", response.StatusCode, len(body))
+		assert.Assert(t, cut || string(body) == large)
+		assert.NilError(t, conn.Close())
+	}
+}
