--- a/entry/forward/endless_test.go
+++ b/entry/forward/endless_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"oleandervane.example"
 	"oleandervane.example/timer"
 )
 
