--- a/entryvm/hosted/hosted_test.go
+++ b/entryvm/hosted/hosted_test.go
@@ -111,12 +111,19 @@
 	site.settings = DefaultSettings()
 	site.settings.ID, site.settings.Region, site.settings.FailureDomain = "vm-1", "kigali", "kigali-a"
 	site.settings.FailureDomains = map[oleandervane.FailureDomain]oleandervane.Region{"kigali-a": "kigali"}
-	site.settings.CallerAddress, site.settings.DirectoryAddress = freeAddress(t), freeAddress(t)
-	site.settings.ReadinessAddress, site.settings.OperationsAddress = freeAddress(t), freeAddress(t)
-	site.settings.PeerAddress = freeAddress(t)
 	site.settings.StoreURL = storeServer.URL
 	site.settings.Retries.Base = 100
 	site.settings.ApplyLimit = settingsfile.Duration(100 * time.Millisecond)
+	site.start(t)
+	return site
+}
+
+// start starts a VM on addresses of its own, without any memory of others, and waits until it is ready.
+func (site *site) start(t *testing.T) {
+	t.Helper()
+	site.settings.CallerAddress, site.settings.DirectoryAddress = freeAddress(t), freeAddress(t)
+	site.settings.ReadinessAddress, site.settings.OperationsAddress = freeAddress(t), freeAddress(t)
+	site.settings.PeerAddress = freeAddress(t)
 	site.entryVM = New(site.settings, timer.System{}, site.log)
 	go func() { _ = site.entryVM.Run() }()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
@@ -130,7 +137,6 @@
 		}
 		return poll.Success()
 	})
-	return site
 }
 
 func (site *site) write(t *testing.T, key, value string) {
@@ -408,3 +414,44 @@
 		assert.NilError(t, conn.Close())
 	}
 }
+
+// Replays a server that falls silent for most of the time limit, as a VM that is paused does. Guards against its work being
+// started again at another server, or given up before its time.
+func TestWorkOfASilentServerIsNotStartedAgain(t *testing.T) {
+	const silence = 1200 * time.Millisecond
+	backends := []*backend{newBackend(t), newBackend(t)}
+	site := newSite(t, backends...)
+	var runs atomic.Int64
+	for _, backend := range backends {
+		backend.answer(func(writer http.ResponseWriter, request *http.Request) {
+			runs.Add(1)
+			time.Sleep(silence)
+			writer.Header().Set("X-Response-Signature", "m")
+			_, _ = io.WriteString(writer, request.Method)
+		})
+	}
+	for number, method := range []string{http.MethodGet, http.MethodPost} {
+		path := map[string]string{http.MethodGet: "/lohu/1", http.MethodPost: "/pufi/1"}[method]
+		status, body, _ := site.send(t, method, path, fmt.Sprintf("s%d", number))
+		assert.Equal(t, status, http.StatusOK, method)
+		assert.Equal(t, body, method)
+		assert.Equal(t, runs.Load(), int64(number+1), method)
+	}
+}
+
+// Guards against a server that has left and is in use again after a VM has started without any memory.
+func TestStartedVMDoesNotUseAServerThatLeft(t *testing.T) {
+	stays, leaves := newBackend(t), newBackend(t)
+	site := newSite(t, stays, leaves)
+	_, err := site.store.Commit(context.Background(), oleandervane.StoreTransaction{Removals: []string{"servers/i-1"}})
+	assert.NilError(t, err)
+	site.settings.ID = "vm-2"
+	site.start(t)
+	before := leaves.runs.Load()
+	for number := range 20 {
+		status, _, _ := site.send(t, http.MethodGet, fmt.Sprintf("/lohu/%d", number), fmt.Sprintf("r%d", number))
+		assert.Equal(t, status, http.StatusOK)
+	}
+	assert.Equal(t, leaves.runs.Load(), before)
+	assert.Equal(t, stays.runs.Load(), int64(20))
+}
