Let the test of a stop ask when a request begins whether its connection may close

Trace: the handler of the test asked at its end, when the first answer was out and nothing behind the second had begun, so that closing was right; reception asks at the begin. The test now asks then, which decides the case, and checks besides that a connection may not close while a request behind the one that is served has begun.

--- a/entry/pipeline/pipeline_test.go
+++ b/entry/pipeline/pipeline_test.go
@@ -33,7 +33,9 @@
 	running int
 	most    int
 	ended   int
-	answer  func(writer http.ResponseWriter, request *http.Request)
+	// contexts are those of the requests by their path.
+	contexts map[string]context.Context
+	answer   func(writer http.ResponseWriter, request *http.Request)
 }
 
 func newWork(t *testing.T, maxAhead int) (work *work, address string) {
@@ -48,7 +50,7 @@
 }
 
 func newWorkWithoutServer(maxAhead int) *work {
-	work := &work{release: make(chan struct{})}
+	work := &work{release: make(chan struct{}), contexts: map[string]context.Context{}}
 	work.reader = NewReader(work, maxAhead)
 	work.answer = func(writer http.ResponseWriter, request *http.Request) {
 		_, _ = io.WriteString(writer, request.Method+" "+request.URL.Path)
@@ -60,7 +62,11 @@
 
 func (work *work) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	_, _ = io.Copy(io.Discard, request.Body)
+	if work.reader.stopped.Load() && MayClose(request.Context()) {
+		writer.Header().Set("Connection", "close")
+	}
 	work.note(func() {
+		work.contexts[request.URL.Path] = request.Context()
 		work.begun = append(work.begun, request.URL.Path)
 		work.running++
 		work.most = max(work.most, work.running)
@@ -209,13 +215,7 @@
 // begin when it will be closed.
 func TestStopDeliversWhatHasBegun(t *testing.T) {
 	work, address := newWork(t, DefaultMaxAhead)
-	var mayClose []bool
 	work.answer = func(writer http.ResponseWriter, request *http.Request) {
-		closes := MayClose(request.Context())
-		work.note(func() { mayClose = append(mayClose, closes) })
-		if closes {
-			writer.Header().Set("Connection", "close")
-		}
 		_, _ = io.WriteString(writer, request.URL.Path)
 	}
 	conn := dial(t, address)
@@ -223,6 +223,7 @@
 	assert.NilError(t, err)
 	work.waitFor(t, "two run", func() bool { return work.running == 2 })
 	work.reader.Stop()
+	assert.Assert(t, !MayClose(work.contexts["/1"]), "a request behind this one has begun")
 	_, err = io.WriteString(conn, get("/3"))
 	assert.NilError(t, err)
 	time.Sleep(settled)
