--- a/entry/forward/endless_test.go
+++ b/entry/forward/endless_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"runtime"
 	"slices"
 	"strconv"
@@ -67,16 +66,7 @@
 // Guards against servers whose bytes do not end: a caller that waits for its whole time, an answer without a bound, a part
 // that looks whole, and a connection that stays open.
 func TestEndlessAnswers(t *testing.T) {
-	table, err := os.ReadFile("testdata/endless.txt")
-	assert.NilError(t, err)
-	for line := range strings.Lines(string(table)) {
-		if strings.HasPrefix(line, "#") {
-			continue
-		}
-		fields := strings.Split(line, "|")
-		for index := range fields {
-			fields[index] = strings.TrimSpace(fields[index])
-		}
+	for _, fields := range readTable(t, "testdata/endless.txt") {
 		t.Run(fields[0], func(t *testing.T) { checkEndless(t, fields) })
 	}
 }
--- a/entry/forward/forwarder_test.go
+++ b/entry/forward/forwarder_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"os"
-	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -14,16 +12,7 @@
 // Guards against a wrong outcome for each way in which a target can behave. Both sorts of request are classified
 // alike, and each is sent exactly once to the only target.
 func TestClassification(t *testing.T) {
-	table, err := os.ReadFile("testdata/classification.txt")
-	assert.NilError(t, err)
-	for line := range strings.Lines(string(table)) {
-		if strings.HasPrefix(line, "#") {
-			continue
-		}
-		fields := strings.Split(line, "|")
-		for index := range fields {
-			fields[index] = strings.TrimSpace(fields[index])
-		}
+	for _, fields := range readTable(t, "testdata/classification.txt") {
 		t.Run(fields[0], func(t *testing.T) {
 			for _, idempotent := range []bool{false, true} {
 				checkClassification(t, fields, idempotent)
--- a/entry/forward/harness_test.go
+++ b/entry/forward/harness_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -166,3 +167,22 @@
 		forwarder.budget.NoteRequest("ledger")
 	}
 }
+
+// readTable returns the fields of each line of a file that is no comment.
+func readTable(t *testing.T, path string) [][]string {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	var table [][]string
+	for line := range strings.Lines(string(text)) {
+		if strings.HasPrefix(line, "#") {
+			continue
+		}
+		fields := strings.Split(line, "|")
+		for index := range fields {
+			fields[index] = strings.TrimSpace(fields[index])
+		}
+		table = append(table, fields)
+	}
+	return table
+}
--- /dev/null
+++ b/entry/pipeline/example_test.go
@@ -0,0 +1,64 @@
+package pipeline_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+
+	"oleandervane.example/entry/pipeline"
+)
+
+// meeting is a handler whose requests end only when two of them run.
+type meeting struct {
+	both sync.WaitGroup
+}
+
+func (meeting *meeting) Repeatable(*http.Request) bool { return true }
+
+func (meeting *meeting) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	meeting.both.Done()
+	meeting.both.Wait()
+	_, _ = io.WriteString(writer, request.URL.Path)
+}
+
+// A server reads ahead when its handler, listener and ConnContext are those of a Reader. Here the first request would never
+// end if the second did not begin before its turn.
+func ExampleReader() {
+	handler := &meeting{}
+	handler.both.Add(2)
+	reader := pipeline.NewReader(handler, pipeline.DefaultMaxAhead)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	server := &http.Server{Handler: reader, ConnContext: pipeline.ConnContext}
+	go func() { _ = server.Serve(reader.Listen(listener)) }()
+	defer server.Close()
+
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer conn.Close()
+	for _, path := range []string{"/first", "/second"} {
+		_, _ = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: a.example\r\n\r\n", path)
+	}
+	answers := bufio.NewReader(conn)
+	for range 2 {
+		response, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			fmt.Println(err)
+			return
+		}
+		body, _ := io.ReadAll(response.Body)
+		fmt.Println(string(body))
+	}
+	// Output:
+	// /first
+	// /second
+}
--- a/entry/pipeline/pipeline_test.go
+++ b/entry/pipeline/pipeline_test.go
@@ -106,6 +106,16 @@
 	return conn
 }
 
+// readAnswer reads a whole answer.
+func readAnswer(t *testing.T, reader *bufio.Reader) (response *http.Response, body string) {
+	t.Helper()
+	response, err := http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	text, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	return response, string(text)
+}
+
 func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n" }
 
 // Guards against requests that begin before their turn although they may run once only, nobody sent them, or the connection
@@ -160,11 +170,8 @@
 		close(work.release)
 		reader := bufio.NewReader(conn)
 		for number := range requests {
-			response, err := http.ReadResponse(reader, nil)
-			assert.NilError(t, err)
-			body, err := io.ReadAll(response.Body)
-			assert.NilError(t, err)
-			assert.Equal(t, string(body), fmt.Sprintf("GET /%d", number))
+			_, body := readAnswer(t, reader)
+			assert.Equal(t, body, fmt.Sprintf("GET /%d", number))
 		}
 		assert.Equal(t, work.reader.Begun(), uint64(requests-1))
 	}
@@ -202,11 +209,8 @@
 	close(work.release)
 	reader := bufio.NewReader(conn)
 	for number := range requests {
-		response, err := http.ReadResponse(reader, nil)
-		assert.NilError(t, err)
-		body, err := io.ReadAll(response.Body)
-		assert.NilError(t, err)
-		assert.Equal(t, string(body), "GET /"+strconv.Itoa(number))
+		_, body := readAnswer(t, reader)
+		assert.Equal(t, body, "GET /"+strconv.Itoa(number))
 	}
 	assert.Assert(t, work.most <= 1+maxAhead, "%d ran at once", work.most)
 }
@@ -231,11 +235,8 @@
 	close(work.release)
 	reader := bufio.NewReader(conn)
 	for _, path := range []string{"/1", "/2", "/3"} {
-		response, err := http.ReadResponse(reader, nil)
-		assert.NilError(t, err, path)
-		body, err := io.ReadAll(response.Body)
-		assert.NilError(t, err)
-		assert.Equal(t, string(body), path)
+		response, body := readAnswer(t, reader)
+		assert.Equal(t, body, path)
 		assert.Equal(t, response.Close, path == "/3", path)
 	}
 	_, err = reader.ReadByte()
