Log which requests are suspected of crashing servers, and count them

Callers saw requests that crashed one server after another; the logs could not tell why such a request was not refused: whether the VM did not notice the crash, took two runs of a server for one, or lost what it knew. Each suspicion, each refusal and each cleared suspicion is now a line with the fingerprint of the request, its source and a counter; a request that ends with a reason names its fingerprint. No decision changes.

--- a/entry/forward/forwarder.go
+++ b/entry/forward/forwarder.go
@@ -43,6 +43,8 @@
 	TrustReusedConnections bool
 	// ConnectTimeout bounds the opening of a connection; zero selects a fraction of the kind's deadline.
 	ConnectTimeout time.Duration
+	// SuspectObserver is notified of requests that may crash backend servers; nil notifies nobody.
+	SuspectObserver oleandervane.SuspectObserver
 	// RetryBudget bounds retries; nil allows 10% of the requests of this VM.
 	RetryBudget RetryBudget
 }
@@ -107,13 +109,15 @@
 	if settings.RetryBudget == nil {
 		settings.RetryBudget = NewRetryBudget(timerService, Allowance{Ratio: defaultRetryRatio})
 	}
+	quarantine := newQuarantine(timerService, settings.QuarantinePeriod)
+	quarantine.observer = settings.SuspectObserver
 	return &Forwarder{
 		settings:     settings,
 		timerService: timerService,
 		pool:         pool,
 		relayPool:    relayPool,
 		budget:       settings.RetryBudget,
-		quarantine:   newQuarantine(timerService, settings.QuarantinePeriod),
+		quarantine:   quarantine,
 		firstBytes:   &firstByteTimes{times: map[kindKey]time.Duration{}},
 		idPrefix:     rand.Text(),
 		stopEviction: timerService.Every(settings.IdleTimeout, func(now time.Time) {
@@ -144,19 +148,21 @@
 func (forwarder *Forwarder) Forward(ctx context.Context, request Request, chooser TargetChooser) Result {
 	fingerprint := FingerprintOf(request)
 	if forwarder.quarantine.Contains(fingerprint) {
-		return Result{Outcome: oleandervane.NotRun, Reason: ReasonQuarantined}
+		return Result{Outcome: oleandervane.NotRun, Reason: ReasonQuarantined, Fingerprint: fingerprint}
 	}
 	forwarder.budget.RecordRequest(request.Service)
 	reservation, err := chooser.Choose(nil)
 	if err != nil {
-		return Result{Outcome: oleandervane.NotRun, Reason: ReasonNoBackendServer, Err: err}
+		return Result{Outcome: oleandervane.NotRun, Reason: ReasonNoBackendServer, Fingerprint: fingerprint, Err: err}
 	}
 	retryLoop := &retryLoop{startedAt: forwarder.timerService.Now(), forwarder: forwarder, ctx: ctx, request: request, fingerprint: fingerprint, chooser: chooser}
 	for reservation != nil {
 		retryLoop.attempt(reservation)
 		reservation = retryLoop.next()
 	}
-	return retryLoop.finish()
+	result := retryLoop.finish()
+	result.Fingerprint = fingerprint
+	return result
 }
 
 // retryLoop runs the attempts of one request.
--- a/entry/forward/quarantine.go
+++ b/entry/forward/quarantine.go
@@ -56,6 +56,8 @@
 type Quarantine struct {
 	timerService oleandervane.TimerService
 	period       time.Duration
+	// observer may be nil.
+	observer oleandervane.SuspectObserver
 	// refusedUntil is replaced as a whole, so that requests read it without a lock.
 	refusedUntil atomic.Pointer[map[Fingerprint]time.Time]
 
@@ -109,7 +111,7 @@
 	now := quarantine.timerService.Now()
 	for _, entry := range list {
 		if entry.TimeLeft > 0 {
-			quarantine.add(entry.Fingerprint, now, min(entry.TimeLeft, quarantine.period))
+			quarantine.add(entry.Fingerprint, now, min(entry.TimeLeft, quarantine.period), oleandervane.SuspectFromPeer)
 		}
 	}
 }
@@ -118,7 +120,7 @@
 func (quarantine *Quarantine) recordBroken(fingerprint Fingerprint, backendServer string) {
 	quarantine.mutex.Lock()
 	defer quarantine.mutex.Unlock()
-	quarantine.recordSuspect(fingerprint, ServerHash(backendServer), quarantine.timerService.Now())
+	quarantine.recordSuspect(fingerprint, ServerHash(backendServer), quarantine.timerService.Now(), oleandervane.SuspectBrokenConnection)
 }
 
 // ServerHash returns the hash by which VMs identify a backend server to each other.
@@ -127,12 +129,15 @@
 }
 
 // recordSuspect must be called with the mutex held.
-func (quarantine *Quarantine) recordSuspect(fingerprint Fingerprint, server uint32, brokenAt time.Time) {
+func (quarantine *Quarantine) recordSuspect(fingerprint Fingerprint, server uint32, brokenAt time.Time, source oleandervane.SuspectSource) {
 	now := quarantine.timerService.Now()
+	if quarantine.observer != nil {
+		quarantine.observer.RequestSuspected(fingerprint, server, source)
+	}
 	earlier, found := quarantine.suspects[fingerprint]
 	if found && earlier.server != server && now.Sub(earlier.brokenAt) < quarantine.period {
 		delete(quarantine.suspects, fingerprint)
-		quarantine.add(fingerprint, now, quarantine.period)
+		quarantine.add(fingerprint, now, quarantine.period, source)
 		return
 	}
 	if !found {
@@ -177,7 +182,7 @@
 		if known, found := quarantine.suspects[fingerprint]; found && known.server == suspectRequest.Server || quarantine.Contains(fingerprint) {
 			continue
 		}
-		quarantine.recordSuspect(fingerprint, suspectRequest.Server, now.Add(-max(0, suspectRequest.Since)))
+		quarantine.recordSuspect(fingerprint, suspectRequest.Server, now.Add(-max(0, suspectRequest.Since)), oleandervane.SuspectFromPeer)
 	}
 }
 
@@ -185,17 +190,27 @@
 func (quarantine *Quarantine) recordAnswered(fingerprint Fingerprint) {
 	quarantine.mutex.Lock()
 	defer quarantine.mutex.Unlock()
+	if _, found := quarantine.suspects[fingerprint]; !found {
+		return
+	}
 	delete(quarantine.suspects, fingerprint)
+	if quarantine.observer != nil {
+		quarantine.observer.SuspicionCleared(fingerprint)
+	}
 }
 
-func (quarantine *Quarantine) add(fingerprint Fingerprint, now time.Time, period time.Duration) {
+func (quarantine *Quarantine) add(fingerprint Fingerprint, now time.Time, period time.Duration, source oleandervane.SuspectSource) {
 	until := maps.Clone(*quarantine.refusedUntil.Load())
 	maps.DeleteFunc(until, func(_ Fingerprint, end time.Time) bool { return !now.Before(end) })
 	if _, found := until[fingerprint]; !found && len(until) >= maxQuarantined {
 		return
 	}
-	if end := now.Add(period); end.After(until[fingerprint]) {
+	end, previous := now.Add(period), until[fingerprint]
+	if end.After(previous) {
 		until[fingerprint] = end
 	}
+	if previous.IsZero() && quarantine.observer != nil {
+		quarantine.observer.RequestQuarantined(fingerprint, period, source)
+	}
 	quarantine.refusedUntil.Store(&until)
 }
--- a/entry/forward/request.go
+++ b/entry/forward/request.go
@@ -87,6 +87,8 @@
 	Reason Reason
 	// Response is set when the outcome is Answered. It must be closed.
 	Response *Response
+	// Fingerprint identifies the request by its content, for logs.
+	Fingerprint Fingerprint
 	// Target is the target of the last attempt.
 	Target   Target
 	Attempts int
--- a/entry/ingress/ingress.go
+++ b/entry/ingress/ingress.go
@@ -83,6 +83,7 @@
 	Target           forward.Target
 	Attempts         int
 	AttemptSummaries []forward.AttemptSummary
+	Fingerprint      forward.Fingerprint
 	Status           int
 	Duration         time.Duration
 	Err              error
@@ -244,7 +245,7 @@
 	result := dependencies.Forwarder.Forward(call.context(matched), call.forwardRequest(matched, serviceName, body), chooser)
 	call.completion.Outcome, call.completion.Reason, call.completion.Err = result.Outcome, result.Reason, result.Err
 	call.completion.Target, call.completion.Attempts, call.completion.AttemptSummaries = result.Target, result.Attempts, result.AttemptSummaries
-	call.completion.Decision = chooser.Decision()
+	call.completion.Decision, call.completion.Fingerprint = chooser.Decision(), result.Fingerprint
 	switch result.Outcome {
 	case oleandervane.Answered:
 		call.sendResponse(result.Response)
--- a/entryvm/hosted/observer.go
+++ b/entryvm/hosted/observer.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"encoding/hex"
 	"fmt"
 	"io"
 	"math"
@@ -54,6 +55,9 @@
 		fields["reason"] = completion.Reason
 		fields["path"] = completion.Path
 	}
+	if completion.Reason != "" && completion.Fingerprint != (forward.Fingerprint{}) {
+		fields["fingerprint"] = formatFingerprint(completion.Fingerprint)
+	}
 	if completion.Attempts > 1 || completion.Reason != "" {
 		fields["tries"] = formatAttempts(completion.AttemptSummaries)
 	}
@@ -80,6 +84,40 @@
 		Warn("backend server failed and gets no requests for a while")
 }
 
+// RequestSuspected logs that a request may have crashed a backend server. What other VMs report is counted and logged only
+// at debug level, because they log it themselves.
+func (observer *observer) RequestSuspected(fingerprint [16]byte, server uint32, source oleandervane.SuspectSource) {
+	observer.countSuspicion("oleandervane_suspect_requests_total", source)
+	entry := observer.log.WithFields(logrus.Fields{"fingerprint": formatFingerprint(fingerprint), "server_hash": server, "source": source})
+	if source == oleandervane.SuspectFromPeer {
+		entry.Debug("request may crash backend servers")
+		return
+	}
+	entry.Info("request may crash backend servers")
+}
+
+// RequestQuarantined logs that a request is refused because it crashed backend servers.
+func (observer *observer) RequestQuarantined(fingerprint [16]byte, duration time.Duration, source oleandervane.SuspectSource) {
+	observer.countSuspicion("oleandervane_quarantined_requests_total", source)
+	observer.log.WithFields(logrus.Fields{"fingerprint": formatFingerprint(fingerprint), "duration": duration.String(), "source": source}).
+		Warn("request is refused for a while because backend servers ended while they ran it")
+}
+
+// SuspicionCleared logs that a request that was suspected was answered.
+func (observer *observer) SuspicionCleared(fingerprint [16]byte) {
+	observer.set.GetOrCreateCounter("oleandervane_suspicions_cleared_total").Inc()
+	observer.log.WithField("fingerprint", formatFingerprint(fingerprint)).Debug("request is no longer suspected; a backend server answered it")
+}
+
+func (observer *observer) countSuspicion(name string, source oleandervane.SuspectSource) {
+	observer.set.GetOrCreateCounter(fmt.Sprintf("%s{source=%q}", name, source)).Inc()
+}
+
+// formatFingerprint returns the part of a fingerprint that log lines show.
+func formatFingerprint(fingerprint [16]byte) string {
+	return hex.EncodeToString(fingerprint[:6])
+}
+
 // PeerCoverageChanged logs whether loads are known from the notices of other VMs or only from the reports of servers.
 func (observer *observer) PeerCoverageChanged(known bool, covered, others int) {
 	entry := observer.log.WithFields(logrus.Fields{"told_by": covered, "others": others, "load_from": loadSource(known)})
--- a/exchange.go
+++ b/exchange.go
@@ -45,6 +45,25 @@
 	Merge(suspects, quarantined []SuspectRequest)
 }
 
+// SuspectObserver is notified of what a VM learns about requests that may crash backend servers.
+type SuspectObserver interface {
+	// RequestSuspected reports that a request may have crashed a backend server, named by the hash of its id.
+	RequestSuspected(fingerprint [16]byte, server uint32, source SuspectSource)
+	// RequestQuarantined reports that a request is refused from now on for the duration.
+	RequestQuarantined(fingerprint [16]byte, duration time.Duration, source SuspectSource)
+	// SuspicionCleared reports that a response cleared the suspicion of a request.
+	SuspicionCleared(fingerprint [16]byte)
+}
+
+// SuspectSource says how a VM learned that a request may crash backend servers.
+type SuspectSource string
+
+// The sources of suspicions.
+const (
+	SuspectBrokenConnection SuspectSource = "connection_broken"
+	SuspectFromPeer         SuspectSource = "another_vm"
+)
+
 // StoreRevisionSource provides the revision up to which a VM has applied the store.
 type StoreRevisionSource interface {
 	// StoreRevision returns the revision up to which the VM has applied the store, and whether the VM is in contact with
