Send the newest suspect requests to other VMs

Callers: a request that crashed a server could crash one more at other VMs. Cause: suspects were sent in the order of their first broken connection, up to 16 and up to the first old one, and one that had been cleared and came back was listed twice. So one that broke a second connection stayed behind newer ones and was not sent. Evidence: TestNewestSuspectsAreExportedOnce failed before (exported 0 times instead of once). Now the export sorts by the time of the broken connection, and there is no second list that could disagree with the map. The unused constant quarantineServers is gone.

--- a/entry/forward/quarantine.go
+++ b/entry/forward/quarantine.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
 	"maps"
@@ -15,9 +16,6 @@
 )
 
 const (
-	// quarantineServers is the number of different backend servers on which a request must have broken the connection:
-	// one may be a coincidence, and waiting for a third would crash it needlessly.
-	quarantineServers = 2
 	// DefaultQuarantinePeriod is long enough for two crashed backend servers to come back, and short enough for a
 	// request that was quarantined wrongly.
 	DefaultQuarantinePeriod = time.Minute
@@ -52,7 +50,8 @@
 	TimeLeft time.Duration
 }
 
-// Quarantine refuses requests that broke connections on several backend servers.
+// Quarantine refuses requests that broke connections on two different backend servers: one may be a coincidence, and waiting
+// for a third would crash it needlessly.
 type Quarantine struct {
 	timerService oleandervane.TimerService
 	period       time.Duration
@@ -63,7 +62,6 @@
 
 	mutex    sync.Mutex
 	suspects map[Fingerprint]suspect
-	order    []Fingerprint
 }
 
 type suspect struct {
@@ -140,14 +138,29 @@
 		quarantine.add(fingerprint, now, quarantine.period, source)
 		return
 	}
-	if !found {
-		quarantine.order = append(quarantine.order, fingerprint)
-	}
 	quarantine.suspects[fingerprint] = suspect{server: server, brokenAt: brokenAt}
-	if len(quarantine.order) > maxSuspects {
-		delete(quarantine.suspects, quarantine.order[0])
-		quarantine.order = quarantine.order[1:]
+	if len(quarantine.suspects) > maxSuspects {
+		quarantine.evictSuspects(now)
+	}
+}
+
+// evictSuspects removes the suspects whose period has passed, and the oldest one if there are still too many. The caller must
+// hold the mutex.
+func (quarantine *Quarantine) evictSuspects(now time.Time) {
+	maps.DeleteFunc(quarantine.suspects, func(_ Fingerprint, suspect suspect) bool {
+		return now.Sub(suspect.brokenAt) >= quarantine.period
+	})
+	if len(quarantine.suspects) <= maxSuspects {
+		return
 	}
+	var oldest Fingerprint
+	oldestAt := now
+	for fingerprint, suspect := range quarantine.suspects {
+		if !suspect.brokenAt.After(oldestAt) {
+			oldest, oldestAt = fingerprint, suspect.brokenAt
+		}
+	}
+	delete(quarantine.suspects, oldest)
 }
 
 // ExportSuspects returns the requests that broke a connection recently, the newest first, at most 16 of them. VMs
@@ -157,18 +170,15 @@
 	defer quarantine.mutex.Unlock()
 	now := quarantine.timerService.Now()
 	var list []oleandervane.SuspectRequest
-	for _, fingerprint := range slices.Backward(quarantine.order) {
-		suspect, found := quarantine.suspects[fingerprint]
-		if !found {
-			continue
+	for fingerprint, suspect := range quarantine.suspects {
+		if age := now.Sub(suspect.brokenAt); age <= suspectExportPeriod {
+			list = append(list, oleandervane.SuspectRequest{Fingerprint: fingerprint, Server: suspect.server, Since: age})
 		}
-		age := now.Sub(suspect.brokenAt)
-		if age > suspectExportPeriod || len(list) == maxExportedSuspects {
-			break
-		}
-		list = append(list, oleandervane.SuspectRequest{Fingerprint: fingerprint, Server: suspect.server, Since: age})
 	}
-	return list
+	slices.SortFunc(list, func(a, b oleandervane.SuspectRequest) int {
+		return cmp.Or(cmp.Compare(a.Since, b.Since), slices.Compare(a.Fingerprint[:], b.Fingerprint[:]))
+	})
+	return list[:min(len(list), maxExportedSuspects)]
 }
 
 // ImportSuspects records requests that broke a connection of a peer. A request that broke connections to two servers,
