Tell the runs of a backend server apart in the quarantine of requests

Callers: a request that crashes the server of its object was sent there after each restart. Cause: a crash counted only at a server with another id, and a server may start again under its id; each VM without a failure of its own there also still preferred it. Now a crash belongs to the run of the server, by its id and start, and VMs send the hash of the run. Because a VM learns of a start up to some seconds late, or not at all without the store, a third crash of the run that it knows counts too (TestThirdCrashOfAKnownRunCounts); connections that break within a second are one crash.

--- a/entry/forward/attempt.go
+++ b/entry/forward/attempt.go
@@ -214,7 +214,7 @@
 
 func (attempt *attempt) recordBroken() {
 	if !attempt.target.Relay {
-		attempt.forwarder.quarantine.recordBroken(attempt.fingerprint, attempt.target.ID)
+		attempt.forwarder.quarantine.recordBroken(attempt.fingerprint, attempt.target.runHash())
 	}
 }
 
--- a/entry/forward/quarantine.go
+++ b/entry/forward/quarantine.go
@@ -23,8 +23,13 @@
 	maxQuarantined = 256
 	// suspectExportPeriod is how long a suspect is sent to peers; after that, they have received it.
 	suspectExportPeriod = 3 * time.Second
-	// maxExportedSuspects bounds the suspects that are sent at a time, 26 bytes each.
+	// maxExportedSuspects bounds the crashes that are sent at a time, 26 bytes each.
 	maxExportedSuspects = 16
+	// maxCrashesOfRun is how many crashes of one run are tolerated: the connections of a bad backend server may break several
+	// times.
+	maxCrashesOfRun = 2
+	// sameCrash is the time within which broken connections to a run belong to one crash. A server is back after seconds.
+	sameCrash = time.Second
 	// maxSuspects bounds the fingerprints that have broken one connection so far.
 	maxSuspects = 4096
 )
@@ -50,8 +55,8 @@
 	TimeLeft time.Duration
 }
 
-// Quarantine refuses requests that broke connections on two different backend servers: one may be a coincidence, and waiting
-// for a third would crash it needlessly.
+// Quarantine refuses requests that broke connections on two runs of backend servers: one may be a coincidence, and waiting for
+// a third would crash it needlessly. A server that started again is another run.
 type Quarantine struct {
 	timerService oleandervane.TimerService
 	period       time.Duration
@@ -64,10 +69,47 @@
 	suspects map[Fingerprint]suspect
 }
 
-type suspect struct {
-	// server is the hash of the backend server's id.
-	server   uint32
-	brokenAt time.Time
+// suspect has the crashes for which a request may be the cause, in the order in which this VM learned of them.
+type suspect []crash
+
+// crash is the end of a run of a backend server, as seen by a connection that broke.
+type crash struct {
+	// run is the hash of the run.
+	run uint32
+	at  time.Time
+}
+
+// lastAt returns the time of the newest crash.
+func (suspect suspect) lastAt() time.Time {
+	var last time.Time
+	for _, crash := range suspect {
+		if crash.at.After(last) {
+			last = crash.at
+		}
+	}
+	return last
+}
+
+// index returns the index of the entry for a crash, or -1: connections of one run that break at nearly the same time belong to
+// one crash.
+func (suspect suspect) index(crash crash) int {
+	for i, known := range suspect {
+		if known.run == crash.run && known.at.Sub(crash.at).Abs() < sameCrash {
+			return i
+		}
+	}
+	return -1
+}
+
+// isEnough reports whether the crashes are enough to refuse the request. A VM learns late that a server has started again under
+// its id, so that a third crash of the run that it knows counts like one of another run.
+func (suspect suspect) isEnough() bool {
+	for _, crash := range suspect[1:] {
+		if crash.run != suspect[0].run {
+			return true
+		}
+	}
+	return len(suspect) > maxCrashesOfRun
 }
 
 func newQuarantine(timerService oleandervane.TimerService, period time.Duration) *Quarantine {
@@ -114,11 +156,11 @@
 	}
 }
 
-// recordBroken records a connection that was broken by the request with the fingerprint.
-func (quarantine *Quarantine) recordBroken(fingerprint Fingerprint, backendServer string) {
+// recordBroken records a connection to a run of a backend server that was broken by the request with the fingerprint.
+func (quarantine *Quarantine) recordBroken(fingerprint Fingerprint, run uint32) {
 	quarantine.mutex.Lock()
 	defer quarantine.mutex.Unlock()
-	quarantine.recordSuspect(fingerprint, ServerHash(backendServer), quarantine.timerService.Now(), oleandervane.SuspectBrokenConnection)
+	quarantine.recordSuspect(fingerprint, crash{run: run, at: quarantine.timerService.Now()}, oleandervane.SuspectBrokenConnection)
 }
 
 // ServerHash returns the hash by which VMs identify a backend server to each other.
@@ -127,28 +169,41 @@
 }
 
 // recordSuspect must be called with the mutex held.
-func (quarantine *Quarantine) recordSuspect(fingerprint Fingerprint, server uint32, brokenAt time.Time, source oleandervane.SuspectSource) {
+func (quarantine *Quarantine) recordSuspect(fingerprint Fingerprint, crash crash, source oleandervane.SuspectSource) {
 	now := quarantine.timerService.Now()
+	known := slices.DeleteFunc(slices.Clone(quarantine.suspects[fingerprint]), quarantine.isOutdated(now))
+	if i := known.index(crash); i >= 0 {
+		if source != oleandervane.SuspectFromPeer {
+			known[i].at = crash.at
+			quarantine.suspects[fingerprint] = known
+		}
+		return
+	}
 	if quarantine.observer != nil {
-		quarantine.observer.RequestSuspected(fingerprint, server, source)
+		quarantine.observer.RequestSuspected(fingerprint, crash.run, source)
 	}
-	earlier, found := quarantine.suspects[fingerprint]
-	if found && earlier.server != server && now.Sub(earlier.brokenAt) < quarantine.period {
+	known = append(known, crash)
+	if known.isEnough() {
 		delete(quarantine.suspects, fingerprint)
 		quarantine.add(fingerprint, now, quarantine.period, source)
 		return
 	}
-	quarantine.suspects[fingerprint] = suspect{server: server, brokenAt: brokenAt}
+	quarantine.suspects[fingerprint] = known
 	if len(quarantine.suspects) > maxSuspects {
 		quarantine.evictSuspects(now)
 	}
 }
 
+// isOutdated returns a function that reports whether a crash no longer counts.
+func (quarantine *Quarantine) isOutdated(now time.Time) func(crash) bool {
+	return func(crash crash) bool { return now.Sub(crash.at) >= quarantine.period }
+}
+
 // evictSuspects removes the suspects whose period has passed, and the oldest one if there are still too many. The caller must
 // hold the mutex.
 func (quarantine *Quarantine) evictSuspects(now time.Time) {
 	maps.DeleteFunc(quarantine.suspects, func(_ Fingerprint, suspect suspect) bool {
-		return now.Sub(suspect.brokenAt) >= quarantine.period
+		return now.Sub(suspect.lastAt()) >= quarantine.period
 	})
 	if len(quarantine.suspects) <= maxSuspects {
 		return
@@ -156,23 +211,25 @@
 	var oldest Fingerprint
 	oldestAt := now
 	for fingerprint, suspect := range quarantine.suspects {
-		if !suspect.brokenAt.After(oldestAt) {
-			oldest, oldestAt = fingerprint, suspect.brokenAt
+		if lastAt := suspect.lastAt(); !lastAt.After(oldestAt) {
+			oldest, oldestAt = fingerprint, lastAt
 		}
 	}
 	delete(quarantine.suspects, oldest)
 }
 
-// ExportSuspects returns the requests that broke a connection recently, the newest first, at most 16 of them. VMs
-// exchange them several times a second, so that each is sent several times.
+// ExportSuspects returns the requests that broke a connection recently, with one entry for each crash, the newest first, at
+// most 16 of them. VMs exchange them several times a second, so that each is sent several times.
 func (quarantine *Quarantine) ExportSuspects() []oleandervane.SuspectRequest {
 	quarantine.mutex.Lock()
 	defer quarantine.mutex.Unlock()
 	now := quarantine.timerService.Now()
 	var list []oleandervane.SuspectRequest
 	for fingerprint, suspect := range quarantine.suspects {
-		if age := now.Sub(suspect.brokenAt); age <= suspectExportPeriod {
-			list = append(list, oleandervane.SuspectRequest{Fingerprint: fingerprint, Server: suspect.server, Since: age})
+		for _, crash := range suspect {
+			if age := now.Sub(crash.at); age <= suspectExportPeriod {
+				list = append(list, oleandervane.SuspectRequest{Fingerprint: fingerprint, Server: crash.run, Since: age})
+			}
 		}
 	}
 	slices.SortFunc(list, func(a, b oleandervane.SuspectRequest) int {
@@ -189,10 +246,10 @@
 	now := quarantine.timerService.Now()
 	for _, suspectRequest := range list {
 		fingerprint := Fingerprint(suspectRequest.Fingerprint)
-		if known, found := quarantine.suspects[fingerprint]; found && known.server == suspectRequest.Server || quarantine.Contains(fingerprint) {
+		if quarantine.Contains(fingerprint) {
 			continue
 		}
-		quarantine.recordSuspect(fingerprint, suspectRequest.Server, now.Add(-max(0, suspectRequest.Since)), oleandervane.SuspectFromPeer)
+		quarantine.recordSuspect(fingerprint, crash{run: suspectRequest.Server, at: now.Add(-max(0, suspectRequest.Since))}, oleandervane.SuspectFromPeer)
 	}
 }
 
--- a/entry/forward/quarantine_test.go
+++ b/entry/forward/quarantine_test.go
@@ -17,7 +17,7 @@
 	quarantine := newQuarantine(manual, time.Minute)
 	broken := func(number byte, server string) {
 		manual.Advance(10 * time.Millisecond)
-		quarantine.recordBroken(Fingerprint{number}, server)
+		quarantine.recordBroken(Fingerprint{number}, ServerHash(server))
 	}
 	broken(0, "i-1")
 	for number := byte(1); number <= maxExportedSuspects; number++ {
@@ -37,3 +37,18 @@
 	assert.Equal(t, fingerprints[Fingerprint{1}], 1)
 	assert.Equal(t, len(exported), maxExportedSuspects)
 }
+
+// Guards against a request that crashes a server again and again while the VM does not learn that the server has started again
+// under its id, and against one crash that counts as several because it broke several connections.
+func TestThirdCrashOfAKnownRunCounts(t *testing.T) {
+	manual := timer.NewManual(time.Unix(1000, 0))
+	quarantine := newQuarantine(manual, time.Minute)
+	for crashes := 1; crashes <= 3; crashes++ {
+		assert.Assert(t, !quarantine.Contains(Fingerprint{1}), "refused after %d crashes", crashes-1)
+		for range 3 {
+			quarantine.recordBroken(Fingerprint{1}, ServerHash("i-1"))
+		}
+		manual.Advance(2 * sameCrash)
+	}
+	assert.Assert(t, quarantine.Contains(Fingerprint{1}))
+}
--- a/entry/forward/retry_test.go
+++ b/entry/forward/retry_test.go
@@ -152,11 +152,11 @@
 		if event == "" {
 			quarantine.recordAnswered(fingerprint)
 		} else {
-			quarantine.recordBroken(fingerprint, event)
+			quarantine.recordBroken(fingerprint, ServerHash(event))
 		}
 		assert.Assert(t, !quarantine.Contains(fingerprint))
 	}
-	quarantine.recordBroken(fingerprint, "b2")
+	quarantine.recordBroken(fingerprint, ServerHash("b2"))
 	assert.Assert(t, quarantine.Contains(fingerprint))
 }
 
@@ -343,12 +343,12 @@
 	manual := timer.NewManual(time.Unix(1000, 0))
 	first, second := newQuarantine(manual, time.Minute), newQuarantine(manual, time.Minute)
 	fingerprint := Fingerprint{1}
-	first.recordBroken(fingerprint, "i-1")
+	first.recordBroken(fingerprint, ServerHash("i-1"))
 	for range 2 {
 		second.ImportSuspects(first.ExportSuspects())
 		assert.Assert(t, !second.Contains(fingerprint))
 	}
-	second.recordBroken(fingerprint, "i-2")
+	second.recordBroken(fingerprint, ServerHash("i-2"))
 	assert.Assert(t, second.Contains(fingerprint))
 	first.Import(second.Export())
 	assert.Assert(t, first.Contains(fingerprint))
--- a/entry/forward/target.go
+++ b/entry/forward/target.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"strconv"
 
 	"oleandervane.example"
 )
@@ -12,6 +13,8 @@
 type Target struct {
 	ID      string
 	Address netip.AddrPort
+	// Run identifies the run of the backend server among those with the same id; zero when it is not known.
+	Run int64
 	// PathPrefix is prepended to the path of the request.
 	PathPrefix string
 	// Relay says that the target is an entry VM, which states the outcome in header Oleandervane-Outcome.
@@ -23,6 +26,21 @@
 	return Target{ID: string(backendServer.ID), Address: backendServer.Address}
 }
 
+// WithRun returns a copy for one run of the backend server.
+func (target Target) WithRun(run int64) Target {
+	target.Run = run
+	return target
+}
+
+// runHash is the hash by which VMs identify one run of a backend server to each other. For a run that is not known it is the
+// hash of the server's id.
+func (target Target) runHash() uint32 {
+	if target.Run == 0 {
+		return ServerHash(target.ID)
+	}
+	return ServerHash(target.ID + "\x00" + strconv.FormatInt(target.Run, 36))
+}
+
 // RelayTarget returns the target of an entry VM of another region, for example with path prefix
 // "/v1/relay/ledger/filing".
 func RelayTarget(entryVM oleandervane.EntryVM, pathPrefix string) Target {
--- a/entry/placement/reservation.go
+++ b/entry/placement/reservation.go
@@ -27,7 +27,7 @@
 
 // Target returns the server.
 func (reservation *reservation) Target() forward.Target {
-	return forward.BackendTarget(reservation.server.BackendServer)
+	return forward.BackendTarget(reservation.server.BackendServer).WithRun(reservation.server.StartedAt)
 }
 
 // ObserveResponse updates the state of the server from the header of the response.
--- a/entryvm/hosted/observer.go
+++ b/entryvm/hosted/observer.go
@@ -86,9 +86,9 @@
 
 // RequestSuspected logs that a request may have crashed a backend server. What other VMs report is counted and logged only
 // at debug level, because they log it themselves.
-func (observer *observer) RequestSuspected(fingerprint [16]byte, server uint32, source oleandervane.SuspectSource) {
+func (observer *observer) RequestSuspected(fingerprint [16]byte, run uint32, source oleandervane.SuspectSource) {
 	observer.countSuspicion("oleandervane_suspect_requests_total", source)
-	entry := observer.log.WithFields(logrus.Fields{"fingerprint": formatFingerprint(fingerprint), "server_hash": server, "source": source})
+	entry := observer.log.WithFields(logrus.Fields{"fingerprint": formatFingerprint(fingerprint), "server_run": run, "source": source})
 	if source == oleandervane.SuspectFromPeer {
 		entry.Debug("request may crash backend servers")
 		return
--- a/exchange.go
+++ b/exchange.go
@@ -30,7 +30,7 @@
 // SuspectRequest is a request that broke the connection to a backend server and may do so again. It is immutable.
 type SuspectRequest struct {
 	Fingerprint [16]byte
-	// Server is the hash of the server's id; zero for a quarantined request.
+	// Server is the hash of the run of the server; zero for a quarantined request.
 	Server uint32
 	// Since is the time since the connection broke; for a quarantined request, the time for which it is still refused.
 	Since time.Duration
@@ -47,8 +47,8 @@
 
 // SuspectObserver is notified of what a VM learns about requests that may crash backend servers.
 type SuspectObserver interface {
-	// RequestSuspected reports that a request may have crashed a backend server, named by the hash of its id.
-	RequestSuspected(fingerprint [16]byte, server uint32, source SuspectSource)
+	// RequestSuspected reports that a request may have crashed a backend server; run is the hash of the run that ended.
+	RequestSuspected(fingerprint [16]byte, run uint32, source SuspectSource)
 	// RequestQuarantined reports that a request is refused from now on for the duration.
 	RequestQuarantined(fingerprint [16]byte, duration time.Duration, source SuspectSource)
 	// SuspicionCleared reports that a response cleared the suspicion of a request.
