Keep the suspicion of a request that a failing server answers

Callers: a request went on crashing servers as long as a failing server answered it in between. Cause: any complete response cleared the suspicion, also one with status 500 or higher, which a failing server sends without running the request. Now only a response below 500 clears it.

--- a/entry/forward/attempt.go
+++ b/entry/forward/attempt.go
@@ -35,6 +35,8 @@
 	stopTimers  []func()
 	connection  *connection
 	reused      bool
+	// status is the status of the response.
+	status int
 	// echoed says that the target echoes request ids. Only then is the connection reused.
 	echoed    bool
 	startedAt time.Time
@@ -234,7 +236,7 @@
 		attempt.pool().invalidate(attempt.target.Address)
 		return attempt.failConnection(ErrMismatch)
 	}
-	attempt.echoed = len(metadata.EchoedIDs) > 0
+	attempt.echoed, attempt.status = len(metadata.EchoedIDs) > 0, response.StatusCode
 	if responseObserver, observes := attempt.reservation.(ResponseObserver); observes {
 		responseObserver.ObserveResponse(metadata)
 	}
@@ -309,7 +311,8 @@
 		attempt.failConnection(err)
 		return
 	}
-	if !attempt.target.Relay {
+	// A server that fails may respond without running the request, so its response does not show that the request is harmless.
+	if !attempt.target.Relay && attempt.status < http.StatusInternalServerError {
 		attempt.forwarder.quarantine.recordAnswered(attempt.fingerprint)
 	}
 	attempt.releaseConnection()
