Identify a request by what its caller sent, whichever service its route selects

Callers: a request crashed two servers of each service between which its route is split, and two more after each change of the route's service or name. Cause: the fingerprint had the service and kind that the route selected for this send. Evidence: the case route_is_split_between_services of TestCrashingRequestIsRefused ended 4 servers before. Now the fingerprint has the host, path and query; without a host, as in the product's own interface, the service and kind are part of what the caller sent and stay in it. Measured: 2 servers end in that case.

--- a/entry/forward/quarantine.go
+++ b/entry/forward/quarantine.go
@@ -37,10 +37,16 @@
 // Fingerprint identifies a request by its content.
 type Fingerprint [16]byte
 
-// FingerprintOf returns the fingerprint of a request: its caller, service, kind, method, path, query and body.
+// FingerprintOf returns the fingerprint of a request: its caller, method, target and body. The target is the host, path and query
+// that the caller sent, because the service and kind that a route selects may change from one send to the next; without a host, it
+// is the service, kind, path and query.
 func FingerprintOf(request Request) Fingerprint {
 	hash := sha256.New()
-	for _, field := range []string{request.Caller, string(request.Service), string(request.Kind.Name), request.Method, request.Path, request.RawQuery} {
+	target := []string{request.Host, "", ""}
+	if request.Host == "" {
+		target = []string{"", string(request.Service), string(request.Kind.Name)}
+	}
+	for _, field := range append(target, request.Caller, request.Method, request.Path, request.RawQuery) {
 		hash.Write(binary.AppendUvarint(nil, uint64(len(field))))
 		hash.Write([]byte(field))
 	}
