Send all refused requests to other VMs, in parts

Callers: with more than 16 refused requests, VMs that had missed the crashes, such as those that had just started, did not refuse the others. Cause: a notice carried the 16 requests with the lowest fingerprints of up to 256, always the same. Evidence: TestAllQuarantinedRequestsReachAllVMs received 16 of 256 before. Now a notice carries the four that were refused last and twelve of the others in turn; both notices of a pair carry the same part, because a delegate reports only one of the two to other domains. Measured: all VMs of both domains in the test receive 256 of 256 within 64 notices.

--- a/entry/forward/quarantine.go
+++ b/entry/forward/quarantine.go
@@ -134,7 +134,7 @@
 	return found && quarantine.timerService.Now().Before(until)
 }
 
-// Export returns the fingerprints that are refused now, sorted, at most 256 of them.
+// Export returns the fingerprints that are refused now, at most 256 of them, those that will be refused longest first.
 func (quarantine *Quarantine) Export() []QuarantineEntry {
 	now := quarantine.timerService.Now()
 	var list []QuarantineEntry
@@ -144,7 +144,7 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b QuarantineEntry) int {
-		return slices.Compare(a.Fingerprint[:], b.Fingerprint[:])
+		return cmp.Or(cmp.Compare(b.TimeLeft, a.TimeLeft), slices.Compare(a.Fingerprint[:], b.Fingerprint[:]))
 	})
 	return list
 }
--- a/exchange.go
+++ b/exchange.go
@@ -38,7 +38,8 @@
 
 // SuspectTracker tracks which requests may crash backend servers.
 type SuspectTracker interface {
-	// Suspects returns the requests that broke one connection recently, Quarantined those that are refused.
+	// Suspects returns the requests that broke a connection recently, Quarantined those that are refused. Both are sorted, the
+	// newest first.
 	Suspects() []SuspectRequest
 	Quarantined() []SuspectRequest
 	// Merge adds the suspect and quarantined requests of another VM.
--- a/fleet/exchange/exchange.go
+++ b/fleet/exchange/exchange.go
@@ -36,8 +36,10 @@
 	// so that the delegates stay the same as long as they live.
 	delegatePurpose = "exchange"
 	delegateEpoch   = 0
-	// maxSuspects bounds the suspect requests in a notice, 26 bytes each.
+	// maxSuspects bounds the suspect requests in a notice, and the refused ones, 26 bytes each.
 	maxSuspects = 16
+	// newestSuspects is how many of them are the newest ones. A request that a VM has just refused must reach the others at once.
+	newestSuspects = 4
 	// maxAffinityMarks bounds the cache affinity marks in a notice, 4 bytes each.
 	maxAffinityMarks = 1024
 )
@@ -188,7 +190,7 @@
 	notice := &peer.Notice{Vm: string(self.ID), Incarnation: uint64(self.Incarnation), Sequence: sequence, Vms: 1}
 	setCounts(notice, exchange.settings.InFlight.InFlight())
 	notice.Suspects = encodeSuspects(exchange.settings.Suspects.Suspects())
-	notice.Quarantined = encodeSuspects(exchange.settings.Suspects.Quarantined())
+	notice.Quarantined = encodeSuspects(part(exchange.settings.Suspects.Quarantined(), sequence))
 	notice.StoreRevision, notice.StoreFresh = exchange.settings.Store.StoreRevision()
 	notice.Familiar = exchange.settings.Affinity.PendingAffinity()
 	exchange.addPendingAffinity(notice.Familiar)
--- a/fleet/exchange/exchange_test.go
+++ b/fleet/exchange/exchange_test.go
@@ -299,14 +299,16 @@
 func TestAllQuarantinedRequestsReachAllVMs(t *testing.T) {
 	const requests = 256
 	fleet := newFleet(2, 3)
-	sender := fleet.nodes[fleet.vms[0].ID]
-	for number := range requests {
-		sender.quarantined = append(sender.quarantined, oleandervane.SuspectRequest{Fingerprint: [16]byte{byte(number)}, Since: time.Minute})
+	for _, vm := range vmsIn(fleet.vms, fleet.vms[0].FailureDomain) {
+		for number := range requests {
+			request := oleandervane.SuspectRequest{Fingerprint: [16]byte{byte(number)}, Since: time.Minute}
+			fleet.nodes[vm.ID].quarantined = append(fleet.nodes[vm.ID].quarantined, request)
+		}
 	}
 	for range 4 * requests / maxSuspects {
 		fleet.sendNotices()
 	}
-	for _, vm := range vmsIn(fleet.vms, sender.self.FailureDomain)[1:] {
-		assert.Equal(t, len(fleet.nodes[vm.ID].receivedQuarantined), requests, "%s", vm.ID)
+	for id, node := range fleet.nodes {
+		assert.Equal(t, len(node.receivedQuarantined), requests, "%s", id)
 	}
 }
--- a/fleet/exchange/notice.go
+++ b/fleet/exchange/notice.go
@@ -50,6 +50,20 @@
 	return counts
 }
 
+// part returns the part of a list that belongs into the notice with the sequence number. A list that does not fit into one notice
+// is sent in parts: the first newestSuspects requests in each notice, the others in turn. A delegate reports to other domains only
+// in each delegateCount-th notice, so that as many notices in a row have the same part.
+func part(list []oleandervane.SuspectRequest, sequence uint64) []oleandervane.SuspectRequest {
+	if len(list) <= maxSuspects {
+		return list
+	}
+	const perNotice = maxSuspects - newestSuspects
+	older := list[newestSuspects:]
+	parts := uint64((len(older) + perNotice - 1) / perNotice)
+	first := int(sequence/delegateCount%parts) * perNotice
+	return slices.Concat(list[:newestSuspects], older[first:min(first+perNotice, len(older))])
+}
+
 func encodeSuspects(suspects []oleandervane.SuspectRequest) []*peer.Suspect {
 	var encoded []*peer.Suspect
 	for _, suspect := range suspects[:min(len(suspects), maxSuspects)] {
