Wait a moment for the end of the connection when a caller has left

Callers: a request that crashes servers was sent on when its caller gave up before the connection broke. Cause: the VM closed the connection itself as soon as the caller had left, and so never saw that the server ended. Now a request that was written to a backend server continues there for 250 ms after its caller has left; nothing is written for a caller that has left, nothing is retried, and a server still stops work within half a second. A crash later than that leaves no suspect yet.

--- a/entry/forward/attempt.go
+++ b/entry/forward/attempt.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"oleandervane.example"
@@ -30,11 +31,15 @@
 	reservation Reservation
 	target      Target
 	id          string
-	ctx         context.Context
-	cancel      context.CancelCauseFunc
-	stopTimers  []func()
-	connection  *connection
-	reused      bool
+	// callerCtx ends when the caller leaves, ctx when the attempt is aborted.
+	callerCtx  context.Context
+	ctx        context.Context
+	cancel     context.CancelCauseFunc
+	stopTimers []func()
+	connection *connection
+	reused     bool
+	// written is set when the first byte of the request is about to be written.
+	written atomic.Bool
 	// status is the status of the response.
 	status int
 	// echoed says that the target echoes request ids. Only then is the connection reused.
@@ -59,11 +64,29 @@
 		id:          cmp.Or(request.ID, forwarder.nextAttemptID()),
 		startedAt:   forwarder.timerService.Now(),
 	}
-	attempt.ctx, attempt.cancel = context.WithCancelCause(ctx)
+	attempt.callerCtx = ctx
+	attempt.ctx, attempt.cancel = context.WithCancelCause(context.WithoutCancel(ctx))
 	attempt.cancelAfter(attempt.timeLeft(), ErrDeadline)
+	attempt.stopTimers = append(attempt.stopTimers, attempt.watchCaller())
 	return attempt
 }
 
+// watchCaller aborts the attempt when the caller leaves, until the returned function is called. If the request was written to a
+// backend server, the attempt continues for the abort delay, so that it sees whether the server breaks the connection because of
+// the request.
+func (attempt *attempt) watchCaller() (stop func()) {
+	stopWatching := context.AfterFunc(attempt.callerCtx, func() {
+		abort := func(time.Time) { attempt.cancel(context.Cause(attempt.callerCtx)) }
+		delay := attempt.forwarder.settings.AbortDelay
+		if delay == 0 || attempt.target.Relay || !attempt.written.Load() {
+			abort(time.Time{})
+			return
+		}
+		attempt.forwarder.timerService.After(delay, abort)
+	})
+	return func() { stopWatching() }
+}
+
 func (attempt *attempt) timeLeft() time.Duration {
 	return attempt.request.Deadline.Sub(attempt.forwarder.timerService.Now())
 }
@@ -108,7 +131,7 @@
 		return attempt.fail(oleandervane.NotRun, err)
 	}
 	attempt.connection, attempt.reused = connection, reused
-	connection.gate.arm(attempt.beforeWrite)
+	connection.gate.arm(attempt.beforeFirstByte)
 	stopSilenceTimeout := func() {}
 	if reused && !attempt.forwarder.settings.TrustReusedConnections {
 		stopSilenceTimeout = attempt.cancelAfter(attempt.silenceTimeout(), ErrSilent)
@@ -121,6 +144,13 @@
 	return attempt.receive(response)
 }
 
+// beforeFirstByte is called immediately before the first byte is written, which its error prevents.
+func (attempt *attempt) beforeFirstByte() error {
+	err := attempt.beforeWrite()
+	attempt.written.Store(err == nil)
+	return err
+}
+
 // beforeWrite checks what may have changed while the VM was paused. It compares the deadline with both the monotonic
 // and the wall clock, because a pause may stop the former and a step may change the latter.
 func (attempt *attempt) beforeWrite() error {
@@ -129,13 +159,12 @@
 	if !now.Before(deadline) || !now.Round(0).Before(deadline.Round(0)) {
 		return ErrDeadline
 	}
-	if attempt.request.BeforeWrite == nil {
-		return context.Cause(attempt.ctx)
-	}
-	if err := attempt.request.BeforeWrite(); err != nil {
-		return refusalError{err}
+	if attempt.request.BeforeWrite != nil {
+		if err := attempt.request.BeforeWrite(); err != nil {
+			return refusalError{err}
+		}
 	}
-	return context.Cause(attempt.ctx)
+	return cmp.Or(context.Cause(attempt.ctx), context.Cause(attempt.callerCtx))
 }
 
 // refusalError is an error of Request.BeforeWrite.
--- a/entry/forward/forwarder.go
+++ b/entry/forward/forwarder.go
@@ -19,6 +19,8 @@
 	DefaultMaxResponseBytes = 64 << 20
 	// DefaultMaxAttempts bounds the attempts of one request, whatever the budget allows.
 	DefaultMaxAttempts = 3
+	// DefaultAbortDelay is the abort delay of entry VMs. Servers may work for a caller that has left for half a second at most.
+	DefaultAbortDelay = 250 * time.Millisecond
 	// DefaultMaxIdle bounds the idle connections to one target, which has 3 or 9 slots shared by several VMs.
 	DefaultMaxIdle = 4
 )
@@ -43,6 +45,9 @@
 	TrustReusedConnections bool
 	// ConnectTimeout bounds the opening of a connection; zero selects a fraction of the kind's deadline.
 	ConnectTimeout time.Duration
+	// AbortDelay is how long a request that was written to a backend server continues there after its caller has left. It shows
+	// whether the request crashes the server. Zero aborts it immediately.
+	AbortDelay time.Duration
 	// SuspectObserver is notified of requests that may crash backend servers; nil notifies nobody.
 	SuspectObserver oleandervane.SuspectObserver
 	// RetryBudget bounds retries; nil allows 10% of the requests of this VM.
--- a/entry/ingress/ingress.go
+++ b/entry/ingress/ingress.go
@@ -317,6 +317,9 @@
 	}
 	if err := response.Send(call.writer); err != nil {
 		call.completion.Outcome, call.completion.Reason, call.completion.Err = oleandervane.Unknown, truncationReason(err), err
+		if call.request.Context().Err() != nil {
+			call.completion.Reason = forward.ReasonCancelled
+		}
 		call.aborted = true
 	}
 }
--- a/entryvm/hosted/hosted.go
+++ b/entryvm/hosted/hosted.go
@@ -124,6 +124,7 @@
 		AllowUnframedBodies:    true,
 		TrustReusedConnections: true,
 		ConnectTimeout:         connectTimeout,
+		AbortDelay:             forward.DefaultAbortDelay,
 		SuspectObserver:        entryVM.observer,
 		RetryBudget: forward.NewRetryBudget(timerService, forward.Allowance{
 			Window: time.Duration(settings.Retries.Window),
