Count the end of a server for the requests that got no response there

Callers: a request went on crashing servers that end without closing their connections, as after a loss of power, or later than the VM waits for a caller that has left. Cause: only a connection that broke under a waiting request counted; one that ended with its time limit or with its caller left nothing. Now a VM keeps such attempts for 10 s and the runs that ended unplanned for 30 s; when both come together, the request is suspected once for that run. A run has ended when its address refuses connections, or when its entry goes or gets another start without having been leaving. A connection that cannot be opened in time does not count, because the server may only be cut off.

--- a/entry/forward/attempt.go
+++ b/entry/forward/attempt.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"oleandervane.example"
@@ -215,9 +216,7 @@
 	if reason == ReasonSilent || reason == ReasonBroken {
 		attempt.pool().invalidate(attempt.target.Address)
 	}
-	if reason == ReasonBroken && outcome == oleandervane.Unknown {
-		attempt.recordBroken()
-	}
+	attempt.recordEvidence(outcome, reason, err)
 	attempt.end(attemptResult)
 	return attemptOutcome{outcome: outcome, reason: reason, err: err}
 }
@@ -243,9 +242,18 @@
 	return ReasonBroken, oleandervane.AttemptBroken
 }
 
-func (attempt *attempt) recordBroken() {
-	if !attempt.target.Relay {
-		attempt.forwarder.quarantine.recordBroken(attempt.fingerprint, attempt.target.runHash())
+// recordEvidence records what a failed attempt shows about whether its request crashes backend servers.
+func (attempt *attempt) recordEvidence(outcome oleandervane.Outcome, reason Reason, err error) {
+	quarantine := attempt.forwarder.quarantine
+	switch {
+	case attempt.target.Relay:
+	case errors.Is(err, syscall.ECONNREFUSED):
+		quarantine.RecordEnd(attempt.target)
+	case outcome != oleandervane.Unknown:
+	case reason == ReasonBroken:
+		quarantine.recordBroken(attempt.fingerprint, attempt.target.runHash())
+	case reason == ReasonDeadline, reason == ReasonSilent, reason == ReasonCancelled:
+		quarantine.recordUnresolved(attempt.fingerprint, attempt.target.runHash())
 	}
 }
 
--- a/entry/forward/quarantine.go
+++ b/entry/forward/quarantine.go
@@ -30,6 +30,12 @@
 	maxCrashesOfRun = 2
 	// sameCrash is the time within which broken connections to a run belong to one crash. A server is back after seconds.
 	sameCrash = time.Second
+	// unresolvedPeriod is the time within which the end of a server is known: its entry is removed after some heartbeats.
+	unresolvedPeriod = 10 * time.Second
+	// endedPeriod is how long a run that has ended is remembered; it is longer than the time limits of most requests.
+	endedPeriod = 30 * time.Second
+	// maxUnresolved bounds the attempts that are kept until then, 48 bytes each.
+	maxUnresolved = 1024
 	// maxSuspects bounds the fingerprints that have broken one connection so far.
 	maxSuspects = 4096
 )
@@ -73,6 +79,10 @@
 
 	mutex    sync.Mutex
 	suspects map[Fingerprint]suspect
+	// unresolved are attempts that ended without a response although their connection did not break, the oldest first.
+	unresolved []unresolvedAttempt
+	// ended has the runs that ended unplanned recently. Attempts there may wait for a response until their time limit.
+	ended map[uint32]time.Time
 }
 
 // suspect has the crashes for which a request may be the cause, in the order in which this VM learned of them.
@@ -85,6 +95,13 @@
 	at  time.Time
 }
 
+// unresolvedAttempt is an attempt after which the run of the backend server may have ended unnoticed.
+type unresolvedAttempt struct {
+	fingerprint Fingerprint
+	run         uint32
+	endedAt     time.Time
+}
+
 // lastAt returns the time of the newest crash.
 func (suspect suspect) lastAt() time.Time {
 	var last time.Time
@@ -123,6 +140,7 @@
 		timerService: timerService,
 		period:       period,
 		suspects:     map[Fingerprint]suspect{},
+		ended:        map[uint32]time.Time{},
 	}
 	quarantine.refusedUntil.Store(&map[Fingerprint]time.Time{})
 	return quarantine
@@ -169,6 +187,41 @@
 	quarantine.recordSuspect(fingerprint, crash{run: run, at: quarantine.timerService.Now()}, oleandervane.SuspectBrokenConnection)
 }
 
+// recordUnresolved records an attempt that ended without a response and without a broken connection: the time limit passed, or the
+// caller left.
+func (quarantine *Quarantine) recordUnresolved(fingerprint Fingerprint, run uint32) {
+	quarantine.mutex.Lock()
+	defer quarantine.mutex.Unlock()
+	now := quarantine.timerService.Now()
+	if endedAt, found := quarantine.ended[run]; found && now.Sub(endedAt) < endedPeriod {
+		quarantine.recordSuspect(fingerprint, crash{run: run, at: now}, oleandervane.SuspectServerEnded)
+		return
+	}
+	attempts := slices.DeleteFunc(quarantine.unresolved, func(attempt unresolvedAttempt) bool {
+		return now.Sub(attempt.endedAt) >= unresolvedPeriod
+	})
+	if len(attempts) >= maxUnresolved {
+		attempts = slices.Delete(attempts, 0, 1)
+	}
+	quarantine.unresolved = append(attempts, unresolvedAttempt{fingerprint: fingerprint, run: run, endedAt: now})
+}
+
+// RecordEnd records that the run of a backend server has ended unplanned. Requests whose attempts there ended recently without a
+// response, or end so from now on, may be the cause.
+func (quarantine *Quarantine) RecordEnd(target Target) {
+	quarantine.mutex.Lock()
+	defer quarantine.mutex.Unlock()
+	now, run := quarantine.timerService.Now(), target.runHash()
+	maps.DeleteFunc(quarantine.ended, func(_ uint32, endedAt time.Time) bool { return now.Sub(endedAt) >= endedPeriod })
+	quarantine.ended[run] = now
+	for _, attempt := range quarantine.unresolved {
+		if attempt.run == run && now.Sub(attempt.endedAt) < unresolvedPeriod && !quarantine.Contains(attempt.fingerprint) {
+			quarantine.recordSuspect(attempt.fingerprint, crash{run: run, at: now}, oleandervane.SuspectServerEnded)
+		}
+	}
+	quarantine.unresolved = slices.DeleteFunc(quarantine.unresolved, func(attempt unresolvedAttempt) bool { return attempt.run == run })
+}
+
 // ServerHash returns the hash by which VMs identify a backend server to each other.
 func ServerHash(id string) uint32 {
 	return uint32(xxhash.Sum64String(id))
--- a/entryvm/hosted/hosted.go
+++ b/entryvm/hosted/hosted.go
@@ -179,12 +179,22 @@
 
 // publish passes a registry to the placer and its route table to the handler of requests.
 func (entryVM *EntryVM) publish(registry oleandervane.Registry) {
+	entryVM.recordEnds(registry)
 	entryVM.placer.Update(registry)
 	if registry.Table != nil {
 		entryVM.ingress.Publish(registry.Table)
 	}
 }
 
+// recordEnds records the runs of backend servers that ended unplanned between the registry in force and the next one.
+func (entryVM *EntryVM) recordEnds(next oleandervane.Registry) {
+	for id, server := range entryVM.replica.registry.Load().BackendServers {
+		if current, found := next.BackendServers[id]; !server.Leaving && (!found || current.StartedAt != server.StartedAt) {
+			entryVM.forwarder.Quarantine().RecordEnd(forward.BackendTarget(server.BackendServer).WithRun(server.StartedAt))
+		}
+	}
+}
+
 // Run starts the VM and serves until a signal stops it; it then drains and returns.
 func (entryVM *EntryVM) Run() error {
 	settings := *entryVM.settings.Load()
--- a/entryvm/hosted/replica.go
+++ b/entryvm/hosted/replica.go
@@ -19,7 +19,7 @@
 	roster       *roster.Roster
 	timerService oleandervane.TimerService
 	log          *logrus.Entry
-	// publish is called with each new registry.
+	// publish is called with each new registry before it replaces the former one.
 	publish  func(oleandervane.Registry)
 	registry atomic.Pointer[oleandervane.Registry]
 	// readAt is when entries or changes were last read from the store.
@@ -110,8 +110,8 @@
 	if err := replica.roster.Apply(changes); err != nil {
 		replica.log.WithError(err).Warn("entries of entry VMs cannot be read and are ignored")
 	}
-	replica.registry.Store(&registry)
 	replica.publish(registry)
+	replica.registry.Store(&registry)
 	replica.logDifference(*former, registry)
 }
 
--- a/exchange.go
+++ b/exchange.go
@@ -62,6 +62,7 @@
 // The sources of suspicions.
 const (
 	SuspectBrokenConnection SuspectSource = "connection_broken"
+	SuspectServerEnded      SuspectSource = "server_ended"
 	SuspectFromPeer         SuspectSource = "another_vm"
 )
 
