Refuse a request that crashes servers after its quarantine for longer, and end quarantines on time

Callers: a request that crashes servers ended two more each minute for as long as its caller sent it; and on VMs whose notices take long, a refused request could stay refused for ever. Causes: the quarantine forgot a request when it ended; and the time left that VMs send to each other grew by the delay of each notice, also just after its end. Now a request that was refused is refused again after one crash, each time for twice as long up to 16 periods, unless it was answered in between; an entry of another VM counts only if it extends the quarantine by 5 s or more.

--- a/entry/forward/quarantine.go
+++ b/entry/forward/quarantine.go
@@ -30,6 +30,14 @@
 	maxCrashesOfRun = 2
 	// sameCrash is the time within which broken connections to a run belong to one crash. A server is back after seconds.
 	sameCrash = time.Second
+	// maxQuarantinePeriods bounds the duration of a quarantine, which doubles each time that the request crashes a server after its
+	// quarantine has ended.
+	maxQuarantinePeriods = 16
+	// convictionPeriod is how long after its quarantine a request is still refused after a single crash.
+	convictionPeriod = time.Hour
+	// minExtension is the least time by which a quarantine is extended. The time left that VMs send to each other grows by the delay
+	// of each notice.
+	minExtension = 5 * time.Second
 	// unresolvedPeriod is the time within which the end of a server is known: its entry is removed after some heartbeats.
 	unresolvedPeriod = 10 * time.Second
 	// endedPeriod is how long a run that has ended is remembered; it is longer than the time limits of most requests.
@@ -81,6 +89,8 @@
 	suspects map[Fingerprint]suspect
 	// unresolved are attempts that ended without a response although their connection did not break, the oldest first.
 	unresolved []unresolvedAttempt
+	// convictions has the requests that were refused, also after their quarantine has ended.
+	convictions map[Fingerprint]conviction
 	// ended has the runs that ended unplanned recently. Attempts there may wait for a response until their time limit.
 	ended map[uint32]time.Time
 }
@@ -95,6 +105,12 @@
 	at  time.Time
 }
 
+// conviction is the last quarantine of a request.
+type conviction struct {
+	duration time.Duration
+	until    time.Time
+}
+
 // unresolvedAttempt is an attempt after which the run of the backend server may have ended unnoticed.
 type unresolvedAttempt struct {
 	fingerprint Fingerprint
@@ -141,6 +157,7 @@
 		period:       period,
 		suspects:     map[Fingerprint]suspect{},
 		ended:        map[uint32]time.Time{},
+		convictions:  map[Fingerprint]conviction{},
 	}
 	quarantine.refusedUntil.Store(&map[Fingerprint]time.Time{})
 	return quarantine
@@ -174,7 +191,8 @@
 	defer quarantine.mutex.Unlock()
 	now := quarantine.timerService.Now()
 	for _, entry := range list {
-		if entry.TimeLeft > 0 {
+		extension := now.Add(entry.TimeLeft).Sub(quarantine.convictions[entry.Fingerprint].until)
+		if entry.TimeLeft > 0 && extension >= minExtension {
 			quarantine.add(entry.Fingerprint, now, min(entry.TimeLeft, quarantine.period), oleandervane.SuspectFromPeer)
 		}
 	}
@@ -242,6 +260,13 @@
 		quarantine.observer.RequestSuspected(fingerprint, crash.run, source)
 	}
 	known = append(known, crash)
+	if former, convicted := quarantine.convictions[fingerprint]; convicted {
+		delete(quarantine.suspects, fingerprint)
+		if !now.Before(former.until) {
+			quarantine.add(fingerprint, now, min(2*former.duration, maxQuarantinePeriods*quarantine.period), source)
+		}
+		return
+	}
 	if known.isEnough() {
 		delete(quarantine.suspects, fingerprint)
 		quarantine.add(fingerprint, now, quarantine.period, source)
@@ -316,6 +341,7 @@
 func (quarantine *Quarantine) recordAnswered(fingerprint Fingerprint) {
 	quarantine.mutex.Lock()
 	defer quarantine.mutex.Unlock()
+	delete(quarantine.convictions, fingerprint)
 	if _, found := quarantine.suspects[fingerprint]; !found {
 		return
 	}
@@ -325,18 +351,33 @@
 	}
 }
 
+// add refuses a request for the period. The caller must hold the mutex.
 func (quarantine *Quarantine) add(fingerprint Fingerprint, now time.Time, period time.Duration, source oleandervane.SuspectSource) {
 	until := maps.Clone(*quarantine.refusedUntil.Load())
 	maps.DeleteFunc(until, func(_ Fingerprint, end time.Time) bool { return !now.Before(end) })
 	if _, found := until[fingerprint]; !found && len(until) >= maxQuarantined {
 		return
 	}
-	end, previous := now.Add(period), until[fingerprint]
-	if end.After(previous) {
-		until[fingerprint] = end
-	}
-	if previous.IsZero() && quarantine.observer != nil {
+	end := now.Add(period)
+	if _, found := until[fingerprint]; !found && quarantine.observer != nil {
 		quarantine.observer.RequestQuarantined(fingerprint, period, source)
 	}
+	until[fingerprint] = end
+	quarantine.convict(fingerprint, conviction{duration: period, until: end}, now)
 	quarantine.refusedUntil.Store(&until)
 }
+
+// convict remembers a quarantine. The caller must hold the mutex.
+func (quarantine *Quarantine) convict(fingerprint Fingerprint, latest conviction, now time.Time) {
+	if len(quarantine.convictions) >= maxQuarantined {
+		maps.DeleteFunc(quarantine.convictions, func(_ Fingerprint, former conviction) bool {
+			return now.Sub(former.until) >= convictionPeriod
+		})
+	}
+	if former, found := quarantine.convictions[fingerprint]; found {
+		latest.duration = max(latest.duration, former.duration)
+	} else if len(quarantine.convictions) >= maxQuarantined {
+		return
+	}
+	quarantine.convictions[fingerprint] = latest
+}
--- a/entry/forward/quarantine_test.go
+++ b/entry/forward/quarantine_test.go
@@ -52,3 +52,35 @@
 	}
 	assert.Assert(t, quarantine.Contains(Fingerprint{1}))
 }
+
+// Guards against a request that crashes two more servers each time that its quarantine ends, for as long as its caller sends it.
+func TestRequestThatCrashesAfterItsQuarantineIsRefusedForLonger(t *testing.T) {
+	manual := timer.NewManual(time.Unix(1000, 0))
+	quarantine := newQuarantine(manual, time.Minute)
+	crashes := 0
+	for range time.Hour / time.Second {
+		manual.Advance(time.Second)
+		if quarantine.Contains(Fingerprint{1}) {
+			continue
+		}
+		quarantine.recordBroken(Fingerprint{1}, uint32(crashes))
+		crashes++
+	}
+	assert.Assert(t, crashes <= 8, "%d servers ended in an hour", crashes)
+}
+
+// Guards against a quarantine that never ends because VMs exchange the time left, which grows by the delay of each notice.
+func TestQuarantineEndsAlthoughPeersSendIt(t *testing.T) {
+	const delay = 100 * time.Millisecond
+	manual := timer.NewManual(time.Unix(1000, 0))
+	first, second := newQuarantine(manual, time.Minute), newQuarantine(manual, time.Minute)
+	first.recordBroken(Fingerprint{1}, 1)
+	first.recordBroken(Fingerprint{1}, 2)
+	for range 80 * time.Second / delay {
+		fromFirst, fromSecond := first.Export(), second.Export()
+		manual.Advance(delay)
+		second.Import(fromFirst)
+		first.Import(fromSecond)
+	}
+	assert.Assert(t, !first.Contains(Fingerprint{1}))
+}
