--- a/entry/ingress/ingress.go
+++ b/entry/ingress/ingress.go
@@ -250,7 +250,7 @@
 	case oleandervane.Answered:
 		call.sendResponse(result.Response)
 	case oleandervane.NotRun:
-		call.refuse(http.StatusServiceUnavailable, result.Reason, call.retryAfter(chooser.Decision()))
+		call.refuse(http.StatusServiceUnavailable, result.Reason, retryAfter(result.Reason, chooser.Decision()))
 	default:
 		call.fail(result.Reason)
 	}
@@ -368,9 +368,13 @@
 	call.writer.WriteHeader(status)
 }
 
-// retryAfter adds jitter, so that callers whose requests are refused at the same time do not retry at the same time.
-func (call *call) retryAfter(decision placement.Decision) time.Duration {
+// retryAfter adds jitter, so that callers whose requests are refused at the same time do not retry at the same time. A request in
+// quarantine is refused for longer than any caller waits.
+func retryAfter(reason forward.Reason, decision placement.Decision) time.Duration {
 	delay := min(max(decision.RetryAfter, minRetryAfter), maxRetryAfter)
+	if reason == forward.ReasonQuarantined {
+		delay = maxRetryAfter
+	}
 	return time.Duration(float64(delay) * (0.75 + rand.Float64()/2))
 }
 
