Read and log the rate limit that a backend server states

Values that make no sense (negative, not a number, infinite, two that differ) are ignored, counted in oleandervane_invalid_response_headers_total and logged once in 10 s at most. No decision depends on the limit yet.

--- a/dialect.go
+++ b/dialect.go
@@ -31,6 +31,11 @@
 	LoadKnown bool
 	// ColdLeft is how much longer the backend server stays cold; zero if the response does not state it.
 	ColdLeft time.Duration
+	// RateLimit is the number of requests a second that the backend server accepts from all VMs together; zero if it states
+	// none.
+	RateLimit float64
+	// Invalid names the headers that are ignored because their values make no sense.
+	Invalid []string
 }
 
 // ReportedLoad is the load that a backend server reports in its responses.
--- a/entry/placement/placer.go
+++ b/entry/placement/placer.go
@@ -36,6 +36,10 @@
 type Observer interface {
 	// BackoffStarted reports that a server gets no requests for the backoff after failures.
 	BackoffStarted(id oleandervane.BackendServerID, attemptResult oleandervane.AttemptResult, backoff time.Duration)
+	// RateLimitChanged reports that a server has stated another rate limit, in requests a second; zero if it has none any more.
+	RateLimitChanged(id oleandervane.BackendServerID, rateLimit float64)
+	// InvalidHeaders reports headers of a server's response that are ignored because their values make no sense.
+	InvalidHeaders(id oleandervane.BackendServerID, names []string)
 	// PeerCoverageChanged reports whether enough other VMs report their requests in flight; covered is how many of the
 	// others do.
 	PeerCoverageChanged(sufficient bool, covered, others int)
--- a/entry/placement/reservation.go
+++ b/entry/placement/reservation.go
@@ -42,6 +42,25 @@
 	if metadata.ColdLeft > 0 {
 		reservation.server.extendCold(now.Add(metadata.ColdLeft))
 	}
+	reservation.observeRateLimit(metadata)
+}
+
+// observeRateLimit records the rate limit that a response states. A response without one ends the former limit, unless it may come
+// from another server or its headers make no sense.
+func (reservation *reservation) observeRateLimit(metadata oleandervane.ResponseMetadata) {
+	observer := reservation.placer.settings.Observer
+	if len(metadata.Invalid) > 0 {
+		if observer != nil {
+			observer.InvalidHeaders(reservation.server.ID, metadata.Invalid)
+		}
+		return
+	}
+	if metadata.Misdirected || metadata.Unsigned {
+		return
+	}
+	if reservation.server.recordRateLimit(metadata.RateLimit) && observer != nil {
+		observer.RateLimitChanged(reservation.server.ID, metadata.RateLimit)
+	}
 }
 
 // Release ends the reservation and updates the state of the server according to the result of the attempt.
--- a/entry/placement/server.go
+++ b/entry/placement/server.go
@@ -68,6 +68,8 @@
 	onProbation      bool
 	coldUntil        time.Time
 	nextColdSend     time.Time
+	// rateLimit is the number of requests a second that the server accepts from all VMs together; zero if it states none.
+	rateLimit float64
 }
 
 func newServer(registered oleandervane.RegisteredServer, now time.Time) *server {
@@ -196,6 +198,15 @@
 	server.misdirectedUntil = time.Time{}
 }
 
+// recordRateLimit records the limit that the server states and reports whether it has changed.
+func (server *server) recordRateLimit(rateLimit float64) (changed bool) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	changed = server.rateLimit != rateLimit
+	server.rateLimit = rateLimit
+	return changed
+}
+
 // candidate returns the state of the server as a candidate for a decision.
 func (server *server) candidate(object uint64, scale float64, now time.Time) Candidate {
 	server.mutex.Lock()
--- a/entryvm/hosted/observer.go
+++ b/entryvm/hosted/observer.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -24,8 +25,13 @@
 	replica *replica
 	// storeFailed is called when the VM's entry in the store could not be written or renewed. It may be nil.
 	storeFailed func()
+	// invalidHeadersLoggedAt is in Unix nanoseconds.
+	invalidHeadersLoggedAt atomic.Int64
 }
 
+// invalidHeaderLogPeriod is the least time between two log lines about invalid headers.
+const invalidHeaderLogPeriod = 10 * time.Second
+
 // Finished logs the end of a request with the decisions behind its outcome.
 func (observer *observer) Finished(completion ingress.Completion) {
 	labels := fmt.Sprintf("{route=%q,outcome=%q,reason=%q,status=\"%d\"}",
@@ -84,6 +90,30 @@
 		Warn("backend server failed and gets no requests for a while")
 }
 
+// RateLimitChanged logs the rate limit that a backend server states, or its end.
+func (observer *observer) RateLimitChanged(id oleandervane.BackendServerID, rateLimit float64) {
+	observer.set.GetOrCreateCounter("oleandervane_server_rate_limit_changes_total").Inc()
+	entry := observer.log.WithFields(logrus.Fields{"server": id, "rate_limit": rateLimit})
+	if rateLimit == 0 {
+		entry.Info("backend server no longer limits its requests")
+		return
+	}
+	entry.Info("backend server limits its requests")
+}
+
+// InvalidHeaders counts headers of a backend server that are ignored. It logs one in invalidHeaderLogPeriod.
+func (observer *observer) InvalidHeaders(id oleandervane.BackendServerID, names []string) {
+	for _, name := range names {
+		observer.set.GetOrCreateCounter(fmt.Sprintf("oleandervane_invalid_response_headers_total{header=%q}", name)).Inc()
+	}
+	now := observer.replica.timerService.Now().UnixNano()
+	last := observer.invalidHeadersLoggedAt.Load()
+	if now-last < int64(invalidHeaderLogPeriod) || !observer.invalidHeadersLoggedAt.CompareAndSwap(last, now) {
+		return
+	}
+	observer.log.WithFields(logrus.Fields{"server": id, "headers": names}).Warn("response of a backend server has headers whose values make no sense; they are ignored")
+}
+
 // RequestSuspected logs that a request may have crashed a backend server. What other VMs report is counted and logged only
 // at debug level, because they log it themselves.
 func (observer *observer) RequestSuspected(fingerprint [16]byte, run uint32, source oleandervane.SuspectSource) {
