--- a/entryvm/hosted/hosted_test.go
+++ b/entryvm/hosted/hosted_test.go
@@ -68,6 +68,12 @@
 	return lockedBuffer.buffer.Write(line)
 }
 
+func (lockedBuffer *lockedBuffer) text() string {
+	lockedBuffer.mutex.Lock()
+	defer lockedBuffer.mutex.Unlock()
+	return lockedBuffer.buffer.String()
+}
+
 func (lockedBuffer *lockedBuffer) lines(requestID string) []map[string]any {
 	lockedBuffer.mutex.Lock()
 	defer lockedBuffer.mutex.Unlock()
