Send no more requests to a server that says that it leaves

Cause: the VM did not read it, like the rate limit before. Now it is part of the server's directive: the server gets no more requests from any VM, for a minute after it last said so or until another run starts. If all servers of a route say so for 10 s, they are used again: they serve on while they leave, and others start before, so that it is a mistake. A server that leaves by the list is no candidate in any case.

--- a/dialect.go
+++ b/dialect.go
@@ -34,6 +34,8 @@
 	// RateLimit is the number of requests a second that the backend server accepts from all VMs together; zero if it states
 	// none.
 	RateLimit float64
+	// Leaving is set if the backend server states that it leaves.
+	Leaving bool
 	// Invalid names the headers that are ignored because their values make no sense.
 	Invalid []string
 }
--- a/entry/placement/decide.go
+++ b/entry/placement/decide.go
@@ -31,6 +31,8 @@
 	// OverLimit says that the server is suspended because of it.
 	RateLimit float64
 	OverLimit bool
+	// Leaving says that the server said that it leaves.
+	Leaving bool
 	// Unused says that the server has joined and has not received a request yet.
 	Unused bool
 	// index is the index of the server in the placer's list of servers of the service.
@@ -64,8 +66,9 @@
 	// the number of servers that may be chosen. Both are for logs.
 	Pressure        float64
 	EligibleServers int
-	// LimitedServers is the number of servers that are suspended because they limit their requests, for logs.
+	// LimitedServers and LeavingServers are the numbers of servers that are not used because of what they said, for logs.
 	LimitedServers int
+	LeavingServers int
 	// PeerCountsKnown says that the load is based on the in-flight counts of VMs, and not on the load that servers
 	// reported.
 	PeerCountsKnown bool
@@ -80,6 +83,7 @@
 	ReasonNoServer         = "no_server"
 	ReasonBusy             = "all_servers_are_busy"
 	ReasonLimited          = "servers_limit_their_requests"
+	ReasonLeaving          = "all_servers_leave"
 )
 
 // Decide chooses among candidates, which are in the order of their ranking.
--- a/entry/placement/directive.go
+++ b/entry/placement/directive.go
@@ -12,9 +12,15 @@
 )
 
 const (
-	// directiveLifetime is how long a directive holds when no VM hears of it again. The VMs that may send to the server hear of it
+	// directiveLifetime is how long a rate limit holds when no VM hears of it again. The VMs that may send to the server hear of it
 	// more often.
 	directiveLifetime = 10 * time.Second
+	// leavingLifetime is how long a server counts as leaving after it said so. It gets no requests meanwhile and ends within this
+	// time; one that said so by mistake is used again afterwards.
+	leavingLifetime = time.Minute
+	// maxAllLeaving is how long a route gets no server because all of its servers say that they leave. They keep serving while they
+	// leave, and new servers start before, so that this is a mistake if it lasts longer.
+	maxAllLeaving = 10 * time.Second
 	// limitShare is the share of a server's rate limit that is used.
 	limitShare = 0.9
 	// limitVMs is the number of VMs that send requests to a server with a low rate limit; for each request a second, another one
@@ -30,16 +36,23 @@
 type directive struct {
 	// rateLimit is the number of requests a second that the server accepts from all VMs together; zero for any number.
 	rateLimit float64
+	// leaving says that the server gets no more requests because it ends soon.
+	leaving bool
 	// statedAt is when the response arrived, here or at another VM; zero if the server has never asked for anything.
 	statedAt time.Time
 }
 
+// asks reports whether the directive asks for anything.
+func (directive directive) asks() bool {
+	return directive.rateLimit > 0 || directive.leaving
+}
+
 // recordDirective records a directive unless a newer one is known, and reports whether it changes what the server asks for.
 func (server *server) recordDirective(next directive, now time.Time) (changed bool) {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
-	former := server.rateLimit(now)
-	if !next.statedAt.After(server.directive.statedAt) || next.rateLimit == 0 && server.directive.rateLimit == 0 {
+	former, wasLeaving := server.rateLimit(now), server.leaving(now)
+	if !next.statedAt.After(server.directive.statedAt) || !next.asks() && !server.directive.asks() {
 		return false
 	}
 	server.directive = next
@@ -55,7 +68,12 @@
 			server.nextLimitedSend = latest
 		}
 	}
-	return current != former
+	return current != former || server.leaving(now) != wasLeaving
+}
+
+// leaving reports whether the server said that it leaves. The caller must hold the mutex.
+func (server *server) leaving(now time.Time) bool {
+	return server.directive.leaving && now.Sub(server.directive.statedAt) < leavingLifetime
 }
 
 // rateLimit returns the rate limit in force, zero if there is none. The caller must hold the mutex.
@@ -87,7 +105,7 @@
 func (placer *Placer) recordDirective(server *server, next directive) {
 	now := placer.settings.TimerService.Now()
 	if server.recordDirective(next, now) && placer.settings.Observer != nil {
-		placer.settings.Observer.RateLimitChanged(server.ID, next.rateLimit)
+		placer.settings.Observer.DirectiveChanged(server.ID, next.rateLimit, next.leaving)
 	}
 }
 
@@ -99,8 +117,8 @@
 		server.mutex.Lock()
 		known := server.directive
 		server.mutex.Unlock()
-		if age := now.Sub(known.statedAt); age < directiveLifetime {
-			directives = append(directives, oleandervane.ServerDirective{Server: run, RateLimit: known.rateLimit, Age: age})
+		if age := now.Sub(known.statedAt); age < directiveLifetime || known.leaving && age < leavingLifetime {
+			directives = append(directives, oleandervane.ServerDirective{Server: run, RateLimit: known.rateLimit, Leaving: known.leaving, Age: age})
 		}
 	}
 	slices.SortFunc(directives, func(a, b oleandervane.ServerDirective) int {
@@ -114,7 +132,7 @@
 	now, view := placer.settings.TimerService.Now(), placer.view.Load()
 	for _, known := range directives {
 		if server := view.byRun[known.Server]; server != nil {
-			placer.recordDirective(server, directive{rateLimit: known.RateLimit, statedAt: now.Add(-known.Age)})
+			placer.recordDirective(server, directive{rateLimit: known.RateLimit, leaving: known.Leaving, statedAt: now.Add(-known.Age)})
 		}
 	}
 }
@@ -142,15 +160,24 @@
 	return next.Sub(now)
 }
 
-// overLimit returns the number of candidates that are suspended because they limit their requests.
-func overLimit(candidates []Candidate) int {
-	count := 0
-	for _, candidate := range candidates {
-		if candidate.OverLimit {
-			count++
-		}
+// leavingTimes has the time since which all servers of a route say that they leave.
+type leavingTimes struct {
+	mutex sync.Mutex
+	since map[string]time.Time
+}
+
+// exceeded records whether all servers of a route say that they leave, and reports whether this has lasted too long.
+func (leavingTimes *leavingTimes) exceeded(route string, all bool, now time.Time) bool {
+	leavingTimes.mutex.Lock()
+	defer leavingTimes.mutex.Unlock()
+	since, found := leavingTimes.since[route]
+	switch {
+	case !all && found:
+		delete(leavingTimes.since, route)
+	case all && !found:
+		leavingTimes.since[route] = now
 	}
-	return count
+	return all && found && now.Sub(since) >= maxAllLeaving
 }
 
 // limitedPerSecond returns this VM's part of the requests that the candidates accept a second under their rate limits.
--- a/entry/placement/placer.go
+++ b/entry/placement/placer.go
@@ -36,8 +36,9 @@
 type Observer interface {
 	// BackoffStarted reports that a server gets no requests for the backoff after failures.
 	BackoffStarted(id oleandervane.BackendServerID, attemptResult oleandervane.AttemptResult, backoff time.Duration)
-	// RateLimitChanged reports that a server has stated another rate limit, in requests a second; zero if it has none any more.
-	RateLimitChanged(id oleandervane.BackendServerID, rateLimit float64)
+	// DirectiveChanged reports that a server asks for something else: a rate limit in requests a second, zero for none, and whether it
+	// leaves.
+	DirectiveChanged(id oleandervane.BackendServerID, rateLimit float64, leaving bool)
 	// InvalidHeaders reports headers of a server's response that are ignored because their values make no sense.
 	InvalidHeaders(id oleandervane.BackendServerID, names []string)
 	// PeerCoverageChanged reports whether enough other VMs report their requests in flight; covered is how many of the
@@ -57,6 +58,7 @@
 	affinities affinities
 	runTimes   runTimeTracker
 	returns    returnSchedule
+	allLeaving leavingTimes
 
 	responseTimesMutex sync.Mutex
 	responseTimes      map[string]time.Duration
@@ -80,6 +82,7 @@
 		settings:      settings,
 		responseTimes: map[string]time.Duration{},
 		peers:         peerCounts{sources: map[string]sourceCounts{}},
+		allLeaving:    leavingTimes{since: map[string]time.Time{}},
 		returns:       returnSchedule{last: map[oleandervane.ServiceName]time.Time{}},
 		runTimes:      runTimeTracker{routes: map[string]time.Duration{}, services: map[oleandervane.ServiceName]time.Duration{}},
 	}
@@ -166,7 +169,7 @@
 func (chooser *Chooser) Choose(excluded []string) (forward.Reservation, error) {
 	placer, request := chooser.placer, chooser.request
 	now := placer.settings.TimerService.Now()
-	servers, candidates := placer.candidates(request, excluded, now)
+	servers, candidates, leaving := placer.candidates(request, excluded, now)
 	preferred := oleandervane.Region("")
 	if request.Route.Kind == oleandervane.RouteDownload {
 		// Responses to downloads are large, and bandwidth between regions is the scarcest resource.
@@ -180,11 +183,9 @@
 		RunTimes:     placer.runTimes.get(request.Route.Name, request.Service),
 	}, candidates)
 	chooser.decision.PeerCountsKnown = placer.peerScale() > 0
-	chooser.decision.LimitedServers = overLimit(candidates)
-	if chooser.decision.Reason == ReasonLimited {
-		chooser.decision.RetryAfter = placer.returns.delay(request.Service, limitedPerSecond(candidates, servers[0].vms), now)
-	}
+	chooser.countUnused(candidates, leaving)
 	if chooser.decision.Chosen < 0 {
+		chooser.spreadReturn(servers, candidates, now)
 		return nil, eris.Wrap(oleandervane.ErrNoBackendServer, chooser.decision.Reason)
 	}
 	candidate := candidates[chooser.decision.Chosen]
@@ -200,6 +201,29 @@
 	}, nil
 }
 
+// countUnused counts the servers that are not used because of what they said.
+func (chooser *Chooser) countUnused(candidates []Candidate, leaving int) {
+	chooser.decision.LeavingServers = leaving
+	for _, candidate := range candidates {
+		if candidate.OverLimit {
+			chooser.decision.LimitedServers++
+		}
+	}
+	if len(candidates) == 0 && leaving > 0 {
+		chooser.decision.Reason = ReasonLeaving
+	}
+}
+
+// spreadReturn spreads the return of callers that are refused because of what servers said over the rate that those accept.
+func (chooser *Chooser) spreadReturn(servers []*server, candidates []Candidate, now time.Time) {
+	if chooser.decision.Reason != ReasonLimited {
+		return
+	}
+	if perSecond := limitedPerSecond(candidates, servers[0].vms); perSecond > 0 {
+		chooser.decision.RetryAfter = chooser.placer.returns.delay(chooser.request.Service, perSecond, now)
+	}
+}
+
 // coldInterval is the interval between two requests of this VM to a cold server.
 func (placer *Placer) coldInterval(serviceName oleandervane.ServiceName) time.Duration {
 	table := placer.view.Load().registry.Table
@@ -209,24 +233,31 @@
 	return time.Duration(coldVMs / (coldShare * table.Services[serviceName].ColdPerSecond) * float64(time.Second))
 }
 
-// candidates returns all servers of the service, and the candidates among them that may run the request.
-func (placer *Placer) candidates(request Request, excluded []string, now time.Time) ([]*server, []Candidate) {
+// candidates returns all servers of the service, the candidates among them that may run the request, and the number of servers that
+// are no candidates because they said that they leave.
+func (placer *Placer) candidates(request Request, excluded []string, now time.Time) (servers []*server, candidates []Candidate, leaving int) {
 	view := placer.view.Load()
-	servers := view.services[request.Service]
+	servers = view.services[request.Service]
 	object := objectHash(request.Object)
 	scale := placer.peerScale()
-	candidates := make([]Candidate, 0, len(servers))
+	candidates = make([]Candidate, 0, len(servers))
 	for i, server := range servers {
-		if server.Leaving || view.registry.Evacuated[server.FailureDomain] || !request.Route.Allows(server.Region) ||
-			slices.Contains(excluded, string(server.ID)) {
+		if server.Leaving || view.registry.Evacuated[server.FailureDomain] || !request.Route.Allows(server.Region) {
 			continue
 		}
 		candidate := server.candidate(object, scale, now)
 		candidate.index = i
 		candidates = append(candidates, candidate)
 	}
+	staying := slices.DeleteFunc(slices.Clone(candidates), func(candidate Candidate) bool { return candidate.Leaving })
+	allLeave := len(staying) == 0 && len(candidates) > 0
+	if !placer.allLeaving.exceeded(request.Route.Name, allLeave, now) {
+		leaving = len(candidates) - len(staying)
+		candidates = staying
+	}
+	candidates = slices.DeleteFunc(candidates, func(candidate Candidate) bool { return slices.Contains(excluded, string(candidate.ID)) })
 	placer.affinities.markCandidates(candidates, now)
-	return servers, candidates
+	return servers, candidates, leaving
 }
 
 // averageResponseTime returns the average time from the choice of the server to the response for requests of a route;
--- a/entry/placement/placer_test.go
+++ b/entry/placement/placer_test.go
@@ -183,7 +183,7 @@
 	for range minSlowdownSamples {
 		placeAndRelease(oleandervane.AttemptAnswered, 200*time.Millisecond)
 	}
-	servers, candidates := placer.candidates(requestFor("x"), nil, manual.Now())
+	servers, candidates, _ := placer.candidates(requestFor("x"), nil, manual.Now())
 	before := candidates[0].Slowdown
 	placeAndRelease(oleandervane.AttemptTimedOut, 1500*time.Millisecond)
 	assert.Assert(t, servers[0].candidate(0, 0, manual.Now()).Slowdown > 1.5*before)
--- a/entry/placement/reservation.go
+++ b/entry/placement/reservation.go
@@ -57,7 +57,7 @@
 	if metadata.Misdirected || metadata.Unsigned {
 		return
 	}
-	reservation.placer.recordDirective(reservation.server, directive{rateLimit: metadata.RateLimit, statedAt: now})
+	reservation.placer.recordDirective(reservation.server, directive{rateLimit: metadata.RateLimit, leaving: metadata.Leaving, statedAt: now})
 }
 
 // Release ends the reservation and updates the state of the server according to the result of the attempt.
--- a/entry/placement/server.go
+++ b/entry/placement/server.go
@@ -228,6 +228,7 @@
 		Avoided:     now.Before(server.avoidUntil),
 		Unused:      server.sent.Load() == 0 && cold && server.warmUpAssigned(),
 		RateLimit:   server.rateLimit(now),
+		Leaving:     server.leaving(now),
 	}
 	if server.overLimit(candidate.RateLimit, now) {
 		candidate.Suspended, candidate.OverLimit = true, true
--- a/entryvm/hosted/observer.go
+++ b/entryvm/hosted/observer.go
@@ -48,6 +48,7 @@
 		"pressure":   math.Round(completion.Decision.Pressure*100) / 100,
 		"sound":      completion.Decision.EligibleServers,
 		"limited":    completion.Decision.LimitedServers,
+		"leaving":    completion.Decision.LeavingServers,
 		"load_from":  loadSource(completion.Decision.PeerCountsKnown),
 		"attempts":   completion.Attempts,
 		"outcome":    completion.Outcome,
@@ -91,15 +92,18 @@
 		Warn("backend server failed and gets no requests for a while")
 }
 
-// RateLimitChanged logs the rate limit that a backend server states, or its end.
-func (observer *observer) RateLimitChanged(id oleandervane.BackendServerID, rateLimit float64) {
-	observer.set.GetOrCreateCounter("oleandervane_server_rate_limit_changes_total").Inc()
-	entry := observer.log.WithFields(logrus.Fields{"server": id, "rate_limit": rateLimit})
-	if rateLimit == 0 {
-		entry.Info("backend server no longer limits its requests")
-		return
+// DirectiveChanged logs what a backend server asks for: a rate limit, or no more requests because it leaves.
+func (observer *observer) DirectiveChanged(id oleandervane.BackendServerID, rateLimit float64, leaving bool) {
+	observer.set.GetOrCreateCounter("oleandervane_server_directive_changes_total").Inc()
+	entry := observer.log.WithFields(logrus.Fields{"server": id, "rate_limit": rateLimit, "leaving": leaving})
+	switch {
+	case leaving:
+		entry.Info("backend server leaves; it gets no more requests")
+	case rateLimit > 0:
+		entry.Info("backend server limits its requests")
+	default:
+		entry.Info("backend server no longer limits its requests or leaves")
 	}
-	entry.Info("backend server limits its requests")
 }
 
 // InvalidHeaders counts headers of a backend server that are ignored. It logs one in invalidHeaderLogPeriod.
--- a/exchange.go
+++ b/exchange.go
@@ -33,6 +33,8 @@
 	Server uint32
 	// RateLimit is the number of requests a second that the server accepts from all VMs together; zero if it no longer has a limit.
 	RateLimit float64
+	// Leaving says that the server ends soon and wants no more requests.
+	Leaving bool
 	// Age is the time since the response.
 	Age time.Duration
 }
--- a/fleet/exchange/exchange_test.go
+++ b/fleet/exchange/exchange_test.go
@@ -323,7 +323,7 @@
 // Guards against a limit of a server that is not known in all failure domains, or that is none or unbounded after its transport.
 func TestDirectivesReachAllVMs(t *testing.T) {
 	fleet := newFleet(2, 3)
-	directives := []oleandervane.ServerDirective{{Server: 1, RateLimit: 2.3, Age: time.Second}, {Server: 2, RateLimit: 0.0001}, {Server: 3, RateLimit: 1e300}, {Server: 4}}
+	directives := []oleandervane.ServerDirective{{Server: 1, RateLimit: 2.3, Age: time.Second}, {Server: 2, RateLimit: 0.0001}, {Server: 3, RateLimit: 1e300}, {Server: 4, Leaving: true}}
 	for _, vm := range vmsIn(fleet.vms, fleet.vms[0].FailureDomain) {
 		fleet.nodes[vm.ID].directives = directives
 	}
@@ -333,7 +333,7 @@
 	for id, node := range fleet.nodes {
 		assert.Assert(t, len(node.receivedDirectives) >= len(directives), "%s", id)
 		assert.DeepEqual(t, node.receivedDirectives[:len(directives)], []oleandervane.ServerDirective{
-			{Server: 1, RateLimit: 2.3, Age: time.Second}, {Server: 2, RateLimit: 0.001}, {Server: 3, RateLimit: maxRateLimit}, {Server: 4},
+			{Server: 1, RateLimit: 2.3, Age: time.Second}, {Server: 2, RateLimit: 0.001}, {Server: 3, RateLimit: maxRateLimit}, {Server: 4, Leaving: true},
 		})
 	}
 }
--- a/fleet/exchange/notice.go
+++ b/fleet/exchange/notice.go
@@ -99,7 +99,8 @@
 	var encoded []*peer.Directive
 	for _, directive := range directives[:min(len(directives), maxDirectives)] {
 		encoded = append(encoded, &peer.Directive{
-			Server: directive.Server, RateLimitMilli: encodeRateLimit(directive.RateLimit), AgeMillis: uint32(max(0, directive.Age.Milliseconds())),
+			Server: directive.Server, RateLimitMilli: encodeRateLimit(directive.RateLimit), Leaving: directive.Leaving,
+			AgeMillis: uint32(max(0, directive.Age.Milliseconds())),
 		})
 	}
 	return encoded
@@ -116,6 +117,7 @@
 		directives = append(directives, oleandervane.ServerDirective{
 			Server:    message.GetServer(),
 			RateLimit: float64(min(message.GetRateLimitMilli(), maxRateLimit*rateLimitUnits)) / rateLimitUnits,
+			Leaving:   message.GetLeaving(),
 			Age:       time.Duration(message.GetAgeMillis()) * time.Millisecond,
 		})
 	}
