Suspend a server that refuses requests, and keep the time for which it wants none

Cause: a refusal changed nothing about the server unless it also reported free slots, so that it stayed the first choice of its objects; each of their requests cost a retry, until the retry budget was spent and callers were refused. Retry-After of servers was not read. Evidence: the cases refuses_* and all_refuse of TestServerSignalsAreFollowed failed before.

Now a refusal suspends the server at this VM for 0.1 s, doubling with each further one to 1 s, and at least for the time that it asked for, 30 s at most. While it refuses, one request per interval probes it; a success ends the backoff. Requests that were sent before the last refusal do not extend it. It is kept by each VM for itself, because a server answers each VM for itself. When no server of a service may take a request, it is refused at once, and the Retry-Afters follow one another at this VM's part of what the servers can run.

--- a/dialect.go
+++ b/dialect.go
@@ -36,6 +36,8 @@
 	RateLimit float64
 	// Leaving is set if the backend server states that it leaves.
 	Leaving bool
+	// RetryAfter is how long a backend server that refused a request wants none from this VM; zero if the response does not state it.
+	RetryAfter time.Duration
 	// Invalid names the headers that are ignored because their values make no sense.
 	Invalid []string
 }
--- a/entry/placement/decide.go
+++ b/entry/placement/decide.go
@@ -31,8 +31,9 @@
 	// OverLimit says that the server is suspended because of it.
 	RateLimit float64
 	OverLimit bool
-	// Leaving says that the server said that it leaves.
-	Leaving bool
+	// Refusing says that the server is suspended because it refused a request, Leaving that it said that it leaves.
+	Refusing bool
+	Leaving  bool
 	// Unused says that the server has joined and has not received a request yet.
 	Unused bool
 	// index is the index of the server in the placer's list of servers of the service.
@@ -66,9 +67,11 @@
 	// the number of servers that may be chosen. Both are for logs.
 	Pressure        float64
 	EligibleServers int
-	// LimitedServers and LeavingServers are the numbers of servers that are not used because of what they said, for logs.
-	LimitedServers int
-	LeavingServers int
+	// LimitedServers, RefusingServers and LeavingServers are the numbers of servers that are not used because of what they said, for
+	// logs.
+	LimitedServers  int
+	RefusingServers int
+	LeavingServers  int
 	// PeerCountsKnown says that the load is based on the in-flight counts of VMs, and not on the load that servers
 	// reported.
 	PeerCountsKnown bool
@@ -83,6 +86,7 @@
 	ReasonNoServer         = "no_server"
 	ReasonBusy             = "all_servers_are_busy"
 	ReasonLimited          = "servers_limit_their_requests"
+	ReasonRefusing         = "servers_refuse_requests"
 	ReasonLeaving          = "all_servers_leave"
 )
 
@@ -181,6 +185,9 @@
 	if slices.ContainsFunc(candidates, func(candidate Candidate) bool { return candidate.OverLimit }) {
 		return Decision{Chosen: -1, Reason: ReasonLimited, RetryAfter: defaultRetryAfter}
 	}
+	if slices.ContainsFunc(candidates, func(candidate Candidate) bool { return candidate.Refusing }) {
+		return Decision{Chosen: -1, Reason: ReasonRefusing, RetryAfter: defaultRetryAfter}
+	}
 	return Decision{Chosen: -1, Reason: ReasonNoServer, RetryAfter: defaultRetryAfter}
 }
 
--- a/entry/placement/placer.go
+++ b/entry/placement/placer.go
@@ -208,6 +208,9 @@
 		if candidate.OverLimit {
 			chooser.decision.LimitedServers++
 		}
+		if candidate.Refusing {
+			chooser.decision.RefusingServers++
+		}
 	}
 	if len(candidates) == 0 && leaving > 0 {
 		chooser.decision.Reason = ReasonLeaving
@@ -216,10 +219,14 @@
 
 // spreadReturn spreads the return of callers that are refused because of what servers said over the rate that those accept.
 func (chooser *Chooser) spreadReturn(servers []*server, candidates []Candidate, now time.Time) {
-	if chooser.decision.Reason != ReasonLimited {
-		return
+	perSecond := 0.0
+	switch chooser.decision.Reason {
+	case ReasonLimited:
+		perSecond = limitedPerSecond(candidates, servers[0].vms)
+	case ReasonRefusing:
+		perSecond = acceptedPerSecond(candidates, chooser.placer.averageResponseTime(chooser.request.Route.Name), servers[0].vms)
 	}
-	if perSecond := limitedPerSecond(candidates, servers[0].vms); perSecond > 0 {
+	if perSecond > 0 {
 		chooser.decision.RetryAfter = chooser.placer.returns.delay(chooser.request.Service, perSecond, now)
 	}
 }
--- a/entry/placement/reservation.go
+++ b/entry/placement/reservation.go
@@ -42,6 +42,9 @@
 	if metadata.ColdLeft > 0 {
 		reservation.server.extendCold(now.Add(metadata.ColdLeft))
 	}
+	if metadata.NotRun && !metadata.Misdirected || metadata.RetryAfter > 0 {
+		reservation.server.recordRefusal(metadata.RetryAfter, reservation.reservedAt, now)
+	}
 	reservation.observeDirective(metadata, now)
 }
 
--- a/entry/placement/server.go
+++ b/entry/placement/server.go
@@ -73,6 +73,12 @@
 	directive        directive
 	// nextLimitedSend is when this VM may send the next request while the server limits its requests.
 	nextLimitedSend time.Time
+	// refusals is the number of refusals since the last success, refusedAt the time of the last one, and refusedUntil the end of the
+	// backoff after it. pausedUntil is the end of the time for which the server wants no requests from this VM.
+	refusals     int
+	refusedAt    time.Time
+	refusedUntil time.Time
+	pausedUntil  time.Time
 }
 
 func newServer(registered oleandervane.RegisteredServer, now time.Time) *server {
@@ -156,6 +162,7 @@
 		server.coldUntil = now.Add(slowStart)
 	}
 	server.onProbation = false
+	server.refusals, server.refusedUntil = 0, time.Time{}
 	if server.failureShare < failureThreshold/2 {
 		server.backoff = 0
 	}
@@ -230,6 +237,9 @@
 		RateLimit:   server.rateLimit(now),
 		Leaving:     server.leaving(now),
 	}
+	if server.refusing(now) {
+		candidate.Suspended, candidate.Refusing = true, true
+	}
 	if server.overLimit(candidate.RateLimit, now) {
 		candidate.Suspended, candidate.OverLimit = true, true
 	}
@@ -251,15 +261,18 @@
 	return cold && (!server.warmUpAssigned() || now.Before(server.nextColdSend))
 }
 
-// admit reports whether a request may be sent to the server now. A server that is cold or limits its requests gets at most one
-// request per interval from this VM; a request that is admitted starts a new interval.
+// admit reports whether a request may be sent to the server now. A server that is cold, limits its requests or has refused the last
+// one gets at most one request per interval from this VM; a request that is admitted starts a new interval.
 func (server *server) admit(coldInterval time.Duration, now time.Time) (allowed bool) {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	cold, rateLimit := now.Before(server.coldUntil), server.rateLimit(now)
-	if cold && now.Before(server.nextColdSend) || server.overLimit(rateLimit, now) {
+	if cold && now.Before(server.nextColdSend) || server.overLimit(rateLimit, now) || server.refusing(now) {
 		return false
 	}
+	if server.refusals > 0 {
+		server.refusedUntil = now.Add(server.refusalBackoff())
+	}
 	if cold {
 		server.nextColdSend = now.Add(coldInterval)
 	}
--- a/entryvm/hosted/observer.go
+++ b/entryvm/hosted/observer.go
@@ -48,6 +48,7 @@
 		"pressure":   math.Round(completion.Decision.Pressure*100) / 100,
 		"sound":      completion.Decision.EligibleServers,
 		"limited":    completion.Decision.LimitedServers,
+		"refusing":   completion.Decision.RefusingServers,
 		"leaving":    completion.Decision.LeavingServers,
 		"load_from":  loadSource(completion.Decision.PeerCountsKnown),
 		"attempts":   completion.Attempts,
