Have servers of the soak limit, leave, refuse and crash, and overlap signals in series

Servers of the soak now say that they limit their requests, that they leave, or when they want requests again, and a request crashes each server that runs it; each run checks all four without faults, and more under faults. New faults: SIGHUP, SIGTERM and more SIGHUP while the VM stops, SIGTERM to all VMs one after the other while the one before stops, configurations in quick succession.

--- a/standin/soak/backend.go
+++ b/standin/soak/backend.go
@@ -6,7 +6,9 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,17 +22,24 @@
 	runTimes map[string][]time.Time
 	// seen has the ids of the requests that arrived at any server, whether they were run or refused.
 	seen map[string]bool
+	// arrivals has the times of the requests that arrived at each server, crashes those of the crashes under each request.
+	arrivals map[string][]time.Time
+	crashes  map[string][]time.Time
 	// first has the times of the first arrivals of requests, and repeated those of their further arrivals.
 	first, repeated []time.Time
 }
 
 func newJournal() *journal {
-	return &journal{runs: map[string]int{}, runTimes: map[string][]time.Time{}, seen: map[string]bool{}}
+	return &journal{
+		runs: map[string]int{}, runTimes: map[string][]time.Time{}, seen: map[string]bool{},
+		arrivals: map[string][]time.Time{}, crashes: map[string][]time.Time{},
+	}
 }
 
-func (journal *journal) recordArrival(requestID string, at time.Time) {
+func (journal *journal) recordArrival(server, requestID string, at time.Time) {
 	journal.mutex.Lock()
 	defer journal.mutex.Unlock()
+	journal.arrivals[server] = append(journal.arrivals[server], at)
 	if journal.seen[requestID] {
 		journal.repeated = append(journal.repeated, at)
 		return
@@ -39,6 +48,26 @@
 	journal.first = append(journal.first, at)
 }
 
+// arrivalsBetween returns the times of the requests that arrived at a server after from and before until.
+func (journal *journal) arrivalsBetween(server string, from, until time.Time) []time.Time {
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	return timesBetween(journal.arrivals[server], from, until)
+}
+
+func (journal *journal) recordCrash(request string, at time.Time) {
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	journal.crashes[request] = append(journal.crashes[request], at)
+}
+
+// crashesOf returns the times at which a request crashed servers.
+func (journal *journal) crashesOf(request string) []time.Time {
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	return slices.Clone(journal.crashes[request])
+}
+
 // runsBetween returns the start times of the runs at a server after from and before until.
 func (journal *journal) runsBetween(server string, from, until time.Time) []time.Time {
 	journal.mutex.Lock()
@@ -98,8 +127,13 @@
 	server  *httptest.Server
 	proxy   *proxy
 	slots   chan struct{}
-	// leaving is set from the start of a drain until the restarted server is no longer cold.
+	// leaving is set from the start of a drain until the restarted server is no longer cold, and while the server sends a signal.
 	leaving atomic.Bool
+	signals signalState
+	// crash ends the server; crashed is set until it runs again. born is the start of the current run in Unix milliseconds.
+	crash   func(backend *backend)
+	crashed atomic.Bool
+	born    atomic.Int64
 }
 
 func newBackend(id, domain string, journal *journal) (*backend, error) {
@@ -110,14 +144,15 @@
 	return backend, err
 }
 
-// entry returns the store entry of the backend server, not cold.
+// entry returns the store entry of the current run of the backend server, not cold.
 func (backend *backend) entry(state string) string {
-	return backend.coldEntry(state, 0, 1)
+	return backend.coldEntry(state, 0, backend.born.Load())
 }
 
 // coldEntry returns the store entry of a process of the server that started at born, in Unix milliseconds, and stays cold
 // for the duration cold.
 func (backend *backend) coldEntry(state string, cold time.Duration, born int64) string {
+	backend.born.Store(born)
 	return fmt.Sprintf(`{"service":"ledger","address":%q,"zone":%q,"concurrency_limit":%d,"state":%q,"warmup_left_s":%v,"born":%d}`,
 		backend.proxy.address(), backend.domain, backendSlots, state, cold.Seconds(), born)
 }
@@ -135,7 +170,17 @@
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	backend.journal.recordArrival(requestID, time.Now())
+	backend.journal.recordArrival(backend.id, requestID, time.Now())
+	if backend.signals.apply(writer.Header()) {
+		backend.refuse(writer)
+		return
+	}
+	if _, name, deadly := strings.Cut(request.URL.Path, "safe/deadly-"); deadly {
+		backend.journal.recordCrash("deadly-"+name, time.Now())
+		time.Sleep(crashDelay)
+		backend.crash(backend)
+		panic(http.ErrAbortHandler)
+	}
 	select {
 	case backend.slots <- struct{}{}:
 		defer func() { <-backend.slots }()
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -55,6 +55,8 @@
 	versions    int
 	evacuations int
 	coldStarts  int
+	// signals counts the signals of servers that were checked, crashes the requests that crash servers.
+	signals, crashes int
 }
 
 func (check *check) fail(format string, arguments ...any) {
--- a/standin/soak/check_test.go
+++ b/standin/soak/check_test.go
@@ -15,7 +15,7 @@
 	check := &check{journal: newJournal(), drains: 1, versions: 1, evacuations: 1, coldStarts: 1}
 	for i := range 2 * minResponses {
 		id := fmt.Sprint(i)
-		check.journal.recordArrival(id, start.Add(time.Duration(i)*time.Millisecond))
+		check.journal.recordArrival("i-0", id, start.Add(time.Duration(i)*time.Millisecond))
 		check.journal.recordRun("i-0", id)
 		check.recordResponse(response{requestID: id, unsafe: i%2 == 0, status: http.StatusOK, body: bodyOf(id), at: start.Add(time.Hour)})
 	}
@@ -51,6 +51,14 @@
 		"cold server above rate":            {func(check *check) { check.checkCold("i-0", burst(start, 15)) }, "while it was cold"},
 		"cold server within rate":           {func(check *check) { check.checkCold("i-0", burst(start, 14)) }, ""},
 		"evacuated server with request":     {func(check *check) { check.checkEvacuated("i-0", burst(start, 1)) }, "evacuated"},
+		"limited server above limit":        {func(check *check) { check.checkSignal("i-0", signalLimit, spread(start, 60), start, 4) }, "limits its requests"},
+		"limited server within limit":       {func(check *check) { check.checkSignal("i-0", signalLimit, spread(start, 20), start, 4) }, ""},
+		"leaving server with late request":  {func(check *check) { check.checkSignal("i-0", signalLeaving, spread(start, 8), start, 4) }, "said that it leaves"},
+		"leaving server with early request": {func(check *check) { check.checkSignal("i-0", signalLeaving, burst(start, 5), start, 4) }, ""},
+		"paused server with requests":       {func(check *check) { check.checkSignal("i-0", signalPause, spread(start, 40), start, 4) }, "wanted no requests"},
+		"paused server with probes":         {func(check *check) { check.checkSignal("i-0", signalPause, spread(start, 10), start, 4) }, ""},
+		"request that goes on crashing":     {func(check *check) { check.checkCrashes("deadly-1", spread(start, 12)) }, "crashed 12 servers"},
+		"request that is refused":           {func(check *check) { check.checkCrashes("deadly-1", burst(start, 8)) }, ""},
 		"evacuated server without requests": {func(check *check) { check.checkEvacuated("i-0", nil) }, ""},
 	}
 	for name, checkCase := range cases {
@@ -67,7 +75,7 @@
 
 func repeat(check *check, start time.Time, count int) {
 	for i := range count {
-		check.journal.recordArrival("1", start.Add(time.Second+time.Duration(i)*time.Millisecond))
+		check.journal.recordArrival("i-0", "1", start.Add(time.Second+time.Duration(i)*time.Millisecond))
 	}
 }
 
@@ -78,3 +86,12 @@
 	}
 	return times
 }
+
+// spread returns times over signalDuration.
+func spread(start time.Time, count int) []time.Time {
+	var times []time.Time
+	for i := range count {
+		times = append(times, start.Add(time.Duration(i+1)*signalDuration/time.Duration(count+1)))
+	}
+	return times
+}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -43,6 +43,8 @@
 	Versions    int
 	Evacuations int
 	ColdStarts  int
+	Signals     int
+	Crashes     int
 	Broken      []string
 }
 
@@ -58,6 +60,8 @@
 	faults   int
 	// evacuating is set while the second failure domain is evacuated.
 	evacuating atomic.Bool
+	// crashing is set while a request that crashes servers is sent.
+	crashing atomic.Bool
 
 	mutex   sync.Mutex
 	version int
@@ -105,6 +109,7 @@
 		if err != nil {
 			return err
 		}
+		backend.crash = soak.crash
 		soak.backends = append(soak.backends, backend)
 		soak.write("servers/"+backend.id, backend.entry("ready"))
 	}
@@ -209,13 +214,19 @@
 	return lastFault
 }
 
-// checkWithoutFaults changes the configuration, drains a server and evacuates a failure domain before the first fault, so
-// that each run checks all of them.
+// checkWithoutFaults changes the configuration, drains a server, has servers send signals and evacuates a failure domain, and then
+// sends a request that crashes servers, before the first fault, so that each run checks all of them.
 func (soak *Soak) checkWithoutFaults(ctx context.Context) {
 	soak.changeConfiguration(ctx)
 	soak.drain(soak.backends[0])
 	soak.evacuate()
 	soak.pending.Wait()
+	for number, next := range []signal{signalLimit, signalLeaving, signalPause} {
+		soak.signalFor(soak.backends[number%len(soak.backends)], next)
+	}
+	soak.pending.Wait()
+	soak.sendCrashingRequest(ctx, soak.options.Seed%2 == 0)
+	soak.pending.Wait()
 }
 
 func (soak *Soak) logFault(format string, arguments ...any) {
@@ -229,7 +240,7 @@
 	backend := soak.backends[soak.random.IntN(len(soak.backends))]
 	duration := time.Duration(300+soak.random.IntN(2200)) * time.Millisecond
 	mode := 1 + soak.random.IntN(modeCount-1)
-	switch soak.random.IntN(13) {
+	switch soak.random.IntN(18) {
 	case 0:
 		soak.logFault("%s is killed", vm.id)
 		vm.recordFault(0)
@@ -274,9 +285,52 @@
 		soak.evacuate()
 	case 12:
 		soak.checkNoRollback(ctx, vm)
+	case 13:
+		soak.signalFor(backend, signal(1+soak.random.IntN(int(signalCount)-1)))
+	case 14:
+		if !soak.crashing.Load() {
+			soak.sendCrashingRequest(ctx, soak.random.IntN(2) == 0)
+		}
+	case 15:
+		soak.sendSignals(vm)
+	case 16:
+		soak.restartAll()
+	case 17:
+		for range 4 {
+			soak.changeConfiguration(ctx)
+			time.Sleep(100 * time.Millisecond)
+		}
 	}
 }
 
+// sendSignals sends a VM a series of SIGHUP, SIGTERM and more SIGHUP while it stops.
+func (soak *Soak) sendSignals(vm *vm) {
+	soak.logFault("%s receives SIGHUP, SIGTERM and SIGHUP in a series", vm.id)
+	vm.recordFault(stopLimit)
+	soak.pending.Go(func() {
+		for number := range 9 {
+			if number == 4 {
+				vm.signal(syscall.SIGTERM, true)
+			} else {
+				vm.signal(syscall.SIGHUP, false)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
+
+// restartAll restarts the VMs one after the other, each while the one before still stops.
+func (soak *Soak) restartAll() {
+	soak.logFault("all VMs receive SIGTERM, one each 400 ms")
+	soak.pending.Go(func() {
+		for _, vm := range soak.vms {
+			vm.recordFault(stopLimit)
+			vm.signal(syscall.SIGTERM, true)
+			time.Sleep(400 * time.Millisecond)
+		}
+	})
+}
+
 func (soak *Soak) after(delay time.Duration, end func()) {
 	soak.pending.Go(func() {
 		time.Sleep(delay)
@@ -411,6 +465,6 @@
 	return Report{
 		Responses: len(soak.check.responses), Served: served, Faults: soak.faults,
 		Drains: soak.check.drains, Versions: soak.check.versions, Evacuations: soak.check.evacuations,
-		ColdStarts: soak.check.coldStarts, Broken: soak.check.violations,
+		ColdStarts: soak.check.coldStarts, Signals: soak.check.signals, Crashes: soak.check.crashes, Broken: soak.check.violations,
 	}
 }
