Refuse connections while a server of the soak is down

A proxy that resets what it has accepted looks like a broken connection under each request and hid the fault that the check of crashing requests is for.

--- a/standin/soak/proxy.go
+++ b/standin/soak/proxy.go
@@ -46,11 +46,34 @@
 		return nil, err
 	}
 	proxy := &proxy{listener: listener, target: target, conns: map[*connection]bool{}}
-	go proxy.accept()
+	go proxy.accept(listener)
 	return proxy, nil
 }
 
+// restart ends the target as callers see it: open connections are reset and new ones refused until the downtime has passed.
+func (proxy *proxy) restart(downtime time.Duration) error {
+	address := proxy.address()
+	proxy.mutex.Lock()
+	listener := proxy.listener
+	proxy.mutex.Unlock()
+	_ = listener.Close()
+	proxy.set(modeReset)
+	time.Sleep(downtime)
+	proxy.set(modePass)
+	next, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	proxy.listener = next
+	go proxy.accept(next)
+	return nil
+}
+
 func (proxy *proxy) address() string {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
 	return proxy.listener.Addr().String()
 }
 
@@ -78,9 +101,9 @@
 	_ = conn.Close()
 }
 
-func (proxy *proxy) accept() {
+func (proxy *proxy) accept(listener net.Listener) {
 	for {
-		conn, err := proxy.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -144,6 +167,9 @@
 }
 
 func (proxy *proxy) close() {
-	_ = proxy.listener.Close()
+	proxy.mutex.Lock()
+	listener := proxy.listener
+	proxy.mutex.Unlock()
+	_ = listener.Close()
 	proxy.set(modeReset)
 }
