Handle SIGHUP from the first line of the daemon on

Callers: a VM whose settings file changed while it started ended and started again. Cause: SIGHUP was handled only after the settings had been read and the VM had been put together. Evidence: TestHangUpDuringTheStartDoesNotEndTheDaemon failed before (signal: hangup). Now main registers for it first. What remains is the time in which the Go runtime starts and packages are initialised.

--- a/cmd/oleandervane-hosted/main.go
+++ b/cmd/oleandervane-hosted/main.go
@@ -19,15 +19,17 @@
 }
 
 func main() {
+	// SIGHUP ends a process that does not handle it, so it is handled before anything else.
+	hangUps := hosted.HangUps()
 	var options options
 	parser := flags.NewParser(&options, flags.Default)
 	parser.ShortDescription = "Serves callers on an entry VM of the users' platform."
 	parser.LongDescription = "Answers look-ups of callers and forwards requests to backend servers. SIGTERM and SIGINT stop it gracefully."
 	program.Parse(parser)
-	program.Exit("oleandervane-hosted", run(options))
+	program.Exit("oleandervane-hosted", run(options, hangUps))
 }
 
-func run(options options) error {
+func run(options options, hangUps <-chan os.Signal) error {
 	settings, err := hosted.LoadSettings(options.Settings)
 	if err != nil || options.Check {
 		return err
@@ -35,6 +37,6 @@
 	entryVM := hosted.New(settings, timer.System{}, os.Stdout)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go entryVM.WatchSettings(ctx, options.Settings)
+	go entryVM.WatchSettings(ctx, options.Settings, hangUps)
 	return entryVM.Run()
 }
--- a/entryvm/hosted/reload.go
+++ b/entryvm/hosted/reload.go
@@ -13,11 +13,15 @@
 // fileCheckPeriod is how often the settings file is checked for changes, because it may change without a signal.
 const fileCheckPeriod = 5 * time.Second
 
-// WatchSettings reloads the settings file at SIGHUP and when its modification time changes, until ctx ends.
-func (entryVM *EntryVM) WatchSettings(ctx context.Context, path string) {
+// HangUps returns a channel that receives each SIGHUP. From this call on, the signal no longer ends the process.
+func HangUps() <-chan os.Signal {
 	hangUps := make(chan os.Signal, 1)
 	signal.Notify(hangUps, syscall.SIGHUP)
-	defer signal.Stop(hangUps)
+	return hangUps
+}
+
+// WatchSettings reloads the settings file at each hang-up and when its modification time changes, until ctx ends.
+func (entryVM *EntryVM) WatchSettings(ctx context.Context, path string, hangUps <-chan os.Signal) {
 	modified := modifiedAt(path)
 	ticks := make(chan struct{}, 1)
 	defer entryVM.timerService.Every(fileCheckPeriod, func(time.Time) {
