Hold the lock again after a receiver of configurations has panicked

Callers: a panic in the code that takes a new configuration ended the VM of the product's own installations with 'sync: unlock of unlocked mutex', and would have kept later configurations from it. Cause: notifyAccepted gave up the lock for the call without a deferred lock, and its mark of a call in progress stayed set. Evidence: TestPanicOfAReceiverCostsOneConfiguration ended the test program before.

--- a/fleet/gossip/transfer.go
+++ b/fleet/gossip/transfer.go
@@ -183,12 +183,17 @@
 		return
 	}
 	node.notifying = true
+	defer func() { node.notifying = false }()
 	for len(node.notifications) > 0 {
 		configuration := node.notifications[0]
 		node.notifications = node.notifications[1:]
-		node.mutex.Unlock()
-		node.settings.ConfigurationAccepted(configuration)
-		node.mutex.Lock()
+		node.notify(configuration)
 	}
-	node.notifying = false
+}
+
+// notify calls ConfigurationAccepted without the lock, which the caller must hold. It holds the lock again also after a panic.
+func (node *Node) notify(configuration *oleandervane.Configuration) {
+	node.mutex.Unlock()
+	defer node.mutex.Lock()
+	node.settings.ConfigurationAccepted(configuration)
 }
