--- a/standin/emulation/event.go
+++ b/standin/emulation/event.go
@@ -4,6 +4,9 @@
 	"time"
 )
 
+// leavingTime is how long a server that leaves still serves.
+const leavingTime = 2 * time.Second
+
 // startEvent starts an event and schedules its end.
 func (world *world) startEvent(event Event) {
 	end := func(undo func()) {
@@ -21,6 +24,20 @@
 		chosen := world.randomServers(event)
 		forEachServer(chosen, func(server *server) { server.failureRatio = event.Factor })
 		end(func() { forEachServer(chosen, func(server *server) { server.failureRatio = 0 }) })
+	case EventLimited:
+		chosen := world.randomServers(event)
+		forEachServer(chosen, func(server *server) { server.rateLimit = event.Factor })
+		end(func() { forEachServer(chosen, func(server *server) { server.rateLimit = 0 }) })
+	case EventLeaving:
+		chosen := world.randomServers(event)
+		forEachServer(chosen, func(server *server) { server.leaving = true })
+		world.manual.After(leavingTime, func(time.Time) {
+			forEachServer(chosen, func(server *server) { server.crash(time.Duration(event.For) - leavingTime) })
+		})
+		end(func() { forEachServer(chosen, func(server *server) { server.leaving = false }) })
+	case EventRefusing:
+		until := world.manual.Now().Add(time.Duration(event.For))
+		forEachServer(world.randomServers(event), func(server *server) { server.refusesUntil = until })
 	case EventCrash:
 		forEachServer(world.randomServers(event), func(server *server) { server.crash(time.Duration(event.For)) })
 	case EventVMsKilled:
--- a/standin/emulation/scenario.go
+++ b/standin/emulation/scenario.go
@@ -122,6 +122,9 @@
 	EventStoreUnavailable EventKind = "store_away" // VMs get no changes from the store
 	EventEvacuate         EventKind = "evacuate"   // Domain is evacuated
 	EventAbuse            EventKind = "abuse"      // a Share of the requests is retried after minRetryDelay, up to 1+Factor times
+	EventLimited          EventKind = "limited"    // a Share of the servers states a limit of Factor requests a second and sheds what exceeds it
+	EventLeaving          EventKind = "leaving"    // a Share of the servers says that it leaves, and is down from leavingTime on
+	EventRefusing         EventKind = "refusing"   // a Share of the servers refuses all requests and says until when
 )
 
 // Event is a fault or another change in a run, from At on for the time For.
@@ -220,7 +223,7 @@
 }
 
 func (event Event) check(domains map[oleandervane.FailureDomain]bool, faults *settingsfile.Faults) {
-	kinds := []EventKind{EventBurst, EventSlow, EventFailing, EventCrash, EventVMsKilled, EventStoreUnavailable, EventEvacuate, EventAbuse}
+	kinds := []EventKind{EventBurst, EventSlow, EventFailing, EventCrash, EventVMsKilled, EventStoreUnavailable, EventEvacuate, EventAbuse, EventLimited, EventLeaving, EventRefusing}
 	faults.Check(slices.Contains(kinds, event.Kind), "events.kind", "unknown kind of event: "+string(event.Kind))
 	faults.Check(event.For > 0 && event.At >= 0, "events."+string(event.Kind), "for must be above 0s and at from 0s on")
 	faults.Check(event.Domain == "" || domains[event.Domain], "events."+string(event.Kind), "unknown failure domain: "+string(event.Domain))
--- a/standin/emulation/server.go
+++ b/standin/emulation/server.go
@@ -25,6 +25,10 @@
 	outcome  responseOutcome
 	load     oleandervane.ReportedLoad
 	coldLeft time.Duration
+	// rateLimit, leaving and retryAfter are what the server asks for.
+	rateLimit  float64
+	leaving    bool
+	retryAfter time.Duration
 }
 
 type responseOutcome uint8
@@ -53,6 +57,12 @@
 	slowdown      float64
 	failureRatio  float64
 	down          bool
+	// rateLimit is the limit that the server states, zero for none; limitedFrom is when it accepts the next request.
+	rateLimit   float64
+	limitedFrom time.Time
+	leaving     bool
+	// refusesUntil is the end of the time in which the server refuses all requests.
+	refusesUntil time.Time
 	coldUntil     time.Time
 	// arrivals has the times of the requests in the last second while the server is cold.
 	arrivals []time.Time
@@ -68,6 +78,8 @@
 	if server.isCold(now) {
 		response.coldLeft = server.coldUntil.Sub(now)
 	}
+	response.rateLimit, response.leaving = server.rateLimit, server.leaving
+	response.retryAfter = max(0, server.refusesUntil.Sub(now))
 	return response
 }
 
@@ -87,6 +99,8 @@
 	switch {
 	case server.down:
 		server.respond(work, connectionLost)
+	case now.Before(server.refusesUntil), server.isOverLimit(now):
+		server.respond(work, answeredShed)
 	case server.running < server.service.Slots:
 		server.run(work)
 	case len(server.queue) < server.service.Queue:
@@ -96,6 +110,25 @@
 	}
 }
 
+// limitBurst is the number of requests that a server with a rate limit accepts at once.
+const limitBurst = 5
+
+// isOverLimit reports whether a request exceeds the server's rate limit; otherwise it counts the request.
+func (server *server) isOverLimit(now time.Time) bool {
+	if server.rateLimit == 0 {
+		return false
+	}
+	interval := time.Duration(float64(time.Second) / server.rateLimit)
+	if server.limitedFrom.After(now.Add(limitBurst * interval)) {
+		return true
+	}
+	if server.limitedFrom.Before(now) {
+		server.limitedFrom = now
+	}
+	server.limitedFrom = server.limitedFrom.Add(interval)
+	return false
+}
+
 // coldRateFactor is the multiple of ColdPerSecond that a cold server tolerates, besides coldBurst, before it crashes.
 const coldRateFactor = 1.5
 
--- a/standin/emulation/variant.go
+++ b/standin/emulation/variant.go
@@ -26,6 +26,8 @@
 	ExchangePeriod settingsfile.Duration `toml:"exchange_period"`
 	// Isolated stops the exchange: each VM uses only what it observes itself.
 	Isolated bool `toml:"alone"`
+	// IgnoreDirectives makes VMs ignore what servers ask for: rate limits, no more requests because they leave, or none for a while.
+	IgnoreDirectives bool `toml:"ignore_directives"`
 }
 
 // policy returns the placement policy of the variant.
--- a/standin/emulation/vm.go
+++ b/standin/emulation/vm.go
@@ -155,10 +155,14 @@
 		return
 	}
 	if observer, observes := routedRequest.reservation.(forward.ResponseObserver); observes && response.outcome != connectionLost {
-		observer.ObserveResponse(oleandervane.ResponseMetadata{
+		metadata := oleandervane.ResponseMetadata{
 			NotRun: response.outcome == answeredShed, Failed: response.outcome == answeredFailure,
 			Load: response.load, LoadKnown: true, ColdLeft: response.coldLeft,
-		})
+		}
+		if !routedRequest.vm.world.variant.IgnoreDirectives {
+			metadata.RateLimit, metadata.Leaving, metadata.RetryAfter = response.rateLimit, response.leaving, response.retryAfter
+		}
+		observer.ObserveResponse(metadata)
 	}
 	switch response.outcome {
 	case answered:
