--- a/entryvm/webserver/drainlistener.go
+++ b/entryvm/webserver/drainlistener.go
@@ -26,9 +26,9 @@
 	drainDeadline atomic.Pointer[time.Time]
 	accepted      atomic.Int64
 	// pending are connections that were queued when the listener was about to close. Only Accept uses it.
-	pending []net.Conn
-	closed        chan struct{}
-	closeOnce     sync.Once
+	pending   []net.Conn
+	closed    chan struct{}
+	closeOnce sync.Once
 }
 
 // NewDrainListener returns a listener on an address.
--- a/standin/emulation/server.go
+++ b/standin/emulation/server.go
@@ -63,7 +63,7 @@
 	leaving     bool
 	// refusesUntil is the end of the time in which the server refuses all requests.
 	refusesUntil time.Time
-	coldUntil     time.Time
+	coldUntil    time.Time
 	// arrivals has the times of the requests in the last second while the server is cold.
 	arrivals []time.Time
 }
