Tolerate two refusals of a server before it is suspended

A server that is full for a moment is still the best one for its objects; others have to load them. Now a server is suspended from the third refusal without a success in between.

--- a/entry/placement/refusal.go
+++ b/entry/placement/refusal.go
@@ -3,7 +3,10 @@
 import "time"
 
 const (
-	// minRefusalBackoff and maxRefusalBackoff bound the time for which a server that refused a request gets none from this VM. It
+	// toleratedRefusals is the number of refusals without a success in between that do not suspend a server. A server that is full for
+	// a moment is still the best one for its objects.
+	toleratedRefusals = 2
+	// minRefusalBackoff and maxRefusalBackoff bound the time for which a server that refused more requests gets none from this VM. It
 	// doubles with each further refusal without a success in between.
 	minRefusalBackoff = 100 * time.Millisecond
 	maxRefusalBackoff = time.Second
@@ -29,10 +32,14 @@
 	return now.Before(server.refusedUntil) || now.Before(server.pausedUntil)
 }
 
-// refusalBackoff returns the backoff after the refusals since the last success. The caller must hold the mutex.
+// refusalBackoff returns the backoff after the refusals since the last success, zero while they are tolerated. The caller must hold
+// the mutex.
 func (server *server) refusalBackoff() time.Duration {
+	if server.refusals <= toleratedRefusals {
+		return 0
+	}
 	backoff := minRefusalBackoff
-	for range server.refusals - 1 {
+	for range server.refusals - toleratedRefusals - 1 {
 		backoff = min(2*backoff, maxRefusalBackoff)
 	}
 	return backoff
