Lock the ports that tests and soaks choose

Cause: a port that was free for the soak was chosen by another process at the same time; which one is not known. Now a port is locked by a file while its process lives, so that no other soak or test that uses the same function gets it (TestPortBelongsToOneProcess).

--- a/standin/loopback/address_test.go
+++ b/standin/loopback/address_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"syscall"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -47,3 +48,11 @@
 		assert.ErrorContains(t, tryPort(address), "address already in use", network)
 	}
 }
+
+// Guards against "address already in use" because two soaks or tests on the machine got the same port while neither listened on it.
+func TestPortBelongsToOneProcess(t *testing.T) {
+	address, err := FreeAddress()
+	assert.NilError(t, err)
+	_, err = lockPort(address.Port())
+	assert.ErrorIs(t, err, syscall.EWOULDBLOCK)
+}
