--- a/cmd/oleandervane-soak/soak_test.go
+++ b/cmd/oleandervane-soak/soak_test.go
@@ -17,6 +17,9 @@
 	"oleandervane.example/standin/soak"
 )
 
+// concurrentSoaks is the number of seeds that run at the same time. A soak mostly waits.
+const concurrentSoaks = 2
+
 // Runs entry VM processes under short schedules of faults. Guards against violations of the system's guarantees: an unsafe
 // request runs at most once, a request reported as not run did not run, responses are complete and belong to the request of
 // the caller, drains and configurations come into force, and requests are served again after the last fault. The program
@@ -34,8 +37,12 @@
 	daemon := filepath.Join(t.TempDir(), "oleandervane-hosted")
 	output, err := exec.Command("go", "build", "-o", daemon, "oleandervane.example/cmd/oleandervane-hosted").CombinedOutput()
 	assert.NilError(t, err, "build oleandervane-hosted: %s", output)
+	running := make(chan struct{}, concurrentSoaks)
 	for _, seed := range cases.Seeds {
 		t.Run(strconv.FormatUint(seed.Number, 10), func(t *testing.T) {
+			t.Parallel()
+			running <- struct{}{}
+			defer func() { <-running }()
 			folder := t.TempDir()
 			var faults bytes.Buffer
 			report, err := soak.Run(t.Context(), soak.Options{
