--- a/entry/placement/directive_test.go
+++ b/entry/placement/directive_test.go
@@ -39,6 +39,11 @@
 		manual.Advance(directiveLifetime - time.Second)
 		burst := arrivals(window)
 		assert.Assert(t, float64(burst) <= 1.5*rateLimit*window.Seconds()+5, "%d VMs sent %d requests after a pause", vms, burst)
+		chooser := placers[0].Chooser(Request{Service: "ledger", Route: oleandervane.Route{Kind: oleandervane.RouteSafe}})
+		_, err := chooser.Choose(nil)
+		assert.ErrorIs(t, err, oleandervane.ErrNoBackendServer, "%d VMs", vms)
+		assert.Equal(t, chooser.Decision().Reason, ReasonLimited)
+		assert.Assert(t, chooser.Decision().RetryAfter > 0)
 		steady := arrivals(10 * window)
 		assert.Assert(t, steady >= 30 && steady <= 80, "%d VMs sent %d requests in 40 s", vms, steady)
 		server.StartedAt = 1
