--- a/entryvm/hosted/hosted_test.go
+++ b/entryvm/hosted/hosted_test.go
@@ -167,14 +167,21 @@
 	}
 }
 
-func (fixture *fixture) send(t *testing.T, method, path, id string) (status int, body string, header http.Header) {
+// newRequest returns a request about an object for the VM at the address.
+func newRequest(ctx context.Context, t *testing.T, method, address, path, id, object string) *http.Request {
 	t.Helper()
-	request, err := http.NewRequest(method, "http://"+fixture.settings.CallerAddress.String()+path, http.NoBody)
-	assert.NilError(t, err)
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, http.NoBody)
+	assert.Check(t, err)
 	request.Host = "a.example"
 	request.Header.Set("X-Request-Id", id)
 	request.Header.Set("X-Timeout-Ms", "2000")
-	request.AddCookie(&http.Cookie{Name: "X-Affinity-Key", Value: "17"})
+	request.AddCookie(&http.Cookie{Name: "X-Affinity-Key", Value: object})
+	return request
+}
+
+func (fixture *fixture) send(t *testing.T, method, path, id string) (status int, body string, header http.Header) {
+	t.Helper()
+	request := newRequest(context.Background(), t, method, fixture.settings.CallerAddress.String(), path, id, "17")
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return 0, "", nil
--- a/entryvm/hosted/signal_test.go
+++ b/entryvm/hosted/signal_test.go
@@ -91,15 +91,11 @@
 }
 
 func (run *signalRun) send(t *testing.T, number int) {
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, fmt.Sprintf("http://%s/lohu/1", run.addresses[number%len(run.addresses)]), http.NoBody)
-	assert.Check(t, err)
-	request.Host = "a.example"
-	request.Header.Set("X-Request-Id", strconv.Itoa(number))
 	object := "1"
 	if run.ManyObjects {
 		object = strconv.Itoa(number)
 	}
-	request.AddCookie(&http.Cookie{Name: "X-Affinity-Key", Value: object})
+	request := newRequest(t.Context(), t, http.MethodGet, run.addresses[number%len(run.addresses)], "/lohu/1", strconv.Itoa(number), object)
 	at := run.age()
 	response, err := http.DefaultClient.Do(request)
 	run.mutex.Lock()
--- /dev/null
+++ b/standin/serverstandin/servers.go
@@ -0,0 +1,144 @@
+// Package serverstandin provides backend servers of the users' platform that end when they run certain requests. They register
+// themselves in a stand-in of the store and start again after they have ended.
+package serverstandin
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	"oleandervane.example"
+	"oleandervane.example/standin/storestandin"
+)
+
+// Deadly is the text in the path of requests under which servers end.
+const Deadly = "deadly"
+
+// lateCrash is the time between the arrival of a request and the end of a server in CrashLate.
+const lateCrash = 150 * time.Millisecond
+
+// Crash is the way in which servers end.
+type Crash string
+
+// The ways in which servers end.
+const (
+	// CrashReset breaks the connections immediately, CrashLate after 150 ms.
+	CrashReset Crash = "reset"
+	CrashLate  Crash = "late"
+	// CrashSilent leaves the connections open, as after a loss of power.
+	CrashSilent Crash = "silent"
+)
+
+// Settings describe how servers end and start again. They are immutable.
+type Settings struct {
+	Crash Crash
+	// KeepID has a server start again under its id. Otherwise its entry is removed, and it gets another id.
+	KeepID bool
+	// FailEverySecond has every second deadly request end with status 500 instead, without harm to the server.
+	FailEverySecond bool
+}
+
+// Servers are the servers of a test. All methods are safe for concurrent use.
+type Servers struct {
+	store    *storestandin.Store
+	settings Settings
+	ctx      context.Context
+	close    context.CancelFunc
+
+	mutex                sync.Mutex
+	sent, ended, started int
+}
+
+// New returns servers that register in the store. Start starts the first ones.
+func New(store *storestandin.Store, settings Settings) *Servers {
+	servers := &Servers{store: store, settings: settings}
+	servers.ctx, servers.close = context.WithCancel(context.Background())
+	return servers
+}
+
+// Close ends the requests that silent servers still hold.
+func (servers *Servers) Close() {
+	servers.close()
+}
+
+// Ended returns how often a server has ended.
+func (servers *Servers) Ended() int {
+	servers.mutex.Lock()
+	defer servers.mutex.Unlock()
+	return servers.ended
+}
+
+// Start starts a server of a service and registers it.
+func (servers *Servers) Start(id string, serviceName oleandervane.ServiceName) error {
+	servers.mutex.Lock()
+	servers.started++
+	born := servers.started
+	servers.mutex.Unlock()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("starting server %s: %w", id, err)
+	}
+	server := httptest.NewUnstartedServer(nil)
+	server.Listener = listener
+	end := sync.OnceFunc(func() { servers.restart(listener, id, serviceName) })
+	server.Config.Handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		servers.serve(writer, request, end)
+	})
+	server.Start()
+	entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"kigali-a","concurrency_limit":3,"state":"ready","born":%d}`, serviceName, listener.Addr(), born)
+	return servers.commit(oleandervane.StoreTransaction{Writes: []oleandervane.StoreWrite{{Key: "servers/" + id, Value: []byte(entry)}}})
+}
+
+func (servers *Servers) commit(storeTransaction oleandervane.StoreTransaction) error {
+	_, err := servers.store.Commit(servers.ctx, storeTransaction)
+	return err
+}
+
+func (servers *Servers) serve(writer http.ResponseWriter, request *http.Request, end func()) {
+	writer.Header().Set("X-Request-Id", request.Header.Get("X-Request-Id"))
+	writer.Header().Set("X-Response-Signature", "m")
+	if !strings.Contains(request.URL.Path, Deadly) {
+		return
+	}
+	if !servers.endsNow() {
+		writer.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if servers.settings.Crash == CrashLate {
+		time.Sleep(lateCrash)
+	}
+	end()
+	if servers.settings.Crash == CrashSilent {
+		<-servers.ctx.Done()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// endsNow counts a deadly request and reports whether it ends the server.
+func (servers *Servers) endsNow() bool {
+	servers.mutex.Lock()
+	defer servers.mutex.Unlock()
+	servers.sent++
+	if servers.settings.FailEverySecond && servers.sent%2 == 0 {
+		return false
+	}
+	servers.ended++
+	return true
+}
+
+// restart ends a server and starts it again. A server that cannot start again stays away.
+func (servers *Servers) restart(listener net.Listener, id string, serviceName oleandervane.ServiceName) {
+	_ = listener.Close()
+	if !servers.settings.KeepID {
+		if servers.commit(oleandervane.StoreTransaction{Removals: []string{"servers/" + id}}) != nil {
+			return
+		}
+		id += "x"
+	}
+	_ = servers.Start(id, serviceName)
+}
