Choose another server when a concurrent request was faster

Callers: a request was refused although a server was free. Cause: when two requests chose a server that accepts only one for now (cold, with a rate limit, or probed after refusals), the second one was refused instead of going to another server; with rate limits that is more frequent than with cold servers only. Now the second request chooses again without that server.

--- a/entry/placement/directive_test.go
+++ b/entry/placement/directive_test.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -53,3 +55,26 @@
 		assert.Assert(t, arrivals(time.Second) >= 20, "%d VMs keep the limit of an earlier run", vms)
 	}
 }
+
+// Guards against requests that are refused although a server is free, because others took the only request that a server with a rate
+// limit accepts at the same moment.
+func TestConcurrentRequestsUseTheOtherServer(t *testing.T) {
+	placer := fleet(timer.NewManual(time.Unix(1000, 0)), 1)[0]
+	for number := range 1000 {
+		limited := registered("limited", "kigali-a")
+		limited.StartedAt = int64(number + 1)
+		placer.Update(registryOf(limited, registered("free", "kigali-a")))
+		server := placer.view.Load().byHash[uint32(memberHash("limited"))]
+		server.directive = directive{rateLimit: 1, statedAt: time.Unix(1000, 0)}
+		var requests sync.WaitGroup
+		for range 8 {
+			requests.Go(func() {
+				reservation, err := placer.Chooser(Request{Service: "ledger", Object: strconv.Itoa(number), Route: oleandervane.Route{Kind: oleandervane.RouteSafe}}).Choose(nil)
+				if assert.Check(t, err) {
+					reservation.Release(oleandervane.AttemptCancelled)
+				}
+			})
+		}
+		requests.Wait()
+	}
+}
--- a/entry/placement/placer.go
+++ b/entry/placement/placer.go
@@ -191,7 +191,8 @@
 	candidate := candidates[chooser.decision.Chosen]
 	server := servers[candidate.index]
 	if !server.admit(placer.coldInterval(request.Service), now) {
-		return nil, eris.Wrap(oleandervane.ErrNoBackendServer, "server with a limited rate received another request in the meantime")
+		// Another request took the only one that the server accepts for now.
+		return chooser.Choose(append(slices.Clone(excluded), string(server.ID)))
 	}
 	server.inFlight.Add(1)
 	server.sent.Add(1)
