Start the intervals of a rate limit by rank instead of at random

The first request of a VM now comes after a part of the interval that follows from its rank, which also spreads the VMs evenly.

--- a/entry/placement/directive.go
+++ b/entry/placement/directive.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -62,7 +61,8 @@
 		server.nextLimitedSend = time.Time{}
 	case former == 0:
 		// VMs learn of the limit at the same time and must not send at the same time.
-		server.nextLimitedSend = now.Add(time.Duration(rand.Float64() * float64(server.limitInterval(current))))
+		part := (float64(server.vmRank) + 0.5) / float64(server.limitSenders(current))
+		server.nextLimitedSend = now.Add(time.Duration(part * float64(server.limitInterval(current))))
 	default:
 		if latest := now.Add(server.limitInterval(current)); server.nextLimitedSend.After(latest) {
 			server.nextLimitedSend = latest
@@ -87,7 +87,7 @@
 // limitSenders returns the number of VMs that send to a server with the rate limit. If all of them send at once after a pause, the
 // server gets little more than in the next second.
 func (server *server) limitSenders(rateLimit float64) int {
-	return int(min(float64(server.vms), limitVMs+math.Ceil(rateLimit)))
+	return int(min(float64(max(1, server.vms)), limitVMs+math.Ceil(rateLimit)))
 }
 
 // limitInterval is the interval between two requests of this VM to a server with the rate limit.
@@ -154,7 +154,7 @@
 	}
 	next := last.Add(time.Duration(min(1/perSecond, maxReturnDelay.Seconds()) * float64(time.Second)))
 	if next.Sub(now) > maxReturnDelay {
-		return time.Duration((1 + rand.Float64()) / 2 * float64(maxReturnDelay))
+		return maxReturnDelay
 	}
 	returnSchedule.last[serviceName] = next
 	return next.Sub(now)
