Start the clock of TestUnknownOutcome with the write that is lost

Cause: the test's clock ran 1 s of its time in 10 ms from the start on, and under the race detector on a busy machine the proposal was not ready by then, so that the publish was cancelled before its first read. Evidence: with 30 ms of waiting before the publish it failed in 3 of 3 runs. Now the same second begins when the write of the head has been lost, which is what the test is about; nothing else changes, and the check is as strict. Measured: 20 of 20 runs with the race detector passed, and 3 of 3 with the 30 ms of waiting.

--- a/operator/revision/revision_test.go
+++ b/operator/revision/revision_test.go
@@ -390,6 +390,8 @@
 type headWriteLoser struct {
 	oleandervane.Store
 	writes int
+	// lost is closed at the first write.
+	lost chan struct{}
 }
 
 func (headWriteLoser *headWriteLoser) CompareAndSwap(ctx context.Context, key string, version uint64, value []byte) (oleandervane.StoreEntry, error) {
@@ -397,17 +399,25 @@
 		return headWriteLoser.Store.CompareAndSwap(ctx, key, version, value)
 	}
 	headWriteLoser.writes++
+	if headWriteLoser.writes == 1 {
+		close(headWriteLoser.lost)
+	}
 	return oleandervane.StoreEntry{}, oleandervane.ErrStoreUnavailable
 }
 
 // Guards against writing a head twice while its first write may still be in flight.
 func TestUnknownOutcome(t *testing.T) {
 	manual := timer.NewManual(start)
-	loser := &headWriteLoser{Store: storestandin.New(manual)}
+	loser := &headWriteLoser{Store: storestandin.New(manual), lost: make(chan struct{})}
 	ctx, cancel := context.WithCancel(context.Background())
-	cancelTimer := manual.After(time.Second, func(time.Time) { cancel() })
-	defer cancelTimer()
+	defer cancel()
 	go func() {
+		// The time until the first write depends on the machine and must not count.
+		select {
+		case <-loser.lost:
+		case <-ctx.Done():
+		}
+		manual.After(time.Second, func(time.Time) { cancel() })
 		for ctx.Err() == nil {
 			manual.Advance(100 * time.Millisecond)
 			time.Sleep(time.Millisecond)
@@ -498,7 +508,7 @@
 		_, err := alice.publish(t, withLifetime(configuration, round+2))
 		assert.NilError(t, err)
 	}
-	orphan := newEditor("bob", &headWriteLoser{Store: store}, manual)
+	orphan := newEditor("bob", &headWriteLoser{Store: store, lost: make(chan struct{})}, manual)
 	orphan.base = alice.base
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
