--- a/review/stage/client.go
+++ b/review/stage/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"cmp"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -35,9 +34,10 @@
 	Name, Zone string
 	// Stay keeps an open connection although the directory no longer names its address.
 	Stay bool
-	// Object is the object that the requests concern, the name of the client if it is empty. Fixed is an address that the client uses
-	// without asking the directory.
-	Object, Fixed string
+	// NoObject leaves out the cookie that names the object of the requests; otherwise it is the name of the client.
+	NoObject bool
+	// Fixed is an address that the client uses without asking the directory.
+	Fixed string
 
 	stage *Stage
 	// Prefer are the VMs whose directory the client asks, nearest first.
@@ -127,7 +127,10 @@
 	if method == http.MethodGet {
 		body = 0
 	}
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Timeout-Ms: %d\r\nCookie: X-Affinity-Key=%s\r\n", method, path, Host, result.ID, limit.Milliseconds(), cmp.Or(client.Object, client.Name))
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Timeout-Ms: %d\r\n", method, path, Host, result.ID, limit.Milliseconds())
+	if !client.NoObject {
+		head += fmt.Sprintf("Cookie: X-Affinity-Key=%s\r\n", client.Name)
+	}
 	if method != http.MethodGet {
 		head += fmt.Sprintf("Content-Length: %d\r\n", body)
 	}
--- a/review/stage/server.go
+++ b/review/stage/server.go
@@ -58,12 +58,13 @@
 	return server.Register("ready")
 }
 
-// Crash ends the server and all its connections; it is back after the duration, as another run under its id.
-func (server *Server) Crash(down time.Duration) {
+// Crash ends the server and all its connections, unless it is down already, and reports whether it did. The server is back after the
+// duration, as another run under its id.
+func (server *Server) Crash(down time.Duration) bool {
 	server.mutex.Lock()
 	if server.crashed {
 		server.mutex.Unlock()
-		return
+		return false
 	}
 	server.crashed = true
 	former := server.http
@@ -86,6 +87,7 @@
 		}
 		_ = next.Serve(listener)
 	})
+	return true
 }
 
 // Register writes the entry of the server.
