--- a/review/cmd/uploads/main.go
+++ b/review/cmd/uploads/main.go
@@ -17,7 +17,7 @@
 	smallBytes = 300
 	// linkRate is the rate of a client's link in bytes per second.
 	linkRate = 25 << 20
-	duration = 30 * time.Second
+	duration = 40 * time.Second
 	callers  = 8
 )
 
@@ -75,16 +75,18 @@
 			})
 		}
 	}
-	// One client uploads; it is the only one whose bodies are large.
-	uploader := installation.NewClient("upload", zones[0], vms...)
-	stage.Loop(&wait, &stop, func() {
-		result := uploader.Send(http.MethodPost, "/file/1", size, 12*time.Second, linkRate)
-		results.Add(result)
-		if result.VM != "" {
-			installation.Log("upload %s of %d bytes to %s: sent whole %v, status %d, error %v, %.1f s", result.ID, size, result.VM, result.RequestWhole, result.Status, result.Err, result.Ended.Sub(result.Sent).Seconds())
-		}
-		time.Sleep(time.Second)
-	})
+	// Two more callers upload, one after the other each; only their bodies are large.
+	for i, zone := range zones {
+		uploader := installation.NewClient("upload-"+zone, zone, vms[i], vms[1-i])
+		stage.Loop(&wait, &stop, func() {
+			result := uploader.Send(http.MethodPost, "/file/1", size, 12*time.Second, linkRate)
+			results.Add(result)
+			if result.VM != "" {
+				installation.Log("upload %s of %d bytes to %s: sent whole %v, status %d, error %v, %.1f s", result.ID, size, result.VM, result.RequestWhole, result.Status, result.Err, result.Ended.Sub(result.Sent).Seconds())
+			}
+			time.Sleep(500 * time.Millisecond)
+		})
+	}
 	time.Sleep(duration)
 	stop.Store(true)
 	wait.Wait()
