--- a/review/cmd/configs/main.go
+++ b/review/cmd/configs/main.go
@@ -17,7 +17,7 @@
 	// changes is below the 340 changes of a day that the brief's letter names.
 	changes  = 250
 	interval = 300 * time.Millisecond
-	callers  = 6
+	callers  = 12
 	// settle is the time in which callers learn of the last lost request.
 	settle = 3 * time.Second
 )
