Log the caller, the query and a fingerprint of the content of failed requests

Operators could not tell whether the sends of one request have different fingerprints because the caller's address differs or because the query or body does: the log had only the fingerprint and the path. Lines of requests that end with a reason now have the address, method, query (256 bytes at most), size of the body and the fingerprint without the caller.

--- a/entry/forward/forwarder.go
+++ b/entry/forward/forwarder.go
@@ -151,14 +151,15 @@
 // Forward sends a request to a target of the chooser and returns the result. It retries the request only if it is
 // idempotent or has provably not run, on a different target each time, within the deadline and the budget.
 func (forwarder *Forwarder) Forward(ctx context.Context, request Request, chooser TargetChooser) Result {
-	fingerprint := FingerprintOf(request)
+	content := ContentFingerprintOf(request)
+	fingerprint := content.withCaller(request.Caller)
 	if forwarder.quarantine.Contains(fingerprint) {
-		return Result{Outcome: oleandervane.NotRun, Reason: ReasonQuarantined, Fingerprint: fingerprint}
+		return Result{Outcome: oleandervane.NotRun, Reason: ReasonQuarantined, Fingerprint: fingerprint, Content: content}
 	}
 	forwarder.budget.RecordRequest(request.Service)
 	reservation, err := chooser.Choose(nil)
 	if err != nil {
-		return Result{Outcome: oleandervane.NotRun, Reason: ReasonNoBackendServer, Fingerprint: fingerprint, Err: err}
+		return Result{Outcome: oleandervane.NotRun, Reason: ReasonNoBackendServer, Fingerprint: fingerprint, Content: content, Err: err}
 	}
 	retryLoop := &retryLoop{startedAt: forwarder.timerService.Now(), forwarder: forwarder, ctx: ctx, request: request, fingerprint: fingerprint, chooser: chooser}
 	for reservation != nil {
@@ -166,7 +167,7 @@
 		reservation = retryLoop.next()
 	}
 	result := retryLoop.finish()
-	result.Fingerprint = fingerprint
+	result.Fingerprint, result.Content = fingerprint, content
 	return result
 }
 
--- a/entry/forward/quarantine.go
+++ b/entry/forward/quarantine.go
@@ -34,16 +34,26 @@
 // Fingerprint identifies a request by its content.
 type Fingerprint [16]byte
 
-// FingerprintOf returns the fingerprint of a request: its caller, method, target and body. The target is the host, path and query
-// that the caller sent, because the service and kind that a route selects may change from one send to the next; without a host, it
-// is the service, kind, path and query.
+// FingerprintOf returns the fingerprint of a request: its content and its caller.
 func FingerprintOf(request Request) Fingerprint {
+	return ContentFingerprintOf(request).withCaller(request.Caller)
+}
+
+func (fingerprint Fingerprint) withCaller(caller string) Fingerprint {
+	sum := sha256.Sum256(append(fingerprint[:], caller...))
+	return Fingerprint(sum[:len(Fingerprint{})])
+}
+
+// ContentFingerprintOf returns the fingerprint of what a request says, whoever sends it: its method, target and body. The target is
+// the host, path and query that the caller sent, because the service and kind that a route selects may change from one send to the
+// next; without a host, it is the service, kind, path and query.
+func ContentFingerprintOf(request Request) Fingerprint {
 	hash := sha256.New()
 	target := []string{request.Host, "", ""}
 	if request.Host == "" {
 		target = []string{"", string(request.Service), string(request.Kind.Name)}
 	}
-	for _, field := range append(target, request.Caller, request.Method, request.Path, request.RawQuery) {
+	for _, field := range append(target, request.Method, request.Path, request.RawQuery) {
 		hash.Write(binary.AppendUvarint(nil, uint64(len(field))))
 		hash.Write([]byte(field))
 	}
--- a/entry/forward/request.go
+++ b/entry/forward/request.go
@@ -87,8 +87,9 @@
 	Reason Reason
 	// Response is set when the outcome is Answered. It must be closed.
 	Response *Response
-	// Fingerprint identifies the request by its content, for logs.
+	// Fingerprint identifies the request by its content and caller, Content by its content, for logs.
 	Fingerprint Fingerprint
+	Content     Fingerprint
 	// Target is the target of the last attempt.
 	Target   Target
 	Attempts int
--- a/entry/ingress/ingress.go
+++ b/entry/ingress/ingress.go
@@ -71,9 +71,13 @@
 
 // Completion describes how a request ended. It is immutable.
 type Completion struct {
-	Metadata         oleandervane.RequestMetadata
-	Method           string
-	Path             string
+	Metadata  oleandervane.RequestMetadata
+	Method    string
+	Path      string
+	RawQuery  string
+	BodyBytes int
+	// CallerAddress has no port.
+	CallerAddress    string
 	Route            oleandervane.Route
 	Revision         oleandervane.Revision
 	Service          oleandervane.ServiceName
@@ -84,9 +88,11 @@
 	Attempts         int
 	AttemptSummaries []forward.AttemptSummary
 	Fingerprint      forward.Fingerprint
-	Status           int
-	Duration         time.Duration
-	Err              error
+	// Content is the fingerprint of the request without its caller.
+	Content  forward.Fingerprint
+	Status   int
+	Duration time.Duration
+	Err      error
 }
 
 // Handler is an http.Handler for callers.
@@ -142,9 +148,11 @@
 		request:   request,
 		startedAt: handler.dependencies.TimerService.Now(),
 		completion: Completion{
-			Metadata: handler.dependencies.CallerDialect.ReadRequest(request),
-			Method:   request.Method,
-			Path:     request.URL.EscapedPath(),
+			Metadata:      handler.dependencies.CallerDialect.ReadRequest(request),
+			Method:        request.Method,
+			Path:          request.URL.EscapedPath(),
+			RawQuery:      request.URL.RawQuery,
+			CallerAddress: callerAddress(request),
 		},
 	}
 	defer call.finish()
@@ -181,6 +189,7 @@
 		call.refuseBody(reason)
 		return
 	}
+	call.completion.BodyBytes = len(body)
 	call.completion.Service = call.handler.splitter.Choose(matched)
 	call.forward(index, matched, body)
 }
@@ -245,7 +254,7 @@
 	result := dependencies.Forwarder.Forward(call.context(matched), call.forwardRequest(matched, serviceName, body), chooser)
 	call.completion.Outcome, call.completion.Reason, call.completion.Err = result.Outcome, result.Reason, result.Err
 	call.completion.Target, call.completion.Attempts, call.completion.AttemptSummaries = result.Target, result.Attempts, result.AttemptSummaries
-	call.completion.Decision, call.completion.Fingerprint = chooser.Decision(), result.Fingerprint
+	call.completion.Decision, call.completion.Fingerprint, call.completion.Content = chooser.Decision(), result.Fingerprint, result.Content
 	switch result.Outcome {
 	case oleandervane.Answered:
 		call.sendResponse(result.Response)
@@ -298,11 +307,15 @@
 }
 
 func (call *call) caller() string {
-	host, _, err := net.SplitHostPort(call.request.RemoteAddr)
+	return call.completion.CallerAddress + "\x00" + call.completion.Metadata.Object
+}
+
+func callerAddress(request *http.Request) string {
+	host, _, err := net.SplitHostPort(request.RemoteAddr)
 	if err != nil {
-		host = call.request.RemoteAddr
+		return request.RemoteAddr
 	}
-	return host + "\x00" + call.completion.Metadata.Object
+	return host
 }
 
 // sendResponse sends the response of a backend server. When the server truncates it, the connection to the caller is
--- a/entryvm/hosted/observer.go
+++ b/entryvm/hosted/observer.go
@@ -32,6 +32,9 @@
 // invalidHeaderLogPeriod is the least time between two log lines about invalid headers.
 const invalidHeaderLogPeriod = 10 * time.Second
 
+// maxLoggedQuery bounds the bytes of a query in a log line.
+const maxLoggedQuery = 256
+
 // Finished logs the end of a request with the decisions behind its outcome.
 func (observer *observer) Finished(completion ingress.Completion) {
 	labels := fmt.Sprintf("{route=%q,outcome=%q,reason=%q,status=\"%d\"}",
@@ -62,10 +65,15 @@
 	}
 	if completion.Reason != "" {
 		fields["reason"] = completion.Reason
+		fields["method"] = completion.Method
 		fields["path"] = completion.Path
+		fields["query"] = completion.RawQuery[:min(len(completion.RawQuery), maxLoggedQuery)]
+		fields["body_bytes"] = completion.BodyBytes
+		fields["caller"] = completion.CallerAddress
 	}
 	if completion.Reason != "" && completion.Fingerprint != (forward.Fingerprint{}) {
 		fields["fingerprint"] = formatFingerprint(completion.Fingerprint)
+		fields["content"] = formatFingerprint(completion.Content)
 	}
 	if completion.Attempts > 1 || completion.Reason != "" {
 		fields["tries"] = formatAttempts(completion.AttemptSummaries)
