Show that a request crashes some servers for each address and object of its callers

Ten sends of one request, from five addresses in turn, end ten servers; so do ten sends that name five objects in turn.

--- a/entryvm/hosted/crash_test.go
+++ b/entryvm/hosted/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"testing"
@@ -26,12 +27,25 @@
 	CallerLeavesAfter settingsfile.Duration `toml:"caller_leaves_after"`
 	TimeoutMillis     int                   `toml:"timeout_ms"`
 	FailEverySecond   bool                  `toml:"fail_every_second"`
+	// Callers is the number of addresses from which the request is sent in turn; zero selects the default one.
+	Callers int `toml:"callers"`
+	// Objects is the number of objects that the request names in turn; zero selects one.
+	Objects int `toml:"objects"`
 }
 
 // A request crashes each server that runs it, and its caller sends it again. Guards against a VM that goes on sending it after
 // three servers have ended, because it did not notice a crash, counted two as one, or forgot one.
 func TestCrashingRequestIsRefused(t *testing.T) {
-	text, err := os.ReadFile("testdata/crashing-requests.toml")
+	testCrashCases(t, "testdata/crashing-requests.toml")
+}
+
+// Guards against a request that may crash some servers for each of its callers, because their addresses or objects differ.
+func TestCrashingRequestOfSeveralCallersIsRefused(t *testing.T) {
+	testCrashCases(t, "testdata/crashing-requests-of-several-callers.toml")
+}
+
+func testCrashCases(t *testing.T, path string) {
+	text, err := os.ReadFile(path)
 	assert.NilError(t, err)
 	var table struct {
 		Cases []crashCase `toml:"case"`
@@ -76,12 +90,23 @@
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(crashCase.CallerLeavesAfter))
 		defer cancel()
 	}
-	request := newRequest(ctx, t, crashCase.Method, fixture.settings.CallerAddress.String(), crashCase.Path, fmt.Sprint("deadly-", number), "17")
+	object := fmt.Sprint(17 + number%max(1, crashCase.Objects))
+	request := newRequest(ctx, t, crashCase.Method, fixture.settings.CallerAddress.String(), crashCase.Path, fmt.Sprint("deadly-", number), object)
 	request.Close = true
 	if crashCase.TimeoutMillis > 0 {
 		request.Header.Set("X-Timeout-Ms", fmt.Sprint(crashCase.TimeoutMillis))
 	}
-	if response, err := http.DefaultClient.Do(request); err == nil {
+	if response, err := crashCase.client(number).Do(request); err == nil {
 		_ = response.Body.Close()
 	}
 }
+
+// client returns the client from whose address the request is sent this time.
+func (crashCase crashCase) client(number int) *http.Client {
+	if crashCase.Callers == 0 {
+		return http.DefaultClient
+	}
+	address := net.IPv4(127, 0, 0, byte(2+number%crashCase.Callers))
+	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: address}}
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}
+}
