Count the crashes of a request whatever its caller's address and object

Cause: the fingerprint of a request had its caller's network address and object. The same request that comes from several addresses had as many fingerprints, each with two crashes of its own.

What crashes a server is what reaches it, so crashes count for the content of the request. A content that servers answered to a VM in the last 10 s does not crash servers in general: its crashes count for the one caller, so that a common request, in flight at servers that end for another reason, is not refused to everybody (TestAnsweredContentIsRefusedOnlyToTheCallerThatCrashesServers). The same cause elsewhere: requests of the product's own interface had no caller at all, so that callers with the same content were refused together; they have the caller's address now.

Tests of entry/forward, entry/ingress, entry/gateway and TestCrashingRequest* pass.

--- a/entry/forward/attempt.go
+++ b/entry/forward/attempt.go
@@ -28,7 +28,7 @@
 type attempt struct {
 	forwarder   *Forwarder
 	request     Request
-	fingerprint Fingerprint
+	identity    Identity
 	reservation Reservation
 	target      Target
 	id          string
@@ -251,9 +251,9 @@
 		quarantine.RecordEnd(attempt.target)
 	case outcome != oleandervane.Unknown:
 	case reason == ReasonBroken:
-		quarantine.recordBroken(attempt.fingerprint, attempt.target.RunHash())
+		quarantine.recordBroken(attempt.identity, attempt.target.RunHash())
 	case reason == ReasonDeadline, reason == ReasonSilent, reason == ReasonCancelled:
-		quarantine.recordUnresolved(attempt.fingerprint, attempt.target.RunHash())
+		quarantine.recordUnresolved(attempt.identity, attempt.target.RunHash())
 	}
 }
 
@@ -350,7 +350,7 @@
 	}
 	// A server that fails may respond without running the request, so its response does not show that the request is harmless.
 	if !attempt.target.Relay && attempt.status < http.StatusInternalServerError {
-		attempt.forwarder.quarantine.recordAnswered(attempt.fingerprint)
+		attempt.forwarder.quarantine.recordAnswered(attempt.identity)
 	}
 	attempt.releaseConnection()
 	attempt.end(oleandervane.AttemptAnswered)
--- a/entry/forward/forwarder.go
+++ b/entry/forward/forwarder.go
@@ -151,36 +151,35 @@
 // Forward sends a request to a target of the chooser and returns the result. It retries the request only if it is
 // idempotent or has provably not run, on a different target each time, within the deadline and the budget.
 func (forwarder *Forwarder) Forward(ctx context.Context, request Request, chooser TargetChooser) Result {
-	content := ContentFingerprintOf(request)
-	fingerprint := content.withCaller(request.Caller)
-	if forwarder.quarantine.Contains(fingerprint) {
-		return Result{Outcome: oleandervane.NotRun, Reason: ReasonQuarantined, Fingerprint: fingerprint, Content: content}
+	identity := IdentityOf(request)
+	if forwarder.quarantine.Refuses(identity) {
+		return Result{Outcome: oleandervane.NotRun, Reason: ReasonQuarantined, Identity: identity}
 	}
 	forwarder.budget.RecordRequest(request.Service)
 	reservation, err := chooser.Choose(nil)
 	if err != nil {
-		return Result{Outcome: oleandervane.NotRun, Reason: ReasonNoBackendServer, Fingerprint: fingerprint, Content: content, Err: err}
+		return Result{Outcome: oleandervane.NotRun, Reason: ReasonNoBackendServer, Identity: identity, Err: err}
 	}
-	retryLoop := &retryLoop{startedAt: forwarder.timerService.Now(), forwarder: forwarder, ctx: ctx, request: request, fingerprint: fingerprint, chooser: chooser}
+	retryLoop := &retryLoop{startedAt: forwarder.timerService.Now(), forwarder: forwarder, ctx: ctx, request: request, identity: identity, chooser: chooser}
 	for reservation != nil {
 		retryLoop.attempt(reservation)
 		reservation = retryLoop.next()
 	}
 	result := retryLoop.finish()
-	result.Fingerprint, result.Content = fingerprint, content
+	result.Identity = identity
 	return result
 }
 
 // retryLoop runs the attempts of one request.
 type retryLoop struct {
-	forwarder   *Forwarder
-	ctx         context.Context
-	request     Request
-	fingerprint Fingerprint
-	chooser     TargetChooser
-	excluded    []string
-	summaries   []AttemptSummary
-	startedAt   time.Time
+	forwarder *Forwarder
+	ctx       context.Context
+	request   Request
+	identity  Identity
+	chooser   TargetChooser
+	excluded  []string
+	summaries []AttemptSummary
+	startedAt time.Time
 	// mayHaveRun is set once an attempt ended with an unknown outcome; from then on the outcome of the request is never
 	// NotRun, whatever the outcomes of later attempts.
 	mayHaveRun bool
@@ -204,7 +203,7 @@
 
 func (retryLoop *retryLoop) attempt(reservation Reservation) {
 	attempt := retryLoop.forwarder.newAttempt(retryLoop.ctx, retryLoop.request, reservation)
-	attempt.fingerprint = retryLoop.fingerprint
+	attempt.identity = retryLoop.identity
 	attemptOutcome := attempt.run()
 	retryLoop.excluded = append(retryLoop.excluded, attempt.target.ID)
 	retryLoop.summaries = append(retryLoop.summaries, AttemptSummary{
@@ -257,7 +256,7 @@
 		Reason:      retryLoop.result.Reason,
 		MayHaveRun:  retryLoop.mayHaveRun,
 		Abandoned:   retryLoop.ctx.Err() != nil || retryLoop.request.Abandoned != nil && retryLoop.request.Abandoned(),
-		Quarantined: retryLoop.forwarder.quarantine.Contains(retryLoop.fingerprint),
+		Quarantined: retryLoop.forwarder.quarantine.Refuses(retryLoop.identity),
 		Attempts:    retryLoop.result.Attempts,
 	}
 	if response := retryLoop.result.Response; response != nil {
--- a/entry/forward/quarantine.go
+++ b/entry/forward/quarantine.go
@@ -34,20 +34,18 @@
 // Fingerprint identifies a request by its content.
 type Fingerprint [16]byte
 
-// FingerprintOf returns the fingerprint of a request: its content and its caller.
-func FingerprintOf(request Request) Fingerprint {
-	return ContentFingerprintOf(request).withCaller(request.Caller)
+// Identity says which sends are of the same request. It is immutable.
+type Identity struct {
+	// Content identifies what the request says, whoever sends it.
+	Content Fingerprint
+	// Full also identifies the caller.
+	Full Fingerprint
 }
 
-func (fingerprint Fingerprint) withCaller(caller string) Fingerprint {
-	sum := sha256.Sum256(append(fingerprint[:], caller...))
-	return Fingerprint(sum[:len(Fingerprint{})])
-}
-
-// ContentFingerprintOf returns the fingerprint of what a request says, whoever sends it: its method, target and body. The target is
-// the host, path and query that the caller sent, because the service and kind that a route selects may change from one send to the
-// next; without a host, it is the service, kind, path and query.
-func ContentFingerprintOf(request Request) Fingerprint {
+// IdentityOf returns the identity of a request. Its content is the method, target and body. The target is the host, path and query
+// that the caller sent, because the service and kind that a route selects may change from one send to the next; without a host, it is
+// the service, kind, path and query.
+func IdentityOf(request Request) Identity {
 	hash := sha256.New()
 	target := []string{request.Host, "", ""}
 	if request.Host == "" {
@@ -58,7 +56,9 @@
 		hash.Write([]byte(field))
 	}
 	hash.Write(request.Body)
-	return Fingerprint(hash.Sum(nil))
+	content := Fingerprint(hash.Sum(nil))
+	full := sha256.Sum256(append(content[:], request.Caller...))
+	return Identity{Content: content, Full: Fingerprint(full[:len(Fingerprint{})])}
 }
 
 // QuarantineEntry is a fingerprint that is refused for the time left. It is immutable.
@@ -69,7 +69,9 @@
 }
 
 // Quarantine refuses requests that broke connections on two runs of backend servers: one may be a coincidence, and waiting for
-// a third would crash it needlessly. A server that started again is another run.
+// a third would crash it needlessly. A server that started again is another run. A request is refused to all callers, because what
+// crashes a server is its content. Only if servers answer the same content to others, it is refused to the caller whose sends
+// crashed them: the content may be harmless, and many callers may have sent it to servers that ended for another reason.
 type Quarantine struct {
 	timerService oleandervane.TimerService
 	period       time.Duration
@@ -84,6 +86,8 @@
 	unresolved []unresolvedAttempt
 	// past has the last quarantine of each request that was refused, also after it has ended.
 	past map[Fingerprint]pastQuarantine
+	// answered has contents that servers answered recently.
+	answered answeredTable
 	// ended has the runs that ended unplanned recently. Attempts there may wait for a response until their time limit.
 	ended map[uint32]time.Time
 }
@@ -106,6 +110,11 @@
 	return quarantine
 }
 
+// Refuses reports whether the request is refused now.
+func (quarantine *Quarantine) Refuses(identity Identity) bool {
+	return quarantine.Contains(identity.Content) || quarantine.Contains(identity.Full)
+}
+
 // Contains reports whether requests with the fingerprint are refused now.
 func (quarantine *Quarantine) Contains(fingerprint Fingerprint) bool {
 	until, found := (*quarantine.refusedUntil.Load())[fingerprint]
@@ -127,15 +136,15 @@
 	return list
 }
 
-// Import adds the entries that a peer exported. A time left that is longer than this VM's period is shortened to the
-// period.
+// Import adds the entries that a peer exported, but not those of contents that servers answered to this VM recently. A time left that
+// is longer than this VM's period is shortened to the period.
 func (quarantine *Quarantine) Import(list []QuarantineEntry) {
 	quarantine.mutex.Lock()
 	defer quarantine.mutex.Unlock()
 	now := quarantine.timerService.Now()
 	for _, entry := range list {
 		extension := now.Add(entry.TimeLeft).Sub(quarantine.past[entry.Fingerprint].until)
-		if entry.TimeLeft > 0 && extension >= minExtension {
+		if entry.TimeLeft > 0 && extension >= minExtension && !quarantine.answered.contains(entry.Fingerprint, now) {
 			quarantine.add(entry.Fingerprint, now, min(entry.TimeLeft, quarantine.period), oleandervane.SuspectFromPeer)
 		}
 	}
@@ -147,17 +156,28 @@
 }
 
 // recordAnswered removes a suspect: a request that is answered does not crash backend servers.
-func (quarantine *Quarantine) recordAnswered(fingerprint Fingerprint) {
+func (quarantine *Quarantine) recordAnswered(identity Identity) {
 	quarantine.mutex.Lock()
 	defer quarantine.mutex.Unlock()
-	delete(quarantine.past, fingerprint)
-	if _, found := quarantine.suspects[fingerprint]; !found {
-		return
+	quarantine.answered.add(identity.Content, quarantine.timerService.Now())
+	for _, fingerprint := range []Fingerprint{identity.Content, identity.Full} {
+		delete(quarantine.past, fingerprint)
+		if _, found := quarantine.suspects[fingerprint]; !found {
+			continue
+		}
+		delete(quarantine.suspects, fingerprint)
+		if quarantine.observer != nil {
+			quarantine.observer.SuspicionCleared(fingerprint)
+		}
 	}
-	delete(quarantine.suspects, fingerprint)
-	if quarantine.observer != nil {
-		quarantine.observer.SuspicionCleared(fingerprint)
+}
+
+// blamed returns the fingerprint under which a crash counts. The caller must hold the mutex.
+func (quarantine *Quarantine) blamed(identity Identity, now time.Time) Fingerprint {
+	if _, found := quarantine.past[identity.Full]; found || quarantine.answered.contains(identity.Content, now) {
+		return identity.Full
 	}
+	return identity.Content
 }
 
 // add refuses a request for the period. The caller must hold the mutex.
--- a/entry/forward/quarantine_test.go
+++ b/entry/forward/quarantine_test.go
@@ -10,6 +10,11 @@
 	"oleandervane.example/timer"
 )
 
+// identity returns the identity of a request whose caller is not distinguished.
+func identity(fingerprint Fingerprint) Identity {
+	return Identity{Content: fingerprint, Full: fingerprint}
+}
+
 // Guards against a suspect that other VMs do not hear of, because it keeps the place of its first broken connection behind newer
 // suspects, and against one that takes two places.
 func TestNewestSuspectsAreExportedOnce(t *testing.T) {
@@ -17,14 +22,14 @@
 	quarantine := newQuarantine(manual, time.Minute)
 	broken := func(number byte, server string) {
 		manual.Advance(10 * time.Millisecond)
-		quarantine.recordBroken(Fingerprint{number}, ServerHash(server))
+		quarantine.recordBroken(identity(Fingerprint{number}), ServerHash(server))
 	}
 	broken(0, "i-1")
 	for number := byte(1); number <= maxExportedSuspects; number++ {
 		broken(number, "i-1")
 	}
 	broken(0, "i-1")
-	quarantine.recordAnswered(Fingerprint{1})
+	quarantine.recordAnswered(identity(Fingerprint{1}))
 	broken(1, "i-1")
 	exported := map[oleandervane.SuspectRequest]bool{}
 	fingerprints := map[Fingerprint]int{}
@@ -46,7 +51,7 @@
 	for crashes := 1; crashes <= 3; crashes++ {
 		assert.Assert(t, !quarantine.Contains(Fingerprint{1}), "refused after %d crashes", crashes-1)
 		for range 3 {
-			quarantine.recordBroken(Fingerprint{1}, ServerHash("i-1"))
+			quarantine.recordBroken(identity(Fingerprint{1}), ServerHash("i-1"))
 		}
 		manual.Advance(2 * sameCrash)
 	}
@@ -63,7 +68,7 @@
 		if quarantine.Contains(Fingerprint{1}) {
 			continue
 		}
-		quarantine.recordBroken(Fingerprint{1}, uint32(crashes))
+		quarantine.recordBroken(identity(Fingerprint{1}), uint32(crashes))
 		crashes++
 	}
 	assert.Assert(t, crashes <= 8, "%d servers ended in an hour", crashes)
@@ -74,8 +79,8 @@
 	const delay = 100 * time.Millisecond
 	manual := timer.NewManual(time.Unix(1000, 0))
 	first, second := newQuarantine(manual, time.Minute), newQuarantine(manual, time.Minute)
-	first.recordBroken(Fingerprint{1}, 1)
-	first.recordBroken(Fingerprint{1}, 2)
+	first.recordBroken(identity(Fingerprint{1}), 1)
+	first.recordBroken(identity(Fingerprint{1}), 2)
 	for range 80 * time.Second / delay {
 		fromFirst, fromSecond := first.Export(), second.Export()
 		manual.Advance(delay)
@@ -84,3 +89,29 @@
 	}
 	assert.Assert(t, !first.Contains(Fingerprint{1}))
 }
+
+// Guards against a content that many callers send being refused to all of them because servers ended that were running it, and
+// against one caller whose sends of such a content crash servers being served forever.
+func TestAnsweredContentIsRefusedOnlyToTheCallerThatCrashesServers(t *testing.T) {
+	manual := timer.NewManual(time.Unix(1000, 0))
+	quarantine, peer := newQuarantine(manual, time.Minute), newQuarantine(manual, time.Minute)
+	content := Fingerprint{1}
+	callers := []Identity{{Content: content, Full: Fingerprint{2}}, {Content: content, Full: Fingerprint{3}}, {Content: content, Full: Fingerprint{4}}}
+	quarantine.recordAnswered(callers[0])
+	for i, caller := range callers {
+		quarantine.recordBroken(caller, uint32(i))
+		peer.recordBroken(caller, uint32(i))
+	}
+	assert.Assert(t, peer.Refuses(callers[0]))
+	quarantine.Import(peer.Export())
+	quarantine.ImportSuspects(peer.ExportSuspects())
+	for _, caller := range callers {
+		assert.Assert(t, !quarantine.Refuses(caller))
+	}
+	quarantine.recordBroken(callers[0], 7)
+	assert.Assert(t, quarantine.Refuses(callers[0]))
+	assert.Assert(t, !quarantine.Refuses(callers[1]))
+	manual.Advance(answeredPeriod)
+	quarantine.Import(peer.Export())
+	assert.Assert(t, quarantine.Refuses(callers[1]))
+}
--- a/entry/forward/request.go
+++ b/entry/forward/request.go
@@ -13,8 +13,8 @@
 type Request struct {
 	// ID is the id of every attempt; if it is empty, each attempt gets its own.
 	ID string
-	// Caller identifies the sender of the request; a request that crashes backend servers is refused only when it
-	// comes from the same caller.
+	// Caller identifies the sender of the request. A request whose content servers answer to others is refused only to the caller
+	// whose sends crash servers.
 	Caller  string
 	Service oleandervane.ServiceName
 	Kind    oleandervane.Kind
@@ -87,9 +87,8 @@
 	Reason Reason
 	// Response is set when the outcome is Answered. It must be closed.
 	Response *Response
-	// Fingerprint identifies the request by its content and caller, Content by its content, for logs.
-	Fingerprint Fingerprint
-	Content     Fingerprint
+	// Identity identifies the request, for logs.
+	Identity Identity
 	// Target is the target of the last attempt.
 	Target   Target
 	Attempts int
--- a/entry/forward/retry_test.go
+++ b/entry/forward/retry_test.go
@@ -108,7 +108,7 @@
 		allowRetries(forwarder)
 		unreachable := Target{ID: "b0", Address: netip.MustParseAddrPort("127.0.0.2:1")}
 		for _, list := range [][]Target{{first.target, second.target}, {unreachable, first.target, second.target}} {
-			forwarder.quarantine.recordAnswered(FingerprintOf(testRequest(test.idempotent, "POST", "x")))
+			forwarder.quarantine.recordAnswered(IdentityOf(testRequest(test.idempotent, "POST", "x")))
 			result := forwarder.Forward(context.Background(), testRequest(test.idempotent, "POST", "x"), &targets{list: list})
 			assert.Equal(t, result.Outcome, test.outcome, "%+v", test)
 			assert.Equal(t, result.Attempts, test.attempts+len(list)-2, "%+v", test)
@@ -150,13 +150,13 @@
 	quarantine, fingerprint := forwarder.Quarantine(), Fingerprint{1}
 	for _, event := range []string{"b1", "b1", "", "b2", "b2", "", "b1"} {
 		if event == "" {
-			quarantine.recordAnswered(fingerprint)
+			quarantine.recordAnswered(identity(fingerprint))
 		} else {
-			quarantine.recordBroken(fingerprint, ServerHash(event))
+			quarantine.recordBroken(identity(fingerprint), ServerHash(event))
 		}
 		assert.Assert(t, !quarantine.Contains(fingerprint))
 	}
-	quarantine.recordBroken(fingerprint, ServerHash("b2"))
+	quarantine.recordBroken(identity(fingerprint), ServerHash("b2"))
 	assert.Assert(t, quarantine.Contains(fingerprint))
 }
 
@@ -343,12 +343,12 @@
 	manual := timer.NewManual(time.Unix(1000, 0))
 	first, second := newQuarantine(manual, time.Minute), newQuarantine(manual, time.Minute)
 	fingerprint := Fingerprint{1}
-	first.recordBroken(fingerprint, ServerHash("i-1"))
+	first.recordBroken(identity(fingerprint), ServerHash("i-1"))
 	for range 2 {
 		second.ImportSuspects(first.ExportSuspects())
 		assert.Assert(t, !second.Contains(fingerprint))
 	}
-	second.recordBroken(fingerprint, ServerHash("i-2"))
+	second.recordBroken(identity(fingerprint), ServerHash("i-2"))
 	assert.Assert(t, second.Contains(fingerprint))
 	first.Import(second.Export())
 	assert.Assert(t, first.Contains(fingerprint))
--- a/entry/forward/suspect.go
+++ b/entry/forward/suspect.go
@@ -23,7 +23,7 @@
 	unresolvedPeriod = 10 * time.Second
 	// endedPeriod is how long a run that has ended is remembered; it is longer than the time limits of most requests.
 	endedPeriod = 30 * time.Second
-	// maxUnresolved bounds the attempts that are kept until then, 48 bytes each.
+	// maxUnresolved bounds the attempts that are kept until then, 64 bytes each.
 	maxUnresolved = 1024
 	// maxSuspects bounds the fingerprints that have broken one connection so far.
 	maxSuspects = 4096
@@ -41,9 +41,9 @@
 
 // unresolvedAttempt is an attempt after which the run of the backend server may have ended unnoticed.
 type unresolvedAttempt struct {
-	fingerprint Fingerprint
-	run         uint32
-	endedAt     time.Time
+	identity Identity
+	run      uint32
+	endedAt  time.Time
 }
 
 // lastAt returns the time of the newest crash.
@@ -79,21 +79,22 @@
 	return len(suspect) > maxCrashesOfRun
 }
 
-// recordBroken records a connection to a run of a backend server that was broken by the request with the fingerprint.
-func (quarantine *Quarantine) recordBroken(fingerprint Fingerprint, run uint32) {
+// recordBroken records a connection to a run of a backend server that was broken by the request.
+func (quarantine *Quarantine) recordBroken(identity Identity, run uint32) {
 	quarantine.mutex.Lock()
 	defer quarantine.mutex.Unlock()
-	quarantine.recordSuspect(fingerprint, crash{run: run, at: quarantine.timerService.Now()}, oleandervane.SuspectBrokenConnection)
+	now := quarantine.timerService.Now()
+	quarantine.recordSuspect(quarantine.blamed(identity, now), crash{run: run, at: now}, oleandervane.SuspectBrokenConnection)
 }
 
 // recordUnresolved records an attempt that ended without a response and without a broken connection: the time limit passed, or the
 // caller left.
-func (quarantine *Quarantine) recordUnresolved(fingerprint Fingerprint, run uint32) {
+func (quarantine *Quarantine) recordUnresolved(identity Identity, run uint32) {
 	quarantine.mutex.Lock()
 	defer quarantine.mutex.Unlock()
 	now := quarantine.timerService.Now()
 	if endedAt, found := quarantine.ended[run]; found && now.Sub(endedAt) < endedPeriod {
-		quarantine.recordSuspect(fingerprint, crash{run: run, at: now}, oleandervane.SuspectServerEnded)
+		quarantine.recordSuspect(quarantine.blamed(identity, now), crash{run: run, at: now}, oleandervane.SuspectServerEnded)
 		return
 	}
 	attempts := slices.DeleteFunc(quarantine.unresolved, func(attempt unresolvedAttempt) bool {
@@ -102,7 +103,7 @@
 	if len(attempts) >= maxUnresolved {
 		attempts = slices.Delete(attempts, 0, 1)
 	}
-	quarantine.unresolved = append(attempts, unresolvedAttempt{fingerprint: fingerprint, run: run, endedAt: now})
+	quarantine.unresolved = append(attempts, unresolvedAttempt{identity: identity, run: run, endedAt: now})
 }
 
 // RecordEnd records that the run of a backend server has ended unplanned. Requests whose attempts there ended recently without a
@@ -114,8 +115,8 @@
 	maps.DeleteFunc(quarantine.ended, func(_ uint32, endedAt time.Time) bool { return now.Sub(endedAt) >= endedPeriod })
 	quarantine.ended[run] = now
 	for _, attempt := range quarantine.unresolved {
-		if attempt.run == run && now.Sub(attempt.endedAt) < unresolvedPeriod && !quarantine.Contains(attempt.fingerprint) {
-			quarantine.recordSuspect(attempt.fingerprint, crash{run: run, at: now}, oleandervane.SuspectServerEnded)
+		if attempt.run == run && now.Sub(attempt.endedAt) < unresolvedPeriod && !quarantine.Refuses(attempt.identity) {
+			quarantine.recordSuspect(quarantine.blamed(attempt.identity, now), crash{run: run, at: now}, oleandervane.SuspectServerEnded)
 		}
 	}
 	quarantine.unresolved = slices.DeleteFunc(quarantine.unresolved, func(attempt unresolvedAttempt) bool { return attempt.run == run })
@@ -199,14 +200,14 @@
 }
 
 // ImportSuspects records requests that broke a connection of a peer. A request that broke connections to two servers,
-// at any VMs, is refused from now on.
+// at any VMs, is refused from now on. Contents that servers answered to this VM recently are not suspected.
 func (quarantine *Quarantine) ImportSuspects(list []oleandervane.SuspectRequest) {
 	quarantine.mutex.Lock()
 	defer quarantine.mutex.Unlock()
 	now := quarantine.timerService.Now()
 	for _, suspectRequest := range list {
 		fingerprint := Fingerprint(suspectRequest.Fingerprint)
-		if quarantine.Contains(fingerprint) {
+		if quarantine.Contains(fingerprint) || quarantine.answered.contains(fingerprint, now) {
 			continue
 		}
 		quarantine.recordSuspect(fingerprint, crash{run: suspectRequest.Server, at: now.Add(-max(0, suspectRequest.Since))}, oleandervane.SuspectFromPeer)
--- a/entry/gateway/request.go
+++ b/entry/gateway/request.go
@@ -237,6 +237,7 @@
 
 func (exchange *exchange) forwardRequest() forward.Request {
 	request := forward.Request{
+		Caller:   exchange.gateway.callerAddress(exchange.request).String(),
 		Service:  exchange.service,
 		Kind:     exchange.kind,
 		Method:   exchange.request.Method,
--- a/entry/ingress/ingress.go
+++ b/entry/ingress/ingress.go
@@ -87,12 +87,10 @@
 	Target           forward.Target
 	Attempts         int
 	AttemptSummaries []forward.AttemptSummary
-	Fingerprint      forward.Fingerprint
-	// Content is the fingerprint of the request without its caller.
-	Content  forward.Fingerprint
-	Status   int
-	Duration time.Duration
-	Err      error
+	Identity         forward.Identity
+	Status           int
+	Duration         time.Duration
+	Err              error
 }
 
 // Handler is an http.Handler for callers.
@@ -254,7 +252,7 @@
 	result := dependencies.Forwarder.Forward(call.context(matched), call.forwardRequest(matched, serviceName, body), chooser)
 	call.completion.Outcome, call.completion.Reason, call.completion.Err = result.Outcome, result.Reason, result.Err
 	call.completion.Target, call.completion.Attempts, call.completion.AttemptSummaries = result.Target, result.Attempts, result.AttemptSummaries
-	call.completion.Decision, call.completion.Fingerprint, call.completion.Content = chooser.Decision(), result.Fingerprint, result.Content
+	call.completion.Decision, call.completion.Identity = chooser.Decision(), result.Identity
 	switch result.Outcome {
 	case oleandervane.Answered:
 		call.sendResponse(result.Response)
--- a/entryvm/hosted/observer.go
+++ b/entryvm/hosted/observer.go
@@ -71,9 +71,9 @@
 		fields["body_bytes"] = completion.BodyBytes
 		fields["caller"] = completion.CallerAddress
 	}
-	if completion.Reason != "" && completion.Fingerprint != (forward.Fingerprint{}) {
-		fields["fingerprint"] = formatFingerprint(completion.Fingerprint)
-		fields["content"] = formatFingerprint(completion.Content)
+	if completion.Reason != "" && completion.Identity != (forward.Identity{}) {
+		fields["fingerprint"] = formatFingerprint(completion.Identity.Full)
+		fields["content"] = formatFingerprint(completion.Identity.Content)
 	}
 	if completion.Attempts > 1 || completion.Reason != "" {
 		fields["tries"] = formatAttempts(completion.AttemptSummaries)
