--- a/entry/forward/quarantine_test.go
+++ b/entry/forward/quarantine_test.go
@@ -115,3 +115,17 @@
 	quarantine.Import(peer.Export())
 	assert.Assert(t, quarantine.Refuses(callers[1]))
 }
+
+// Guards against a VM that refuses a request for a shorter time than the VM that quarantined it.
+func TestLongerQuarantineIsNotShortenedByPeers(t *testing.T) {
+	manual := timer.NewManual(time.Unix(1000, 0))
+	first, second := newQuarantine(manual, time.Minute), newQuarantine(manual, time.Minute)
+	first.recordBroken(identity(Fingerprint{1}), 1)
+	first.recordBroken(identity(Fingerprint{1}), 2)
+	manual.Advance(time.Minute)
+	first.recordBroken(identity(Fingerprint{1}), 3)
+	second.Import(first.Export())
+	manual.Advance(time.Minute + time.Second)
+	assert.Assert(t, first.Contains(Fingerprint{1}))
+	assert.Assert(t, second.Contains(Fingerprint{1}))
+}
--- a/entryvm/hosted/hosted_test.go
+++ b/entryvm/hosted/hosted_test.go
@@ -93,11 +93,18 @@
 	settings Settings
 	log      *lockedBuffer
 	entryVM  *EntryVM
+	timerService oleandervane.TimerService
 }
 
 func newFixture(t *testing.T, backends ...*backend) *fixture {
 	t.Helper()
-	fixture := &fixture{store: storestandin.New(timer.System{}), log: &lockedBuffer{}}
+	return newFixtureAt(t, timer.System{}, backends...)
+}
+
+// newFixtureAt returns a fixture whose VMs use the timer service.
+func newFixtureAt(t *testing.T, timerService oleandervane.TimerService, backends ...*backend) *fixture {
+	t.Helper()
+	fixture := &fixture{store: storestandin.New(timer.System{}), log: &lockedBuffer{}, timerService: timerService}
 	storeServer := httptest.NewServer(fixture.store.Handler())
 	t.Cleanup(storeServer.CloseClientConnections)
 	configuration, err := os.ReadFile("testdata/configuration.json")
@@ -129,7 +136,7 @@
 		*address, err = loopback.FreeAddress()
 		assert.NilError(t, err)
 	}
-	entryVM := New(fixture.settings, timer.System{}, fixture.log)
+	entryVM := New(fixture.settings, fixture.timerService, fixture.log)
 	fixture.entryVM = entryVM
 	ended := make(chan error, 1)
 	go func() { ended <- entryVM.Run() }()
@@ -151,6 +158,14 @@
 	})
 }
 
+// startAnother starts another VM at the same store.
+func startAnother(t *testing.T, another fixture, id oleandervane.VMID) *fixture {
+	t.Helper()
+	another.log, another.settings.ID = &lockedBuffer{}, id
+	another.start(t)
+	return &another
+}
+
 func (fixture *fixture) write(t *testing.T, key, value string) {
 	t.Helper()
 	_, err := fixture.store.Commit(context.Background(), oleandervane.StoreTransaction{Writes: []oleandervane.StoreWrite{{Key: key, Value: []byte(value)}}})
--- /dev/null
+++ b/entryvm/hosted/trial_test.go
@@ -0,0 +1,103 @@
+package hosted
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"oleandervane.example"
+	"oleandervane.example/entry/forward"
+	"oleandervane.example/standin/serverstandin"
+	"oleandervane.example/timer"
+)
+
+// shiftedClock is the system's clock, moved ahead by an offset that the test increases.
+type shiftedClock struct {
+	timer.System
+	offset atomic.Int64
+}
+
+func (shiftedClock *shiftedClock) Now() time.Time {
+	return shiftedClock.System.Now().Add(time.Duration(shiftedClock.offset.Load()))
+}
+
+// noticeTime is more than the time in which all VMs of a failure domain hear of a crash.
+const noticeTime = time.Second
+
+// trialFleet has VMs that refuse a request under which servers ended.
+type trialFleet struct {
+	fixtures []*fixture
+	servers  *serverstandin.Servers
+	clock    *shiftedClock
+	sends    int
+}
+
+func newTrialFleet(t *testing.T, vms int) *trialFleet {
+	fleet := &trialFleet{clock: &shiftedClock{}}
+	first := newFixtureAt(t, fleet.clock, newBackend(t))
+	_, err := first.store.Commit(t.Context(), oleandervane.StoreTransaction{Removals: []string{"servers/i-0"}})
+	assert.NilError(t, err)
+	fleet.servers = serverstandin.New(first.store, serverstandin.Settings{Crash: serverstandin.CrashReset})
+	t.Cleanup(fleet.servers.Close)
+	for i := range 8 {
+		assert.NilError(t, fleet.servers.Start(fmt.Sprintf("i-%d", i+1), "ledger"))
+	}
+	fleet.fixtures = append(fleet.fixtures, first)
+	for i := range vms - 1 {
+		fleet.fixtures = append(fleet.fixtures, startAnother(t, *first, oleandervane.VMID(fmt.Sprintf("vm-%d", i+2))))
+	}
+	for _, fixture := range fleet.fixtures {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			status, _, _ := fixture.send(t, http.MethodGet, "/lohu/harmless", "ready")
+			if status != http.StatusOK || len(fixture.entryVM.roster.EntryVMs()) < vms {
+				return poll.Continue("status %d", status)
+			}
+			return poll.Success()
+		})
+	}
+	for range 2 {
+		fleet.sendAtOnce(t, fleet.fixtures[0])
+	}
+	time.Sleep(noticeTime)
+	return fleet
+}
+
+// sendAtOnce sends the request to VMs at the same time, and returns when all have responded.
+func (trialFleet *trialFleet) sendAtOnce(t *testing.T, fixtures ...*fixture) {
+	var wait sync.WaitGroup
+	for _, fixture := range fixtures {
+		trialFleet.sends++
+		id := fmt.Sprint("deadly-", trialFleet.sends)
+		wait.Go(func() {
+			status, _, header := fixture.send(t, http.MethodPost, "/pufi/deadly", id)
+			t.Logf("%s at %s: status %d, reason %q", id, fixture.settings.ID, status, header.Get(oleandervane.HeaderReason))
+		})
+	}
+	wait.Wait()
+}
+
+func (trialFleet *trialFleet) advance(duration time.Duration) {
+	trialFleet.clock.offset.Add(int64(duration))
+	time.Sleep(noticeTime)
+}
+
+// Guards against quarantines that end at all VMs at the same time, after which each VM that gets the request crashes a server.
+func TestCrashingRequestIsTriedByOneVMAfterItsQuarantine(t *testing.T) {
+	trialFleet := newTrialFleet(t, 4)
+	assert.Equal(t, trialFleet.servers.Ended(), 2)
+	trialFleet.sendAtOnce(t, trialFleet.fixtures...)
+	assert.Equal(t, trialFleet.servers.Ended(), 2)
+	for trial := range 2 {
+		trialFleet.advance(forward.DefaultQuarantinePeriod << trial)
+		trialFleet.sendAtOnce(t, trialFleet.fixtures...)
+		time.Sleep(noticeTime)
+		trialFleet.sendAtOnce(t, trialFleet.fixtures...)
+		assert.Equal(t, trialFleet.servers.Ended(), 3+trial, "after trial %d", trial+1)
+	}
+}
