Keep the length of a quarantine at the VMs that hear of it

Callers: a request that had crashed a server after its quarantine was refused for two minutes at the VM that saw the crash and for one minute at the others, which then sent it and lost a server each.

Cause: Import cut the time left to the period of a first quarantine, although a later one is longer. The cut protects against a peer that reports a wrong time; it is now at the longest quarantine that a VM itself gives.

--- a/entry/forward/quarantine.go
+++ b/entry/forward/quarantine.go
@@ -137,7 +137,7 @@
 }
 
 // Import adds the entries that a peer exported, but not those of contents that servers answered to this VM recently. A time left that
-// is longer than this VM's period is shortened to the period.
+// is longer than the longest quarantine of this VM is shortened to it.
 func (quarantine *Quarantine) Import(list []QuarantineEntry) {
 	quarantine.mutex.Lock()
 	defer quarantine.mutex.Unlock()
@@ -145,7 +145,7 @@
 	for _, entry := range list {
 		extension := now.Add(entry.TimeLeft).Sub(quarantine.past[entry.Fingerprint].until)
 		if entry.TimeLeft > 0 && extension >= minExtension && !quarantine.answered.contains(entry.Fingerprint, now) {
-			quarantine.add(entry.Fingerprint, now, min(entry.TimeLeft, quarantine.period), oleandervane.SuspectFromPeer)
+			quarantine.add(entry.Fingerprint, now, min(entry.TimeLeft, maxQuarantinePeriods*quarantine.period), oleandervane.SuspectFromPeer)
 		}
 	}
 }
