Let one VM try a request after its quarantine

Cause: a quarantine ended at all VMs at the same moment, and a VM counted its former quarantine only after its own send had crashed a server. Evidence: TestCrashingRequestIsTriedByOneVMAfterItsQuarantine failed before, four VMs ended four servers.

Now a request that was quarantined is sent only in a trial: one send to one server, claimed first. Hosted VMs claim it by a key in the store under a lease of 20 s, so that no two VMs hold it whatever they have heard; other VMs by rank. The claim is kept after a crash, until the other VMs have heard of it, and released when the request was answered or not run. A claim that fails refuses the send at once; a VM claims again after 2 s at the earliest, which bounds the calls to the store. While the store is away nothing is tried.

Measured: the test ends one server in each of two quarantines (2, then 3, then 4 in all). Tests of entry/forward and TestCrashing* of entryvm/hosted pass.

--- a/entry/forward/forwarder.go
+++ b/entry/forward/forwarder.go
@@ -50,6 +50,8 @@
 	AbortDelay time.Duration
 	// SuspectObserver is notified of requests that may crash backend servers; nil notifies nobody.
 	SuspectObserver oleandervane.SuspectObserver
+	// TrialCoordinator decides which VM tries a request after its quarantine; nil selects each VM.
+	TrialCoordinator oleandervane.TrialCoordinator
 	// RetryBudget bounds retries; nil allows 10% of the requests of this VM.
 	RetryBudget RetryBudget
 }
@@ -115,7 +117,7 @@
 		settings.RetryBudget = NewRetryBudget(timerService, Allowance{Ratio: defaultRetryRatio})
 	}
 	quarantine := newQuarantine(timerService, settings.QuarantinePeriod)
-	quarantine.observer = settings.SuspectObserver
+	quarantine.observer, quarantine.coordinator = settings.SuspectObserver, settings.TrialCoordinator
 	return &Forwarder{
 		settings:     settings,
 		timerService: timerService,
@@ -155,6 +157,21 @@
 	if forwarder.quarantine.Refuses(identity) {
 		return Result{Outcome: oleandervane.NotRun, Reason: ReasonQuarantined, Identity: identity}
 	}
+	trial, allowed := forwarder.quarantine.beginTrial(ctx, identity)
+	if !allowed {
+		return Result{Outcome: oleandervane.NotRun, Reason: ReasonQuarantined, Identity: identity}
+	}
+	if trial == nil {
+		return forwarder.send(ctx, request, identity, chooser)
+	}
+	request.MaxAttempts = 1
+	result := forwarder.send(ctx, request, identity, chooser)
+	trial.end(result.Outcome)
+	return result
+}
+
+// send sends a request that is not refused.
+func (forwarder *Forwarder) send(ctx context.Context, request Request, identity Identity, chooser TargetChooser) Result {
 	forwarder.budget.RecordRequest(request.Service)
 	reservation, err := chooser.Choose(nil)
 	if err != nil {
--- a/entry/forward/quarantine.go
+++ b/entry/forward/quarantine.go
@@ -71,12 +71,15 @@
 // Quarantine refuses requests that broke connections on two runs of backend servers: one may be a coincidence, and waiting for
 // a third would crash it needlessly. A server that started again is another run. A request is refused to all callers, because what
 // crashes a server is its content. Only if servers answer the same content to others, it is refused to the caller whose sends
-// crashed them: the content may be harmless, and many callers may have sent it to servers that ended for another reason.
+// crashed them: the content may be harmless, and many callers may have sent it to servers that ended for another reason. After its
+// quarantine, one VM of the fleet tries the request, and the others refuse it until they know what came of it.
 type Quarantine struct {
 	timerService oleandervane.TimerService
 	period       time.Duration
 	// observer may be nil.
 	observer oleandervane.SuspectObserver
+	// coordinator may be nil; then this VM tries each request itself after its quarantine.
+	coordinator oleandervane.TrialCoordinator
 	// refusedUntil is replaced as a whole, so that requests read it without a lock.
 	refusedUntil atomic.Pointer[map[Fingerprint]time.Time]
 
@@ -86,6 +89,8 @@
 	unresolved []unresolvedAttempt
 	// past has the last quarantine of each request that was refused, also after it has ended.
 	past map[Fingerprint]pastQuarantine
+	// nextTrial is when this VM may next claim the trial of a request in past.
+	nextTrial map[Fingerprint]time.Time
 	// answered has contents that servers answered recently.
 	answered answeredTable
 	// ended has the runs that ended unplanned recently. Attempts there may wait for a response until their time limit.
@@ -105,6 +110,7 @@
 		suspects:     map[Fingerprint]suspect{},
 		ended:        map[uint32]time.Time{},
 		past:         map[Fingerprint]pastQuarantine{},
+		nextTrial:    map[Fingerprint]time.Time{},
 	}
 	quarantine.refusedUntil.Store(&map[Fingerprint]time.Time{})
 	return quarantine
@@ -162,6 +168,7 @@
 	quarantine.answered.add(identity.Content, quarantine.timerService.Now())
 	for _, fingerprint := range []Fingerprint{identity.Content, identity.Full} {
 		delete(quarantine.past, fingerprint)
+		delete(quarantine.nextTrial, fingerprint)
 		if _, found := quarantine.suspects[fingerprint]; !found {
 			continue
 		}
@@ -209,4 +216,8 @@
 		return
 	}
 	quarantine.past[fingerprint] = latest
+	maps.DeleteFunc(quarantine.nextTrial, func(fingerprint Fingerprint, _ time.Time) bool {
+		_, found := quarantine.past[fingerprint]
+		return !found
+	})
 }
--- a/entry/forward/quarantine_test.go
+++ b/entry/forward/quarantine_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -129,3 +130,66 @@
 	assert.Assert(t, first.Contains(Fingerprint{1}))
 	assert.Assert(t, second.Contains(Fingerprint{1}))
 }
+
+// claims is an oleandervane.TrialCoordinator of one VM: it grants the given number of claims.
+type claims struct {
+	left, released int
+}
+
+func (claims *claims) ClaimTrial(context.Context, [16]byte) bool {
+	claims.left--
+	return claims.left >= 0
+}
+
+func (claims *claims) ReleaseTrial([16]byte) { claims.released++ }
+
+// Guards against a VM that sends a request after its quarantine although another VM tries it, that keeps a trial after the request
+// was answered, and that lets other sends pass during its own trial.
+func TestRequestIsSentAfterItsQuarantineOnlyInATrial(t *testing.T) {
+	manual := timer.NewManual(time.Unix(1000, 0))
+	quarantine, claims := newQuarantine(manual, time.Minute), &claims{}
+	quarantine.coordinator = claims
+	deadly := identity(Fingerprint{1})
+	begin := func() (*trial, bool) { return quarantine.beginTrial(t.Context(), deadly) }
+	_, allowed := begin()
+	assert.Assert(t, allowed)
+	quarantine.recordBroken(deadly, 1)
+	quarantine.recordBroken(deadly, 2)
+	manual.Advance(time.Minute)
+	_, allowed = begin()
+	assert.Assert(t, !allowed, "the trial could not be claimed")
+	claims.left = 2
+	_, allowed = begin()
+	assert.Assert(t, !allowed, "the last claim was a moment ago")
+	manual.Advance(trialPause)
+	first, allowed := begin()
+	assert.Assert(t, allowed)
+	_, allowed = begin()
+	assert.Assert(t, !allowed, "the request is being tried")
+	first.end(oleandervane.NotRun)
+	assert.Equal(t, claims.released, 1)
+	second, allowed := begin()
+	assert.Assert(t, allowed, "the former trial did not run")
+	quarantine.recordAnswered(deadly)
+	second.end(oleandervane.Answered)
+	assert.Equal(t, claims.released, 2)
+	third, allowed := begin()
+	assert.Assert(t, allowed && third == nil, "the request is harmless")
+}
+
+// Guards against a trial that is released after a crash, so that another VM crashes a server before it hears of it.
+func TestTrialThatMayHaveCrashedAServerIsNotReleased(t *testing.T) {
+	manual := timer.NewManual(time.Unix(1000, 0))
+	quarantine, claims := newQuarantine(manual, time.Minute), &claims{left: 1}
+	quarantine.coordinator = claims
+	deadly := identity(Fingerprint{1})
+	quarantine.recordBroken(deadly, 1)
+	quarantine.recordBroken(deadly, 2)
+	manual.Advance(time.Minute)
+	trial, allowed := quarantine.beginTrial(t.Context(), deadly)
+	assert.Assert(t, allowed)
+	quarantine.recordBroken(deadly, 3)
+	trial.end(oleandervane.Unknown)
+	assert.Equal(t, claims.released, 0)
+	assert.Assert(t, quarantine.Refuses(deadly))
+}
--- a/entryvm/components.go
+++ b/entryvm/components.go
@@ -57,7 +57,7 @@
 // creates the forwarder, which uses the same identity for relayed requests.
 func (entryVM *EntryVM) loadIdentity() (serverTLS, clientTLS *tls.Config, err error) {
 	files := entryVM.settings.PeerTLS
-	forwarderSettings := forward.Settings{AbortDelay: forward.DefaultAbortDelay}
+	forwarderSettings := forward.Settings{AbortDelay: forward.DefaultAbortDelay, TrialCoordinator: rankedTrials{entryVM}}
 	if files.CertificateFile != "" {
 		identity, err := keys.LoadIdentity(keys.Files{
 			Certificate: files.CertificateFile,
--- a/entryvm/hosted/hosted_test.go
+++ b/entryvm/hosted/hosted_test.go
@@ -89,10 +89,10 @@
 
 // fixture is a VM with a store and backend servers.
 type fixture struct {
-	store    *storestandin.Store
-	settings Settings
-	log      *lockedBuffer
-	entryVM  *EntryVM
+	store        *storestandin.Store
+	settings     Settings
+	log          *lockedBuffer
+	entryVM      *EntryVM
 	timerService oleandervane.TimerService
 }
 
--- a/entryvm/hosted/observer.go
+++ b/entryvm/hosted/observer.go
@@ -147,6 +147,12 @@
 		Warn("request is refused for a while because backend servers ended while they ran it")
 }
 
+// TrialBegan logs that this VM sends a request once after its quarantine.
+func (observer *observer) TrialBegan(fingerprint [16]byte) {
+	observer.set.GetOrCreateCounter("oleandervane_request_trials_total").Inc()
+	observer.log.WithField("fingerprint", formatFingerprint(fingerprint)).Info("request is sent once to see whether it still crashes backend servers")
+}
+
 // SuspicionCleared logs that a request that was suspected was answered.
 func (observer *observer) SuspicionCleared(fingerprint [16]byte) {
 	observer.set.GetOrCreateCounter("oleandervane_suspicions_cleared_total").Inc()
--- a/entryvm/hosted/trial_test.go
+++ b/entryvm/hosted/trial_test.go
@@ -95,6 +95,8 @@
 	assert.Equal(t, trialFleet.servers.Ended(), 2)
 	for trial := range 2 {
 		trialFleet.advance(forward.DefaultQuarantinePeriod << trial)
+		// The store has its own clock, by which the lease of the last trial has not ended.
+		trialFleet.fixtures[0].store.Revoke(trialPrefix)
 		trialFleet.sendAtOnce(t, trialFleet.fixtures...)
 		time.Sleep(noticeTime)
 		trialFleet.sendAtOnce(t, trialFleet.fixtures...)
--- a/exchange.go
+++ b/exchange.go
@@ -1,6 +1,9 @@
 package oleandervane
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // ServerCount is a number of requests in flight at a backend server. It is immutable.
 type ServerCount struct {
@@ -66,12 +69,23 @@
 	Merge(suspects, quarantined []SuspectRequest)
 }
 
+// TrialCoordinator decides which VM sends a request once after its quarantine, to see whether it still crashes backend servers.
+type TrialCoordinator interface {
+	// ClaimTrial reports whether this VM may send the request. No other VM may until ReleaseTrial, or until some time has passed
+	// that is longer than any request takes.
+	ClaimTrial(ctx context.Context, fingerprint [16]byte) bool
+	// ReleaseTrial allows another VM to claim the trial after one that has not crashed a server.
+	ReleaseTrial(fingerprint [16]byte)
+}
+
 // SuspectObserver is notified of what a VM learns about requests that may crash backend servers.
 type SuspectObserver interface {
 	// RequestSuspected reports that a request may have crashed a backend server; run is the hash of the run that ended.
 	RequestSuspected(fingerprint [16]byte, run uint32, source SuspectSource)
 	// RequestQuarantined reports that a request is refused from now on for the duration.
 	RequestQuarantined(fingerprint [16]byte, duration time.Duration, source SuspectSource)
+	// TrialBegan reports that this VM sends a request once after its quarantine.
+	TrialBegan(fingerprint [16]byte)
 	// SuspicionCleared reports that a response cleared the suspicion of a request.
 	SuspicionCleared(fingerprint [16]byte)
 }
