--- a/entryvm/hosted/trial_test.go
+++ b/entryvm/hosted/trial_test.go
@@ -30,7 +30,7 @@
 // noticeTime is more than the time in which all VMs of a failure domain hear of a crash.
 const noticeTime = time.Second
 
-// trialFleet has VMs that refuse a request under which servers ended.
+// trialFleet has VMs and servers that end when they run the request.
 type trialFleet struct {
 	fixtures []*fixture
 	servers  *serverstandin.Servers
@@ -38,11 +38,15 @@
 	sends    int
 }
 
-func newTrialFleet(t *testing.T, vms int) *trialFleet {
+// newTrialFleet starts VMs at a store that has the entries.
+func newTrialFleet(t *testing.T, vms int, entries ...oleandervane.StoreEntry) *trialFleet {
 	fleet := &trialFleet{clock: &shiftedClock{}}
 	first := newFixtureAt(t, fleet.clock, newBackend(t))
 	_, err := first.store.Commit(t.Context(), oleandervane.StoreTransaction{Removals: []string{"servers/i-0"}})
 	assert.NilError(t, err)
+	for _, entry := range entries {
+		first.write(t, entry.Key, string(entry.Value))
+	}
 	fleet.servers = serverstandin.New(first.store, serverstandin.Settings{Crash: serverstandin.CrashReset})
 	t.Cleanup(fleet.servers.Close)
 	for i := range 8 {
@@ -61,11 +65,16 @@
 			return poll.Success()
 		})
 	}
+	return fleet
+}
+
+// quarantine sends the request until it is refused.
+func (trialFleet *trialFleet) quarantine(t *testing.T) {
 	for range 2 {
-		fleet.sendAtOnce(t, fleet.fixtures[0])
+		trialFleet.sendAtOnce(t, trialFleet.fixtures[0])
 	}
+	assert.Equal(t, trialFleet.servers.Ended(), 2)
 	time.Sleep(noticeTime)
-	return fleet
 }
 
 // sendAtOnce sends the request to VMs at the same time, and returns when all have responded.
@@ -90,7 +99,7 @@
 // Guards against quarantines that end at all VMs at the same time, after which each VM that gets the request crashes a server.
 func TestCrashingRequestIsTriedByOneVMAfterItsQuarantine(t *testing.T) {
 	trialFleet := newTrialFleet(t, 4)
-	assert.Equal(t, trialFleet.servers.Ended(), 2)
+	trialFleet.quarantine(t)
 	trialFleet.sendAtOnce(t, trialFleet.fixtures...)
 	assert.Equal(t, trialFleet.servers.Ended(), 2)
 	for trial := range 2 {
@@ -103,3 +112,18 @@
 		assert.Equal(t, trialFleet.servers.Ended(), 3+trial, "after trial %d", trial+1)
 	}
 }
+
+// Guards against VMs that have all started again and send, each of them, a request that was refused before.
+func TestCrashingRequestIsRememberedAfterAllVMsStartAgain(t *testing.T) {
+	former := newTrialFleet(t, 1)
+	former.quarantine(t)
+	entries, _, err := former.fixtures[0].store.List(t.Context(), "quarantine/")
+	assert.NilError(t, err)
+	trialFleet := newTrialFleet(t, 4, entries...)
+	trialFleet.sendAtOnce(t, trialFleet.fixtures...)
+	for range 3 {
+		trialFleet.advance(3 * time.Second)
+		trialFleet.sendAtOnce(t, trialFleet.fixtures...)
+	}
+	assert.Equal(t, trialFleet.servers.Ended(), 1)
+}
