Record quarantines in the store for VMs that start

Callers: after all VMs had started again, each VM that got a copy of a request that had been refused sent it, and a server ended for each, with the requests of other callers.

Cause: that a request crashes servers was known only to running VMs. Class: state of the fleet in the memory of VMs that can all end at the same moment. Evidence: TestCrashingRequestIsRememberedAfterAllVMsStartAgain failed before, four servers ended.

A VM that reads the key and knows of no quarantine refuses the request for 3 s, in which it hears from others, and then for its trial. Nothing waits for the store: without it, VMs learn from each other as before.

Measured: the test ends one server. Tests of entry/forward and TestCrashingRequest* of entryvm/hosted pass.

--- a/entry/forward/forwarder.go
+++ b/entry/forward/forwarder.go
@@ -52,6 +52,8 @@
 	SuspectObserver oleandervane.SuspectObserver
 	// TrialCoordinator decides which VM tries a request after its quarantine; nil selects each VM.
 	TrialCoordinator oleandervane.TrialCoordinator
+	// QuarantineRecorder keeps quarantines for VMs that start later; nil keeps none.
+	QuarantineRecorder oleandervane.QuarantineRecorder
 	// RetryBudget bounds retries; nil allows 10% of the requests of this VM.
 	RetryBudget RetryBudget
 }
@@ -117,7 +119,8 @@
 		settings.RetryBudget = NewRetryBudget(timerService, Allowance{Ratio: defaultRetryRatio})
 	}
 	quarantine := newQuarantine(timerService, settings.QuarantinePeriod)
-	quarantine.observer, quarantine.coordinator = settings.SuspectObserver, settings.TrialCoordinator
+	quarantine.observer = settings.SuspectObserver
+	quarantine.coordinator, quarantine.recorder = settings.TrialCoordinator, settings.QuarantineRecorder
 	return &Forwarder{
 		settings:     settings,
 		timerService: timerService,
--- a/entry/forward/quarantine.go
+++ b/entry/forward/quarantine.go
@@ -26,6 +26,9 @@
 	maxQuarantinePeriods = 16
 	// pastPeriod is how long after its quarantine a request is still refused after a single crash.
 	pastPeriod = time.Hour
+	// recordedPeriod is how long a request that a record says was refused is refused at least. Meanwhile this VM hears from the
+	// others whether it still is.
+	recordedPeriod = 3 * time.Second
 	// minExtension is the least time by which a quarantine is extended. The time left that VMs send to each other grows by the delay
 	// of each notice.
 	minExtension = 5 * time.Second
@@ -80,6 +83,8 @@
 	observer oleandervane.SuspectObserver
 	// coordinator may be nil; then this VM tries each request itself after its quarantine.
 	coordinator oleandervane.TrialCoordinator
+	// recorder may be nil.
+	recorder oleandervane.QuarantineRecorder
 	// refusedUntil is replaced as a whole, so that requests read it without a lock.
 	refusedUntil atomic.Pointer[map[Fingerprint]time.Time]
 
@@ -156,6 +161,21 @@
 	}
 }
 
+// Restore refuses a request that was refused for the duration at some time, according to a record, until its trial. It changes nothing if
+// this VM knows of a quarantine of the request.
+func (quarantine *Quarantine) Restore(fingerprint Fingerprint, duration time.Duration) {
+	quarantine.mutex.Lock()
+	defer quarantine.mutex.Unlock()
+	now := quarantine.timerService.Now()
+	if _, found := quarantine.past[fingerprint]; found || quarantine.answered.contains(fingerprint, now) {
+		return
+	}
+	quarantine.add(fingerprint, now, recordedPeriod, oleandervane.SuspectFromStore)
+	quarantine.remember(fingerprint, pastQuarantine{
+		duration: min(max(duration, quarantine.period), maxQuarantinePeriods*quarantine.period), until: now.Add(recordedPeriod),
+	}, now)
+}
+
 // ServerHash returns the hash by which VMs identify a backend server to each other.
 func ServerHash(id string) uint32 {
 	return uint32(xxhash.Sum64String(id))
@@ -167,6 +187,9 @@
 	defer quarantine.mutex.Unlock()
 	quarantine.answered.add(identity.Content, quarantine.timerService.Now())
 	for _, fingerprint := range []Fingerprint{identity.Content, identity.Full} {
+		if _, found := quarantine.past[fingerprint]; found && quarantine.recorder != nil {
+			quarantine.recorder.ClearQuarantine(fingerprint)
+		}
 		delete(quarantine.past, fingerprint)
 		delete(quarantine.nextTrial, fingerprint)
 		if _, found := quarantine.suspects[fingerprint]; !found {
@@ -198,6 +221,9 @@
 	if _, found := until[fingerprint]; !found && quarantine.observer != nil {
 		quarantine.observer.RequestQuarantined(fingerprint, period, source)
 	}
+	if quarantine.recorder != nil && source != oleandervane.SuspectFromPeer && source != oleandervane.SuspectFromStore {
+		quarantine.recorder.RecordQuarantine(fingerprint, period)
+	}
 	until[fingerprint] = end
 	quarantine.remember(fingerprint, pastQuarantine{duration: max(period, quarantine.period), until: end}, now)
 	quarantine.refusedUntil.Store(&until)
--- a/entryvm/hosted/fleet.go
+++ b/entryvm/hosted/fleet.go
@@ -5,6 +5,7 @@
 	"net/netip"
 
 	"oleandervane.example"
+	"oleandervane.example/entry/forward"
 	"oleandervane.example/fleet/exchange"
 	"oleandervane.example/fleet/peer"
 	"oleandervane.example/fleet/registrywatch"
@@ -35,7 +36,7 @@
 		entryVM.observedStore,
 		relayRoles{ChangeLog: entryVM.changeLog, Follower: follower},
 		entryVM.timerService,
-		storeSink{replica: entryVM.replica, changeLog: entryVM.changeLog},
+		storeSink{replica: entryVM.replica, changeLog: entryVM.changeLog, quarantine: entryVM.forwarder.Quarantine()},
 		settings.changeLimit(),
 	)
 	entryVM.observer.storeFailed = entryVM.watcher.Interrupt
@@ -49,20 +50,29 @@
 
 // storeSink applies the entries and changes that the watcher reads to the replica of this VM and to the change log for its
 // followers. The change log comes second: the roster, which is updated with the replica, determines whether this VM has
-// followers.
+// followers. The quarantines that the store has are restored before the VM can send requests.
 type storeSink struct {
 	*replica
-	changeLog *relay.ChangeLog
+	changeLog  *relay.ChangeLog
+	quarantine *forward.Quarantine
 }
 
 // Replace replaces all entries.
 func (storeSink storeSink) Replace(entries []oleandervane.StoreEntry, revision uint64) {
+	for _, entry := range entries {
+		restoreQuarantine(storeSink.quarantine, entry)
+	}
 	storeSink.replica.Replace(entries, revision)
 	storeSink.changeLog.Replace(entries, revision)
 }
 
 // Apply applies changes in order.
 func (storeSink storeSink) Apply(storeChanges oleandervane.StoreChanges) {
+	for _, change := range storeChanges.Changes {
+		if !change.Removed {
+			restoreQuarantine(storeSink.quarantine, change.Entry)
+		}
+	}
 	storeSink.replica.Apply(storeChanges)
 	storeSink.changeLog.Apply(storeChanges)
 }
--- a/entryvm/hosted/hosted.go
+++ b/entryvm/hosted/hosted.go
@@ -126,6 +126,7 @@
 		ConnectTimeout:         connectTimeout,
 		AbortDelay:             forward.DefaultAbortDelay,
 		SuspectObserver:        entryVM.observer,
+		QuarantineRecorder:     quarantineRecords{store: entryVM.observedStore, log: entryVM.log},
 		TrialCoordinator:       newTrialCoordinator(self.ID, entryVM.observedStore, entryVM.log),
 		RetryBudget: forward.NewRetryBudget(timerService, forward.Allowance{
 			Window: time.Duration(settings.Retries.Window),
--- a/entryvm/hosted/trial_test.go
+++ b/entryvm/hosted/trial_test.go
@@ -117,7 +117,7 @@
 func TestCrashingRequestIsRememberedAfterAllVMsStartAgain(t *testing.T) {
 	former := newTrialFleet(t, 1)
 	former.quarantine(t)
-	entries, _, err := former.fixtures[0].store.List(t.Context(), "quarantine/")
+	entries, _, err := former.fixtures[0].store.List(t.Context(), quarantinePrefix)
 	assert.NilError(t, err)
 	trialFleet := newTrialFleet(t, 4, entries...)
 	trialFleet.sendAtOnce(t, trialFleet.fixtures...)
--- a/exchange.go
+++ b/exchange.go
@@ -78,6 +78,14 @@
 	ReleaseTrial(fingerprint [16]byte)
 }
 
+// QuarantineRecorder keeps the quarantines that this VM begins, for VMs that start later. Its methods do not wait for the store.
+type QuarantineRecorder interface {
+	// RecordQuarantine records that a request is refused for the duration.
+	RecordQuarantine(fingerprint [16]byte, duration time.Duration)
+	// ClearQuarantine removes the record of a request that was answered.
+	ClearQuarantine(fingerprint [16]byte)
+}
+
 // SuspectObserver is notified of what a VM learns about requests that may crash backend servers.
 type SuspectObserver interface {
 	// RequestSuspected reports that a request may have crashed a backend server; run is the hash of the run that ended.
@@ -98,6 +106,7 @@
 	SuspectBrokenConnection SuspectSource = "connection_broken"
 	SuspectServerEnded      SuspectSource = "server_ended"
 	SuspectFromPeer         SuspectSource = "another_vm"
+	SuspectFromStore        SuspectSource = "store"
 )
 
 // StoreRevisionSource provides the revision up to which a VM has applied the store.
