Show that a planned stop cuts running requests and sends late ones in vain

The test fails on this code: requests that run when the stop begins get no response before the VM must have ended, and requests that come 2.5 s after the signal and take 3 s are sent to a server and broken off with 504, filings among them.

--- a/entryvm/hosted/stop_test.go
+++ b/entryvm/hosted/stop_test.go
@@ -8,13 +8,17 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/pelletier/go-toml/v2"
 	"gotest.tools/v3/assert"
+
+	"oleandervane.example/entryvm/settingsfile"
 )
 
 // stopLoad is a group of callers that send requests to a VM until it accepts no more connections.
@@ -120,3 +124,99 @@
 	assert.Equal(t, load.connected.Load()-accepted, load.reset.Load(), "%d of %d connections were accepted", accepted, load.connected.Load())
 	assert.Assert(t, load.reset.Load() <= maxReset, "%d connections were reset", load.reset.Load())
 }
+
+// lateCase is a case of testdata/requests-during-a-stop.toml, which explains the fields.
+type lateCase struct {
+	Name   string                `toml:"name"`
+	Method string                `toml:"method"`
+	Path   string                `toml:"path"`
+	Sent   settingsfile.Duration `toml:"sent"`
+	Run    settingsfile.Duration `toml:"run"`
+	WarmUp bool                  `toml:"warm_up"`
+	Status int                   `toml:"status"`
+	Runs   int64                 `toml:"runs"`
+}
+
+// warmUpRounds is how often the request of warm_up is sent.
+const warmUpRounds = 2
+
+// newFixture starts a VM with a server, and has it serve the requests of warm_up.
+func (lateCase lateCase) newFixture(t *testing.T) (*fixture, *backend) {
+	backend := newBackend(t)
+	backend.respondWith(func(writer http.ResponseWriter, request *http.Request) {
+		backend.runs.Add(1)
+		select {
+		case <-time.After(time.Duration(lateCase.Run)):
+		case <-request.Context().Done():
+		}
+		writer.Header().Set("X-Response-Signature", "m")
+	})
+	fixture := newFixture(t, backend)
+	configuration, err := os.ReadFile("testdata/configuration.json")
+	assert.NilError(t, err)
+	text := strings.NewReplacer(`"r7"`, `"r8"`, `"timeout_s": 2,`, `"timeout_s": 20,`, `"timeout_s": 1.5,`, `"timeout_s": 20,`).Replace(string(configuration))
+	fixture.write(t, "op/config", text)
+	time.Sleep(time.Second)
+	if lateCase.WarmUp {
+		for round := range warmUpRounds {
+			status, _ := lateCase.send(t, fixture, fmt.Sprint("warm-", round))
+			assert.Equal(t, status, http.StatusOK)
+		}
+	}
+	backend.runs.Store(0)
+	return fixture, backend
+}
+
+// send sends the request and returns the status of the response, or 0 if there was no complete one, and how long it took.
+func (lateCase lateCase) send(t *testing.T, fixture *fixture, id string) (status int, took time.Duration) {
+	request := newRequest(t.Context(), t, lateCase.Method, fixture.settings.CallerAddress.String(), lateCase.Path, id, "17")
+	request.Header.Set("X-Timeout-Ms", "20000")
+	request.Close = true
+	startedAt := time.Now()
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Log(lateCase.Name, err)
+		return 0, time.Since(startedAt)
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	assert.Check(t, err)
+	return response.StatusCode, time.Since(startedAt)
+}
+
+// Guards against requests of a planned stop that are cut without a response when the process ends, and against late ones that are sent to
+// a server although the VM ends before they can be answered.
+func TestRequestsDuringAStopAreAnsweredOrRefused(t *testing.T) {
+	text, err := os.ReadFile("testdata/requests-during-a-stop.toml")
+	assert.NilError(t, err)
+	var table struct {
+		Cases []lateCase `toml:"case"`
+	}
+	assert.NilError(t, toml.Unmarshal(text, &table))
+	var prepared, sent sync.WaitGroup
+	stopAt := make(chan struct{})
+	var signalAt time.Time
+	for _, lateCase := range table.Cases {
+		prepared.Add(1)
+		sent.Go(func() {
+			fixture, backend := lateCase.newFixture(t)
+			prepared.Done()
+			<-stopAt
+			time.Sleep(time.Until(signalAt.Add(time.Duration(lateCase.Sent))))
+			status, took := lateCase.send(t, fixture, lateCase.Name)
+			assert.Check(t, status == lateCase.Status, "%s: status %d after %v", lateCase.Name, status, took)
+			ended := time.Since(signalAt)
+			assert.Check(t, ended < time.Duration(fixture.settings.StopLimit), "%s: response %v after the signal", lateCase.Name, ended)
+			assert.Check(t, backend.runs.Load() == lateCase.Runs, "%s: %d runs", lateCase.Name, backend.runs.Load())
+			if lateCase.Status == http.StatusServiceUnavailable {
+				assert.Check(t, took < time.Second, "%s: refused after %v", lateCase.Name, took)
+			}
+		})
+	}
+	prepared.Wait()
+	signalAt = time.Now().Add(time.Second)
+	close(stopAt)
+	time.Sleep(time.Until(signalAt))
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	sent.Wait()
+}
