Answer requests that run at the end of a planned stop

Callers: a request that was running when a planned stop began kept its whole time limit.

Cause: Handler.Stop limited only the requests that came after it. Evidence: in TestRequestsDuringAStopAreAnsweredOrRefused the responses came 19.7 s after the signal, where the process ends after 6 s. Stop now aborts the requests in flight half a second before its end, so that each gets 504; a server that is still at work is left in peace until then.

--- a/entry/ingress/ingress.go
+++ b/entry/ingress/ingress.go
@@ -101,11 +101,16 @@
 	inFlight     atomic.Int64
 	// stopDeadline is when requests in flight have to be finished; nil while the VM does not stop.
 	stopDeadline atomic.Pointer[time.Time]
+	// running ends when a stop aborts the requests in flight.
+	running context.Context
+	abort   context.CancelCauseFunc
 }
 
 // New returns a handler that refuses requests until a route table is published.
 func New(dependencies Dependencies) *Handler {
-	return &Handler{dependencies: dependencies, splitter: route.NewSplitter()}
+	handler := &Handler{dependencies: dependencies, splitter: route.NewSplitter()}
+	handler.running, handler.abort = context.WithCancelCause(context.Background())
+	return handler
 }
 
 // Publish makes a route table the current one.
@@ -113,9 +118,12 @@
 	handler.index.Store(route.NewIndex(table))
 }
 
-// Stop makes callers close their connections, and limits the time of requests so that they end by the given time.
+// Stop makes callers close their connections, and limits the time of requests so that they end by the given time. Those in flight
+// are aborted shortly before, so that their callers get a response before the process ends.
 func (handler *Handler) Stop(by time.Time) {
 	handler.stopDeadline.Store(&by)
+	timerService := handler.dependencies.TimerService
+	timerService.After(by.Sub(timerService.Now())-abortMargin, func(time.Time) { handler.abort(forward.ErrDeadline) })
 }
 
 // InFlight returns the number of requests being served.
@@ -249,7 +257,9 @@
 		Home:    dependencies.Self.Region,
 		Urgent:  index.Urgent(matched, serviceName),
 	})
-	result := dependencies.Forwarder.Forward(call.context(matched), call.forwardRequest(matched, serviceName, body), chooser)
+	ctx, cancel := call.context(matched)
+	defer cancel()
+	result := dependencies.Forwarder.Forward(ctx, call.forwardRequest(matched, serviceName, body), chooser)
 	call.completion.Outcome, call.completion.Reason, call.completion.Err = result.Outcome, result.Reason, result.Err
 	call.completion.Target, call.completion.Attempts, call.completion.AttemptSummaries = result.Target, result.Attempts, result.AttemptSummaries
 	call.completion.Decision, call.completion.Identity = chooser.Decision(), result.Identity
@@ -272,13 +282,20 @@
 	return string(serviceName) + "\x00" + call.completion.Route.Prefix + "\x00" + call.completion.Metadata.Object
 }
 
-// context returns a context that ends when the caller disconnects. A request that may run at most once continues: its
-// outcome matters to the next request of the caller, and aborting it would leave the outcome unknown.
-func (call *call) context(matched oleandervane.Route) context.Context {
-	if matched.Idempotent() {
-		return call.request.Context()
+// context returns a context that ends when the caller disconnects or a stop aborts requests. A request that may run at most once
+// continues when its caller disconnects: its outcome matters to the next request of the caller, and aborting it would leave the
+// outcome unknown.
+func (call *call) context(matched oleandervane.Route) (ctx context.Context, cancel func()) {
+	ctx = call.request.Context()
+	if !matched.Idempotent() {
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	stopWatching := context.AfterFunc(call.handler.running, func() { cancelCause(context.Cause(call.handler.running)) })
+	return ctx, func() {
+		stopWatching()
+		cancelCause(nil)
 	}
-	return context.WithoutCancel(call.request.Context())
 }
 
 func (call *call) forwardRequest(matched oleandervane.Route, serviceName oleandervane.ServiceName, body []byte) forward.Request {
