Refuse late requests that a planned stop would break off

Callers: a request that came late in a planned stop was sent to a server and broken off with 504 at the end, filings among them, whose outcome the caller then did not know.

Cause: the time left was only the limit of the request; nothing compared it with the time that requests of the kind take. A request whose own limit is shorter than the stop is not affected.

--- a/entry/forward/forwarder.go
+++ b/entry/forward/forwarder.go
@@ -128,7 +128,7 @@
 		relayPool:    relayPool,
 		budget:       settings.RetryBudget,
 		quarantine:   quarantine,
-		firstBytes:   &firstByteTimes{times: map[kindKey]time.Duration{}},
+		firstBytes:   &firstByteTimes{times: map[kindKey]firstByteTime{}},
 		idPrefix:     rand.Text(),
 		stopEviction: timerService.Every(settings.IdleTimeout, func(now time.Time) {
 			pool.evictIdle(now)
@@ -144,6 +144,11 @@
 	forwarder.relayPool.closeIdle()
 }
 
+// MeanTime returns the mean of the recent times that servers took to respond to requests of a kind, or zero if none is known.
+func (forwarder *Forwarder) MeanTime(service oleandervane.ServiceName, kind oleandervane.KindName) time.Duration {
+	return forwarder.firstBytes.of(service, kind).mean
+}
+
 // Quarantine returns the quarantine, whose entries are exchanged with peers.
 func (forwarder *Forwarder) Quarantine() *Quarantine {
 	return forwarder.quarantine
--- a/entry/forward/silence.go
+++ b/entry/forward/silence.go
@@ -24,6 +24,8 @@
 	silenceMargin = 3
 	// firstByteDecay is the factor by which the slowest known time decreases with each newer one.
 	firstByteDecay = 0.99
+	// meanWeight is the weight of the newest time in the mean.
+	meanWeight = 0.1
 )
 
 // errConnectTimeout means that no connection was opened within the connect timeout. A host that has vanished does not
@@ -56,15 +58,19 @@
 	if attempt.forwarder.settings.TrustReusedConnections {
 		return false
 	}
-	slowest := attempt.forwarder.firstBytes.slowest(attempt.request)
+	slowest := attempt.forwarder.firstBytes.of(attempt.request.Service, attempt.request.Kind.Name).slowest
 	return silenceMargin*slowest > attempt.silenceTimeout()
 }
 
-// firstByteTimes stores for each kind the slowest recent time from the start of an attempt until the beginning of its
-// response was read, with decay.
+// firstByteTimes stores for each kind the times from the start of an attempt until the beginning of its response was read.
 type firstByteTimes struct {
 	mutex sync.Mutex
-	times map[kindKey]time.Duration
+	times map[kindKey]firstByteTime
+}
+
+// firstByteTime has the slowest recent time, with decay, and the mean, in which recent times weigh most.
+type firstByteTime struct {
+	slowest, mean time.Duration
 }
 
 type kindKey struct {
@@ -76,12 +82,18 @@
 	key := kindKey{service: request.Service, kind: request.Kind.Name}
 	firstByteTimes.mutex.Lock()
 	defer firstByteTimes.mutex.Unlock()
-	decayed := time.Duration(float64(firstByteTimes.times[key]) * firstByteDecay)
-	firstByteTimes.times[key] = max(took, decayed)
+	known, found := firstByteTimes.times[key]
+	if !found {
+		known.mean = took
+	}
+	firstByteTimes.times[key] = firstByteTime{
+		slowest: max(took, time.Duration(float64(known.slowest)*firstByteDecay)),
+		mean:    known.mean + time.Duration(meanWeight*float64(took-known.mean)),
+	}
 }
 
-func (firstByteTimes *firstByteTimes) slowest(request Request) time.Duration {
+func (firstByteTimes *firstByteTimes) of(service oleandervane.ServiceName, kind oleandervane.KindName) firstByteTime {
 	firstByteTimes.mutex.Lock()
 	defer firstByteTimes.mutex.Unlock()
-	return firstByteTimes.times[kindKey{service: request.Service, kind: request.Kind.Name}]
+	return firstByteTimes.times[kindKey{service: service, kind: kind}]
 }
--- a/entry/ingress/ingress.go
+++ b/entry/ingress/ingress.go
@@ -35,6 +35,8 @@
 	maxRetryAfter = 2 * time.Second
 	// maxHTTP10BufferBytes bounds response bodies without a length for HTTP/1.0 callers.
 	maxHTTP10BufferBytes = 4 << 20
+	// stopTimeFactor is how many times the mean time of its kind a request must have left during a stop.
+	stopTimeFactor = 1.25
 	// abortMargin is the time before the end of a stop at which requests in flight are aborted.
 	abortMargin = 500 * time.Millisecond
 )
@@ -215,6 +217,16 @@
 	return limit
 }
 
+// endsAfterStop reports whether the request would probably be aborted by the stop of this VM. Another VM can serve it.
+func (call *call) endsAfterStop(matched oleandervane.Route, serviceName oleandervane.ServiceName) bool {
+	stopDeadline := call.handler.stopDeadline.Load()
+	if stopDeadline == nil || call.deadline.Before(stopDeadline.Add(-abortMargin)) {
+		return false
+	}
+	mean := call.handler.dependencies.Forwarder.MeanTime(serviceName, oleandervane.KindName(matched.Name))
+	return call.deadline.Sub(call.handler.dependencies.TimerService.Now()) < time.Duration(stopTimeFactor*float64(mean))
+}
+
 func (call *call) readBody(limits oleandervane.CallerLimits) (body []byte, reason forward.Reason) {
 	if call.request.Body == nil || call.request.ContentLength == 0 {
 		return nil, ""
@@ -245,11 +257,15 @@
 
 func (call *call) forward(index *route.Index, matched oleandervane.Route, body []byte) {
 	dependencies := call.handler.dependencies
+	serviceName := call.completion.Service
 	if !dependencies.TimerService.Now().Before(call.deadline) {
 		call.refuse(http.StatusServiceUnavailable, reasonStopping, unavailableRetryAfter)
 		return
 	}
-	serviceName := call.completion.Service
+	if call.endsAfterStop(matched, serviceName) {
+		call.refuse(http.StatusServiceUnavailable, reasonStopping, minRetryAfter)
+		return
+	}
 	chooser := dependencies.Placer.Chooser(placement.Request{
 		Service: serviceName,
 		Route:   matched,
