--- a/standin/soak/signal.go
+++ b/standin/soak/signal.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -31,6 +32,8 @@
 	// crashInterval is the time between two sends of a request that crashes servers, crashSends their number.
 	crashInterval = 150 * time.Millisecond
 	crashSends    = 40
+	// crashCallers is the number of addresses that such a request comes from, one after the other.
+	crashCallers = 8
 	// leaveEarlyAfter is how long the caller of such a request waits if the request is safe. The server ends crashDelay after the
 	// request arrived, and is down for crashDowntime.
 	leaveEarlyAfter = 30 * time.Millisecond
@@ -128,7 +131,7 @@
 	soak.pending.Go(func() {
 		for send := range uint64(crashSends) {
 			vm := soak.vms[(random+send*7)%uint64(len(soak.vms))]
-			soak.sendOnce(ctx, vm, name, unsafe)
+			soak.sendOnce(ctx, vm, name, unsafe, int(send))
 			time.Sleep(crashInterval)
 		}
 		soak.crashing.Store(false)
@@ -138,7 +141,8 @@
 	})
 }
 
-func (soak *Soak) sendOnce(ctx context.Context, vm *vm, name string, unsafe bool) {
+// sendOnce sends the request from one of several addresses. send is the number of the send.
+func (soak *Soak) sendOnce(ctx context.Context, vm *vm, name string, unsafe bool, send int) {
 	method, prefix, timeout := http.MethodGet, "/safe/", leaveEarlyAfter
 	if unsafe {
 		method, prefix, timeout = http.MethodPost, "/unsafe/", callerTimeout
@@ -152,7 +156,9 @@
 	request.Host, request.Close = "a.example", true
 	request.Header.Set("X-Request-Id", fmt.Sprintf("%s-%d", name, time.Now().UnixNano()))
 	request.AddCookie(&http.Cookie{Name: "X-Affinity-Key", Value: name})
-	if response, err := http.DefaultClient.Do(request); err == nil {
+	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, byte(2+send*crashCallers/crashSends))}}
+	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
+	if response, err := transport.RoundTrip(request); err == nil {
 		_ = response.Body.Close()
 	}
 }
