--- a/entry/forward/forwarder.go
+++ b/entry/forward/forwarder.go
@@ -50,6 +50,10 @@
 	AbortDelay time.Duration
 	// SuspectObserver is notified of requests that may crash backend servers; nil notifies nobody.
 	SuspectObserver oleandervane.SuspectObserver
+	// TrialCoordinator decides which VM tries a request after its quarantine; nil selects each VM.
+	TrialCoordinator oleandervane.TrialCoordinator
+	// QuarantineRecorder keeps quarantines for VMs that start later; nil keeps none.
+	QuarantineRecorder oleandervane.QuarantineRecorder
 	// RetryBudget bounds retries; nil allows 10% of the requests of this VM.
 	RetryBudget RetryBudget
 }
@@ -116,6 +120,7 @@
 	}
 	quarantine := newQuarantine(timerService, settings.QuarantinePeriod)
 	quarantine.observer = settings.SuspectObserver
+	quarantine.coordinator, quarantine.recorder = settings.TrialCoordinator, settings.QuarantineRecorder
 	return &Forwarder{
 		settings:     settings,
 		timerService: timerService,
@@ -123,7 +128,7 @@
 		relayPool:    relayPool,
 		budget:       settings.RetryBudget,
 		quarantine:   quarantine,
-		firstBytes:   &firstByteTimes{times: map[kindKey]time.Duration{}},
+		firstBytes:   &firstByteTimes{times: map[kindKey]firstByteTime{}},
 		idPrefix:     rand.Text(),
 		stopEviction: timerService.Every(settings.IdleTimeout, func(now time.Time) {
 			pool.evictIdle(now)
@@ -139,6 +144,11 @@
 	forwarder.relayPool.closeIdle()
 }
 
+// MeanTime returns the mean of the recent times that servers took to respond to requests of a kind, or zero if none is known.
+func (forwarder *Forwarder) MeanTime(service oleandervane.ServiceName, kind oleandervane.KindName) time.Duration {
+	return forwarder.firstBytes.of(service, kind).mean
+}
+
 // Quarantine returns the quarantine, whose entries are exchanged with peers.
 func (forwarder *Forwarder) Quarantine() *Quarantine {
 	return forwarder.quarantine
@@ -151,35 +161,50 @@
 // Forward sends a request to a target of the chooser and returns the result. It retries the request only if it is
 // idempotent or has provably not run, on a different target each time, within the deadline and the budget.
 func (forwarder *Forwarder) Forward(ctx context.Context, request Request, chooser TargetChooser) Result {
-	fingerprint := FingerprintOf(request)
-	if forwarder.quarantine.Contains(fingerprint) {
-		return Result{Outcome: oleandervane.NotRun, Reason: ReasonQuarantined, Fingerprint: fingerprint}
+	identity := IdentityOf(request)
+	if forwarder.quarantine.Refuses(identity) {
+		return Result{Outcome: oleandervane.NotRun, Reason: ReasonQuarantined, Identity: identity}
+	}
+	trial, allowed := forwarder.quarantine.beginTrial(ctx, identity)
+	if !allowed {
+		return Result{Outcome: oleandervane.NotRun, Reason: ReasonQuarantined, Identity: identity}
+	}
+	if trial == nil {
+		return forwarder.send(ctx, request, identity, chooser)
 	}
+	request.MaxAttempts = 1
+	result := forwarder.send(ctx, request, identity, chooser)
+	trial.end(result.Outcome)
+	return result
+}
+
+// send sends a request that is not refused.
+func (forwarder *Forwarder) send(ctx context.Context, request Request, identity Identity, chooser TargetChooser) Result {
 	forwarder.budget.RecordRequest(request.Service)
 	reservation, err := chooser.Choose(nil)
 	if err != nil {
-		return Result{Outcome: oleandervane.NotRun, Reason: ReasonNoBackendServer, Fingerprint: fingerprint, Err: err}
+		return Result{Outcome: oleandervane.NotRun, Reason: ReasonNoBackendServer, Identity: identity, Err: err}
 	}
-	retryLoop := &retryLoop{startedAt: forwarder.timerService.Now(), forwarder: forwarder, ctx: ctx, request: request, fingerprint: fingerprint, chooser: chooser}
+	retryLoop := &retryLoop{startedAt: forwarder.timerService.Now(), forwarder: forwarder, ctx: ctx, request: request, identity: identity, chooser: chooser}
 	for reservation != nil {
 		retryLoop.attempt(reservation)
 		reservation = retryLoop.next()
 	}
 	result := retryLoop.finish()
-	result.Fingerprint = fingerprint
+	result.Identity = identity
 	return result
 }
 
 // retryLoop runs the attempts of one request.
 type retryLoop struct {
-	forwarder   *Forwarder
-	ctx         context.Context
-	request     Request
-	fingerprint Fingerprint
-	chooser     TargetChooser
-	excluded    []string
-	summaries   []AttemptSummary
-	startedAt   time.Time
+	forwarder *Forwarder
+	ctx       context.Context
+	request   Request
+	identity  Identity
+	chooser   TargetChooser
+	excluded  []string
+	summaries []AttemptSummary
+	startedAt time.Time
 	// mayHaveRun is set once an attempt ended with an unknown outcome; from then on the outcome of the request is never
 	// NotRun, whatever the outcomes of later attempts.
 	mayHaveRun bool
@@ -203,7 +228,7 @@
 
 func (retryLoop *retryLoop) attempt(reservation Reservation) {
 	attempt := retryLoop.forwarder.newAttempt(retryLoop.ctx, retryLoop.request, reservation)
-	attempt.fingerprint = retryLoop.fingerprint
+	attempt.identity = retryLoop.identity
 	attemptOutcome := attempt.run()
 	retryLoop.excluded = append(retryLoop.excluded, attempt.target.ID)
 	retryLoop.summaries = append(retryLoop.summaries, AttemptSummary{
@@ -256,7 +281,7 @@
 		Reason:      retryLoop.result.Reason,
 		MayHaveRun:  retryLoop.mayHaveRun,
 		Abandoned:   retryLoop.ctx.Err() != nil || retryLoop.request.Abandoned != nil && retryLoop.request.Abandoned(),
-		Quarantined: retryLoop.forwarder.quarantine.Contains(retryLoop.fingerprint),
+		Quarantined: retryLoop.forwarder.quarantine.Refuses(retryLoop.identity),
 		Attempts:    retryLoop.result.Attempts,
 	}
 	if response := retryLoop.result.Response; response != nil {
--- a/entry/forward/quarantine.go
+++ b/entry/forward/quarantine.go
@@ -26,6 +26,9 @@
 	maxQuarantinePeriods = 16
 	// pastPeriod is how long after its quarantine a request is still refused after a single crash.
 	pastPeriod = time.Hour
+	// recordedPeriod is how long a request that a record says was refused is refused at least. Meanwhile this VM hears from the
+	// others whether it still is.
+	recordedPeriod = 3 * time.Second
 	// minExtension is the least time by which a quarantine is extended. The time left that VMs send to each other grows by the delay
 	// of each notice.
 	minExtension = 5 * time.Second
@@ -34,21 +37,31 @@
 // Fingerprint identifies a request by its content.
 type Fingerprint [16]byte
 
-// FingerprintOf returns the fingerprint of a request: its caller, method, target and body. The target is the host, path and query
-// that the caller sent, because the service and kind that a route selects may change from one send to the next; without a host, it
-// is the service, kind, path and query.
-func FingerprintOf(request Request) Fingerprint {
+// Identity says which sends are of the same request. It is immutable.
+type Identity struct {
+	// Content identifies what the request says, whoever sends it.
+	Content Fingerprint
+	// Full also identifies the caller.
+	Full Fingerprint
+}
+
+// IdentityOf returns the identity of a request. Its content is the method, target and body. The target is the host, path and query
+// that the caller sent, because the service and kind that a route selects may change from one send to the next; without a host, it is
+// the service, kind, path and query.
+func IdentityOf(request Request) Identity {
 	hash := sha256.New()
 	target := []string{request.Host, "", ""}
 	if request.Host == "" {
 		target = []string{"", string(request.Service), string(request.Kind.Name)}
 	}
-	for _, field := range append(target, request.Caller, request.Method, request.Path, request.RawQuery) {
+	for _, field := range append(target, request.Method, request.Path, request.RawQuery) {
 		hash.Write(binary.AppendUvarint(nil, uint64(len(field))))
 		hash.Write([]byte(field))
 	}
 	hash.Write(request.Body)
-	return Fingerprint(hash.Sum(nil))
+	content := Fingerprint(hash.Sum(nil))
+	full := sha256.Sum256(append(content[:], request.Caller...))
+	return Identity{Content: content, Full: Fingerprint(full[:len(Fingerprint{})])}
 }
 
 // QuarantineEntry is a fingerprint that is refused for the time left. It is immutable.
@@ -59,12 +72,19 @@
 }
 
 // Quarantine refuses requests that broke connections on two runs of backend servers: one may be a coincidence, and waiting for
-// a third would crash it needlessly. A server that started again is another run.
+// a third would crash it needlessly. A server that started again is another run. A request is refused to all callers, because what
+// crashes a server is its content. Only if servers answer the same content to others, it is refused to the caller whose sends
+// crashed them: the content may be harmless, and many callers may have sent it to servers that ended for another reason. After its
+// quarantine, one VM of the fleet tries the request, and the others refuse it until they know what came of it.
 type Quarantine struct {
 	timerService oleandervane.TimerService
 	period       time.Duration
 	// observer may be nil.
 	observer oleandervane.SuspectObserver
+	// coordinator may be nil; then this VM tries each request itself after its quarantine.
+	coordinator oleandervane.TrialCoordinator
+	// recorder may be nil.
+	recorder oleandervane.QuarantineRecorder
 	// refusedUntil is replaced as a whole, so that requests read it without a lock.
 	refusedUntil atomic.Pointer[map[Fingerprint]time.Time]
 
@@ -74,6 +94,10 @@
 	unresolved []unresolvedAttempt
 	// past has the last quarantine of each request that was refused, also after it has ended.
 	past map[Fingerprint]pastQuarantine
+	// nextTrial is when this VM may next claim the trial of a request in past.
+	nextTrial map[Fingerprint]time.Time
+	// answered has contents that servers answered recently.
+	answered answeredTable
 	// ended has the runs that ended unplanned recently. Attempts there may wait for a response until their time limit.
 	ended map[uint32]time.Time
 }
@@ -91,11 +115,17 @@
 		suspects:     map[Fingerprint]suspect{},
 		ended:        map[uint32]time.Time{},
 		past:         map[Fingerprint]pastQuarantine{},
+		nextTrial:    map[Fingerprint]time.Time{},
 	}
 	quarantine.refusedUntil.Store(&map[Fingerprint]time.Time{})
 	return quarantine
 }
 
+// Refuses reports whether the request is refused now.
+func (quarantine *Quarantine) Refuses(identity Identity) bool {
+	return quarantine.Contains(identity.Content) || quarantine.Contains(identity.Full)
+}
+
 // Contains reports whether requests with the fingerprint are refused now.
 func (quarantine *Quarantine) Contains(fingerprint Fingerprint) bool {
 	until, found := (*quarantine.refusedUntil.Load())[fingerprint]
@@ -117,37 +147,67 @@
 	return list
 }
 
-// Import adds the entries that a peer exported. A time left that is longer than this VM's period is shortened to the
-// period.
+// Import adds the entries that a peer exported, but not those of contents that servers answered to this VM recently. A time left that
+// is longer than the longest quarantine of this VM is shortened to it.
 func (quarantine *Quarantine) Import(list []QuarantineEntry) {
 	quarantine.mutex.Lock()
 	defer quarantine.mutex.Unlock()
 	now := quarantine.timerService.Now()
 	for _, entry := range list {
 		extension := now.Add(entry.TimeLeft).Sub(quarantine.past[entry.Fingerprint].until)
-		if entry.TimeLeft > 0 && extension >= minExtension {
-			quarantine.add(entry.Fingerprint, now, min(entry.TimeLeft, quarantine.period), oleandervane.SuspectFromPeer)
+		if entry.TimeLeft > 0 && extension >= minExtension && !quarantine.answered.contains(entry.Fingerprint, now) {
+			quarantine.add(entry.Fingerprint, now, min(entry.TimeLeft, maxQuarantinePeriods*quarantine.period), oleandervane.SuspectFromPeer)
 		}
 	}
 }
 
+// Restore refuses a request that was refused for the duration at some time, according to a record, until its trial. It changes nothing if
+// this VM knows of a quarantine of the request.
+func (quarantine *Quarantine) Restore(fingerprint Fingerprint, duration time.Duration) {
+	quarantine.mutex.Lock()
+	defer quarantine.mutex.Unlock()
+	now := quarantine.timerService.Now()
+	if _, found := quarantine.past[fingerprint]; found || quarantine.answered.contains(fingerprint, now) {
+		return
+	}
+	quarantine.add(fingerprint, now, recordedPeriod, oleandervane.SuspectFromStore)
+	quarantine.remember(fingerprint, pastQuarantine{
+		duration: min(max(duration, quarantine.period), maxQuarantinePeriods*quarantine.period), until: now.Add(recordedPeriod),
+	}, now)
+}
+
 // ServerHash returns the hash by which VMs identify a backend server to each other.
 func ServerHash(id string) uint32 {
 	return uint32(xxhash.Sum64String(id))
 }
 
 // recordAnswered removes a suspect: a request that is answered does not crash backend servers.
-func (quarantine *Quarantine) recordAnswered(fingerprint Fingerprint) {
+func (quarantine *Quarantine) recordAnswered(identity Identity) {
 	quarantine.mutex.Lock()
 	defer quarantine.mutex.Unlock()
-	delete(quarantine.past, fingerprint)
-	if _, found := quarantine.suspects[fingerprint]; !found {
-		return
+	quarantine.answered.add(identity.Content, quarantine.timerService.Now())
+	for _, fingerprint := range []Fingerprint{identity.Content, identity.Full} {
+		if _, found := quarantine.past[fingerprint]; found && quarantine.recorder != nil {
+			quarantine.recorder.ClearQuarantine(fingerprint)
+		}
+		delete(quarantine.past, fingerprint)
+		delete(quarantine.nextTrial, fingerprint)
+		if _, found := quarantine.suspects[fingerprint]; !found {
+			continue
+		}
+		delete(quarantine.suspects, fingerprint)
+		if quarantine.observer != nil {
+			quarantine.observer.SuspicionCleared(fingerprint)
+		}
 	}
-	delete(quarantine.suspects, fingerprint)
-	if quarantine.observer != nil {
-		quarantine.observer.SuspicionCleared(fingerprint)
+}
+
+// blamed returns the fingerprint under which a crash counts. The caller must hold the mutex.
+func (quarantine *Quarantine) blamed(identity Identity, now time.Time) Fingerprint {
+	if _, found := quarantine.past[identity.Full]; found || quarantine.answered.contains(identity.Content, now) {
+		return identity.Full
 	}
+	return identity.Content
 }
 
 // add refuses a request for the period. The caller must hold the mutex.
@@ -161,6 +221,9 @@
 	if _, found := until[fingerprint]; !found && quarantine.observer != nil {
 		quarantine.observer.RequestQuarantined(fingerprint, period, source)
 	}
+	if quarantine.recorder != nil && source != oleandervane.SuspectFromPeer && source != oleandervane.SuspectFromStore {
+		quarantine.recorder.RecordQuarantine(fingerprint, period)
+	}
 	until[fingerprint] = end
 	quarantine.remember(fingerprint, pastQuarantine{duration: max(period, quarantine.period), until: end}, now)
 	quarantine.refusedUntil.Store(&until)
@@ -179,4 +242,8 @@
 		return
 	}
 	quarantine.past[fingerprint] = latest
+	maps.DeleteFunc(quarantine.nextTrial, func(fingerprint Fingerprint, _ time.Time) bool {
+		_, found := quarantine.past[fingerprint]
+		return !found
+	})
 }
--- a/entry/ingress/ingress.go
+++ b/entry/ingress/ingress.go
@@ -35,6 +35,8 @@
 	maxRetryAfter = 2 * time.Second
 	// maxHTTP10BufferBytes bounds response bodies without a length for HTTP/1.0 callers.
 	maxHTTP10BufferBytes = 4 << 20
+	// stopTimeFactor is how many times the mean time of its kind a request must have left during a stop.
+	stopTimeFactor = 1.25
 	// abortMargin is the time before the end of a stop at which requests in flight are aborted.
 	abortMargin = 500 * time.Millisecond
 )
@@ -71,9 +73,13 @@
 
 // Completion describes how a request ended. It is immutable.
 type Completion struct {
-	Metadata         oleandervane.RequestMetadata
-	Method           string
-	Path             string
+	Metadata  oleandervane.RequestMetadata
+	Method    string
+	Path      string
+	RawQuery  string
+	BodyBytes int
+	// CallerAddress has no port.
+	CallerAddress    string
 	Route            oleandervane.Route
 	Revision         oleandervane.Revision
 	Service          oleandervane.ServiceName
@@ -83,7 +89,7 @@
 	Target           forward.Target
 	Attempts         int
 	AttemptSummaries []forward.AttemptSummary
-	Fingerprint      forward.Fingerprint
+	Identity         forward.Identity
 	Status           int
 	Duration         time.Duration
 	Err              error
@@ -97,11 +103,16 @@
 	inFlight     atomic.Int64
 	// stopDeadline is when requests in flight have to be finished; nil while the VM does not stop.
 	stopDeadline atomic.Pointer[time.Time]
+	// running ends when a stop aborts the requests in flight.
+	running context.Context
+	abort   context.CancelCauseFunc
 }
 
 // New returns a handler that refuses requests until a route table is published.
 func New(dependencies Dependencies) *Handler {
-	return &Handler{dependencies: dependencies, splitter: route.NewSplitter()}
+	handler := &Handler{dependencies: dependencies, splitter: route.NewSplitter()}
+	handler.running, handler.abort = context.WithCancelCause(context.Background())
+	return handler
 }
 
 // Publish makes a route table the current one.
@@ -109,9 +120,12 @@
 	handler.index.Store(route.NewIndex(table))
 }
 
-// Stop makes callers close their connections, and limits the time of requests so that they end by the given time.
+// Stop makes callers close their connections, and limits the time of requests so that they end by the given time. Those in flight
+// are aborted shortly before, so that their callers get a response before the process ends.
 func (handler *Handler) Stop(by time.Time) {
 	handler.stopDeadline.Store(&by)
+	timerService := handler.dependencies.TimerService
+	timerService.After(by.Sub(timerService.Now())-abortMargin, func(time.Time) { handler.abort(forward.ErrDeadline) })
 }
 
 // InFlight returns the number of requests being served.
@@ -142,9 +156,11 @@
 		request:   request,
 		startedAt: handler.dependencies.TimerService.Now(),
 		completion: Completion{
-			Metadata: handler.dependencies.CallerDialect.ReadRequest(request),
-			Method:   request.Method,
-			Path:     request.URL.EscapedPath(),
+			Metadata:      handler.dependencies.CallerDialect.ReadRequest(request),
+			Method:        request.Method,
+			Path:          request.URL.EscapedPath(),
+			RawQuery:      request.URL.RawQuery,
+			CallerAddress: callerAddress(request),
 		},
 	}
 	defer call.finish()
@@ -181,6 +197,7 @@
 		call.refuseBody(reason)
 		return
 	}
+	call.completion.BodyBytes = len(body)
 	call.completion.Service = call.handler.splitter.Choose(matched)
 	call.forward(index, matched, body)
 }
@@ -200,6 +217,16 @@
 	return limit
 }
 
+// endsAfterStop reports whether the request would probably be aborted by the stop of this VM. Another VM can serve it.
+func (call *call) endsAfterStop(matched oleandervane.Route, serviceName oleandervane.ServiceName) bool {
+	stopDeadline := call.handler.stopDeadline.Load()
+	if stopDeadline == nil || call.deadline.Before(stopDeadline.Add(-abortMargin)) {
+		return false
+	}
+	mean := call.handler.dependencies.Forwarder.MeanTime(serviceName, oleandervane.KindName(matched.Name))
+	return call.deadline.Sub(call.handler.dependencies.TimerService.Now()) < time.Duration(stopTimeFactor*float64(mean))
+}
+
 func (call *call) readBody(limits oleandervane.CallerLimits) (body []byte, reason forward.Reason) {
 	if call.request.Body == nil || call.request.ContentLength == 0 {
 		return nil, ""
@@ -230,11 +257,15 @@
 
 func (call *call) forward(index *route.Index, matched oleandervane.Route, body []byte) {
 	dependencies := call.handler.dependencies
+	serviceName := call.completion.Service
 	if !dependencies.TimerService.Now().Before(call.deadline) {
 		call.refuse(http.StatusServiceUnavailable, reasonStopping, unavailableRetryAfter)
 		return
 	}
-	serviceName := call.completion.Service
+	if call.endsAfterStop(matched, serviceName) {
+		call.refuse(http.StatusServiceUnavailable, reasonStopping, minRetryAfter)
+		return
+	}
 	chooser := dependencies.Placer.Chooser(placement.Request{
 		Service: serviceName,
 		Route:   matched,
@@ -242,10 +273,12 @@
 		Home:    dependencies.Self.Region,
 		Urgent:  index.Urgent(matched, serviceName),
 	})
-	result := dependencies.Forwarder.Forward(call.context(matched), call.forwardRequest(matched, serviceName, body), chooser)
+	ctx, cancel := call.context(matched)
+	defer cancel()
+	result := dependencies.Forwarder.Forward(ctx, call.forwardRequest(matched, serviceName, body), chooser)
 	call.completion.Outcome, call.completion.Reason, call.completion.Err = result.Outcome, result.Reason, result.Err
 	call.completion.Target, call.completion.Attempts, call.completion.AttemptSummaries = result.Target, result.Attempts, result.AttemptSummaries
-	call.completion.Decision, call.completion.Fingerprint = chooser.Decision(), result.Fingerprint
+	call.completion.Decision, call.completion.Identity = chooser.Decision(), result.Identity
 	switch result.Outcome {
 	case oleandervane.Answered:
 		call.sendResponse(result.Response)
@@ -265,13 +298,20 @@
 	return string(serviceName) + "\x00" + call.completion.Route.Prefix + "\x00" + call.completion.Metadata.Object
 }
 
-// context returns a context that ends when the caller disconnects. A request that may run at most once continues: its
-// outcome matters to the next request of the caller, and aborting it would leave the outcome unknown.
-func (call *call) context(matched oleandervane.Route) context.Context {
-	if matched.Idempotent() {
-		return call.request.Context()
+// context returns a context that ends when the caller disconnects or a stop aborts requests. A request that may run at most once
+// continues when its caller disconnects: its outcome matters to the next request of the caller, and aborting it would leave the
+// outcome unknown.
+func (call *call) context(matched oleandervane.Route) (ctx context.Context, cancel func()) {
+	ctx = call.request.Context()
+	if !matched.Idempotent() {
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	stopWatching := context.AfterFunc(call.handler.running, func() { cancelCause(context.Cause(call.handler.running)) })
+	return ctx, func() {
+		stopWatching()
+		cancelCause(nil)
 	}
-	return context.WithoutCancel(call.request.Context())
 }
 
 func (call *call) forwardRequest(matched oleandervane.Route, serviceName oleandervane.ServiceName, body []byte) forward.Request {
@@ -298,11 +338,15 @@
 }
 
 func (call *call) caller() string {
-	host, _, err := net.SplitHostPort(call.request.RemoteAddr)
+	return call.completion.CallerAddress + "\x00" + call.completion.Metadata.Object
+}
+
+func callerAddress(request *http.Request) string {
+	host, _, err := net.SplitHostPort(request.RemoteAddr)
 	if err != nil {
-		host = call.request.RemoteAddr
+		return request.RemoteAddr
 	}
-	return host + "\x00" + call.completion.Metadata.Object
+	return host
 }
 
 // sendResponse sends the response of a backend server. When the server truncates it, the connection to the caller is
