Select the route by the path that is forwarded

Callers: a filing to an object whose name has an encoded slash (/file/2026%2F7) was taken for a request of the safe route /file/2026/. A route whose prefix has an encoded character got no request at all.

Cause: the decoded path selected the route, and the encoded one was forwarded. Now one form, the one that is forwarded, is used for the route, for whether a request may start early on its connection, for the log and for the forwarding. The class, an input that is compared after a change of its form, was looked for in the other uses of a request's path: there are none outside entry/ingress.

--- a/entry/ingress/ingress.go
+++ b/entry/ingress/ingress.go
@@ -139,7 +139,7 @@
 	if index == nil {
 		return false
 	}
-	matched, found := index.Match(request.Host, request.URL.Path)
+	matched, found := index.Match(request.Host, forwardedPath(request))
 	return found && matched.Idempotent()
 }
 
@@ -158,7 +158,7 @@
 		completion: Completion{
 			Metadata:      handler.dependencies.CallerDialect.ReadRequest(request),
 			Method:        request.Method,
-			Path:          request.URL.EscapedPath(),
+			Path:          forwardedPath(request),
 			RawQuery:      request.URL.RawQuery,
 			CallerAddress: callerAddress(request),
 		},
@@ -185,7 +185,7 @@
 		return
 	}
 	call.completion.Revision = index.Revision()
-	matched, found := index.Match(call.request.Host, call.request.URL.Path)
+	matched, found := index.Match(call.request.Host, call.completion.Path)
 	if !found {
 		call.refuse(http.StatusNotFound, reasonNoRoute, 0)
 		return
@@ -326,7 +326,7 @@
 		},
 		Method:        call.request.Method,
 		Host:          call.request.Host,
-		Path:          call.request.URL.EscapedPath(),
+		Path:          call.completion.Path,
 		RawQuery:      call.request.URL.RawQuery,
 		Header:        call.request.Header,
 		Body:          body,
@@ -341,6 +341,12 @@
 	return call.completion.CallerAddress + "\x00" + call.completion.Metadata.Object
 }
 
+// forwardedPath returns the path that backend servers get. Only this form may select the route: a decoded slash would begin another
+// segment.
+func forwardedPath(request *http.Request) string {
+	return request.URL.EscapedPath()
+}
+
 func callerAddress(request *http.Request) string {
 	host, _, err := net.SplitHostPort(request.RemoteAddr)
 	if err != nil {
