Read a request whose head arrives in two pieces

Cause: the server reads a single byte in two cases, to notice while it serves a request that the caller disconnects, and to fill the last free byte of its buffer in the middle of a head. connection.Read took both for the first and read ahead until the connection ended. It now knows how many bytes the server has read, and reads ahead only when these include the whole head of the next request, or a request is being served. A head that the scanner does not understand is read as the server asks.

--- a/entry/pipeline/connection.go
+++ b/entry/pipeline/connection.go
@@ -21,7 +21,9 @@
 	cancel context.CancelFunc
 	// buffered are bytes that were read ahead and that the server has not read yet.
 	buffered []byte
-	scanner  scanner
+	// delivered is the number of bytes that the server has read.
+	delivered int64
+	scanner   scanner
 
 	mutex sync.Mutex
 	// pending are the requests that the server has not started to serve, in order.
@@ -33,6 +35,8 @@
 // pendingRequest is a request whose turn has not come.
 type pendingRequest struct {
 	method, target, host string
+	// headEnd is the number of bytes of the connection up to the end of the request's head.
+	headEnd int64
 	// early is nil if the request has not started.
 	early *earlyResponse
 }
@@ -47,14 +51,30 @@
 // disconnects. Such a read also reads the requests behind the current one, and continues until the connection ends or
 // the server cancels the read by its deadline.
 func (connection *connection) Read(buffer []byte) (int, error) {
-	if len(buffer) != 1 {
-		if count := connection.readBuffered(buffer); count > 0 {
-			return count, nil
-		}
-		count, err := connection.Conn.Read(buffer)
-		connection.scan(buffer[:count])
-		return count, connection.cancelOnEnd(err)
+	if len(buffer) == 1 && connection.isWatched() {
+		return connection.readAhead(buffer)
+	}
+	if count := connection.readBuffered(buffer); count > 0 {
+		return count, nil
+	}
+	count, err := connection.Conn.Read(buffer)
+	connection.scan(buffer[:count])
+	connection.delivered += int64(count)
+	return count, connection.cancelOnEnd(err)
+}
+
+// isWatched reports whether the server has read a whole request and only waits for the end of the connection. Otherwise a read of a
+// single byte is for the last free byte of the server's buffer, in the middle of a long head.
+func (connection *connection) isWatched() bool {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	if connection.scanner.stopped {
+		return false
 	}
+	return connection.serving || len(connection.pending) > 0 && connection.pending[0].headEnd <= connection.delivered
+}
+
+func (connection *connection) readAhead(buffer []byte) (int, error) {
 	ahead := make([]byte, readAheadBytes)
 	for len(connection.buffered) < maxBufferedBytes {
 		count, err := connection.Conn.Read(ahead)
@@ -78,6 +98,7 @@
 
 func (connection *connection) readBuffered(buffer []byte) int {
 	count := copy(buffer, connection.buffered)
+	connection.delivered += int64(count)
 	connection.buffered = connection.buffered[count:]
 	if len(connection.buffered) == 0 {
 		connection.buffered = nil
@@ -106,10 +127,11 @@
 	}
 }
 
-func (connection *connection) add(request *http.Request) {
+func (connection *connection) add(scanned scannedRequest) {
+	request := scanned.Request
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
-	pending := &pendingRequest{method: request.Method, target: request.RequestURI, host: request.Host}
+	pending := &pendingRequest{method: request.Method, target: request.RequestURI, host: request.Host, headEnd: scanned.headEnd}
 	queued := connection.serving || len(connection.pending) > 0
 	if queued && connection.mayStartEarly(request) {
 		request.RemoteAddr = connection.RemoteAddr().String()
--- a/entry/pipeline/pipeline_test.go
+++ b/entry/pipeline/pipeline_test.go
@@ -312,7 +312,7 @@
 		}
 	}
 	f.Fuzz(func(t *testing.T, text []byte, step uint8) {
-		var found []*http.Request
+		var found []scannedRequest
 		scanner := &scanner{}
 		for rest := text; len(rest) > 0; {
 			size := min(len(rest), 1+int(step))
--- a/entry/pipeline/scanner.go
+++ b/entry/pipeline/scanner.go
@@ -20,15 +20,24 @@
 	// body is the number of bytes of the current request's body that have not arrived yet.
 	body    int64
 	stopped bool
+	// position is the number of bytes before head.
+	position int64
 }
 
-// feed returns the requests whose heads end in the chunk, without their bodies.
-func (scanner *scanner) feed(chunk []byte) []*http.Request {
-	var requests []*http.Request
+// scannedRequest is a request without its body.
+type scannedRequest struct {
+	*http.Request
+	// headEnd is the number of bytes of the connection up to the end of the head.
+	headEnd int64
+}
+
+// feed returns the requests whose heads end in the chunk.
+func (scanner *scanner) feed(chunk []byte) []scannedRequest {
+	var requests []scannedRequest
 	for len(chunk) > 0 && !scanner.stopped {
 		if scanner.body > 0 {
 			skipped := min(scanner.body, int64(len(chunk)))
-			scanner.body, chunk = scanner.body-skipped, chunk[skipped:]
+			scanner.body, scanner.position, chunk = scanner.body-skipped, scanner.position+skipped, chunk[skipped:]
 			continue
 		}
 		from := max(0, len(scanner.head)-len(headEnd)+1)
@@ -45,7 +54,8 @@
 			scanner.stopped = true
 			break
 		}
-		requests = append(requests, request)
+		scanner.position += int64(end)
+		requests = append(requests, scannedRequest{Request: request, headEnd: scanner.position})
 		scanner.body, chunk, scanner.head = request.ContentLength, chunk[end-known:], nil
 	}
 	if scanner.stopped {
