Keep the rate limit of a server until the server ends it

Cause: a limit ended ten seconds after the last response that stated it. It ends now when the server states another one or none, starts anew or is gone, and VMs tell one another of it however old it is. The lapse also let VMs ask a server whose usual senders have no requests; for that, all VMs may send to a server with an old limit in turn, one after the other at its rate.

TestServerSignalsAreFollowed passes.

--- a/entry/placement/directive.go
+++ b/entry/placement/directive.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// directiveLifetime is how long a rate limit holds when no VM hears of it again. The VMs that may send to the server hear of it
-	// more often.
+	// directiveLifetime is the time after which a directive that no VM heard of again is old. A rate limit holds until the server
+	// states another one or none, or ends. While it is old, all VMs may ask for it in turn, because those that usually send to the
+	// server may have no requests.
 	directiveLifetime = 10 * time.Second
 	// leavingLifetime is how long a server counts as leaving after it said so. It gets no requests meanwhile and ends within this
 	// time; one that said so by mistake is used again afterwards.
@@ -50,12 +51,12 @@
 func (server *server) recordDirective(next directive, now time.Time) (changed bool) {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
-	former, wasLeaving := server.rateLimit(now), server.leaving(now)
+	former, wasLeaving := server.directive.rateLimit, server.leaving(now)
 	if !next.statedAt.After(server.directive.statedAt) || !next.asks() && !server.directive.asks() {
 		return false
 	}
 	server.directive = next
-	current := server.rateLimit(now)
+	current := server.directive.rateLimit
 	switch {
 	case current == 0:
 		server.nextLimitedSend = time.Time{}
@@ -76,14 +77,6 @@
 	return server.directive.leaving && now.Sub(server.directive.statedAt) < leavingLifetime
 }
 
-// rateLimit returns the rate limit in force, zero if there is none. The caller must hold the mutex.
-func (server *server) rateLimit(now time.Time) float64 {
-	if now.Sub(server.directive.statedAt) >= directiveLifetime {
-		return 0
-	}
-	return server.directive.rateLimit
-}
-
 // limitSenders returns the number of VMs that send to a server with the rate limit. If all of them send at once after a pause, the
 // server gets little more than in the next second.
 func (server *server) limitSenders(rateLimit float64) int {
@@ -98,7 +91,23 @@
 
 // overLimit reports whether the server's rate limit forbids a request of this VM now. The caller must hold the mutex.
 func (server *server) overLimit(rateLimit float64, now time.Time) bool {
-	return rateLimit > 0 && (server.vmRank >= server.limitSenders(rateLimit) || now.Before(server.nextLimitedSend))
+	if rateLimit == 0 {
+		return false
+	}
+	if now.Before(server.nextLimitedSend) {
+		return true
+	}
+	if age := now.Sub(server.directive.statedAt); age >= directiveLifetime {
+		return server.vmRank != server.turn(rateLimit, age)
+	}
+	return server.vmRank >= server.limitSenders(rateLimit)
+}
+
+// turn returns the rank of the VM whose turn it is to send to a server with an old rate limit. The age of the limit is nearly the same
+// at all VMs.
+func (server *server) turn(rateLimit float64, age time.Duration) int {
+	seconds := min(1/(limitShare*rateLimit), maxLimitInterval.Seconds())
+	return int(age.Seconds()/seconds) % max(1, server.vms)
 }
 
 // recordDirective records what a server asks for and notifies the observer of a change.
@@ -117,7 +126,7 @@
 		server.mutex.Lock()
 		known := server.directive
 		server.mutex.Unlock()
-		if age := now.Sub(known.statedAt); age < directiveLifetime || known.leaving && age < leavingLifetime {
+		if age := now.Sub(known.statedAt); age < directiveLifetime || known.rateLimit > 0 || known.leaving && age < leavingLifetime {
 			directives = append(directives, oleandervane.ServerDirective{Server: run, RateLimit: known.rateLimit, Leaving: known.leaving, Age: age})
 		}
 	}
--- a/entry/placement/directive_test.go
+++ b/entry/placement/directive_test.go
@@ -56,6 +56,50 @@
 	}
 }
 
+// Guards against a rate limit that VMs forget while no requests come, and against one that lasts forever because the few VMs that send
+// to the server have none.
+func TestRateLimitIsKeptDuringALongPause(t *testing.T) {
+	const rateLimit, window = 1.0, 4 * time.Second
+	for _, vms := range []int{1, 4, 16, 142} {
+		for _, pause := range []time.Duration{directiveLifetime + time.Second, time.Minute, time.Hour} {
+			manual := timer.NewManual(time.Unix(1000, 0))
+			placers := fleet(manual, vms)
+			server := registered("i-1", "kigali-a")
+			run := newServer(server, manual.Now()).target().RunHash()
+			for _, placer := range placers {
+				placer.Update(registryOf(server))
+				placer.MergeDirectives([]oleandervane.ServerDirective{{Server: run, RateLimit: rateLimit}})
+			}
+			manual.Advance(pause)
+			var arrivals []time.Time
+			for end := manual.Now().Add(10 * window); manual.Now().Before(end); manual.Advance(50 * time.Millisecond) {
+				for _, placer := range placers {
+					reservation, err := placer.Chooser(Request{Service: "ledger", Route: oleandervane.Route{Kind: oleandervane.RouteSafe}}).Choose(nil)
+					if err == nil {
+						arrivals = append(arrivals, manual.Now())
+						reservation.Release(oleandervane.AttemptAnswered)
+					}
+				}
+			}
+			for i, first := range arrivals {
+				count := 0
+				for _, arrival := range arrivals[i:] {
+					if arrival.Sub(first) < window {
+						count++
+					}
+				}
+				assert.Assert(t, float64(count) <= 1.5*rateLimit*window.Seconds()+5, "%d VMs sent %d requests in %v after a pause of %v", vms, count, window, pause)
+			}
+			assert.Assert(t, len(arrivals) > 0, "%d VMs never ask the server again", vms)
+			for _, placer := range placers {
+				assert.Equal(t, len(placer.Directives()), 1)
+				placer.MergeDirectives([]oleandervane.ServerDirective{{Server: run}})
+				assert.Equal(t, placer.view.Load().byRun[run].directive.rateLimit, 0.0)
+			}
+		}
+	}
+}
+
 // Guards against requests that are refused although a server is free, because others took the only request that a server with a rate
 // limit accepts at the same moment.
 func TestConcurrentRequestsUseTheOtherServer(t *testing.T) {
--- a/entry/placement/server.go
+++ b/entry/placement/server.go
@@ -234,7 +234,7 @@
 		Suspended:   server.suspended(cold, now),
 		Avoided:     now.Before(server.avoidUntil),
 		Unused:      server.sent.Load() == 0 && cold && server.warmUpAssigned(),
-		RateLimit:   server.rateLimit(now),
+		RateLimit:   server.directive.rateLimit,
 		Leaving:     server.leaving(now),
 	}
 	if server.refusing(now) {
@@ -266,7 +266,7 @@
 func (server *server) admit(coldInterval time.Duration, now time.Time) (allowed bool) {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
-	cold, rateLimit := now.Before(server.coldUntil), server.rateLimit(now)
+	cold, rateLimit := now.Before(server.coldUntil), server.directive.rateLimit
 	if cold && now.Before(server.nextColdSend) || server.overLimit(rateLimit, now) || server.refusing(now) {
 		return false
 	}
