Spare cold and limited servers until the other VMs are known

Cause: "nobody else is listed" and "not yet known who is listed" were one state. A roster has settled two seconds after its first listing. Before that, what is divided by the number of VMs: cold servers and servers with a rate limit get nothing from this VM (the latter only in turn, which an unknown rank never has), and the retry budget is divided by the number of backend servers if that is larger. Nothing else is divided by it: the notices and delegates are chosen from the list but share nothing.

All tests of entryvm/hosted pass.

--- a/entry/placement/directive.go
+++ b/entry/placement/directive.go
@@ -62,7 +62,8 @@
 		server.nextLimitedSend = time.Time{}
 	case former == 0:
 		// VMs learn of the limit at the same time and must not send at the same time.
-		part := (float64(server.vmRank) + 0.5) / float64(server.limitSenders(current))
+		senders := server.limitSenders(current)
+		part := (float64(server.vmRank%senders) + 0.5) / float64(senders)
 		server.nextLimitedSend = now.Add(time.Duration(part * float64(server.limitInterval(current))))
 	default:
 		if latest := now.Add(server.limitInterval(current)); server.nextLimitedSend.After(latest) {
--- a/entry/placement/placer.go
+++ b/entry/placement/placer.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -16,6 +17,8 @@
 	// coldVMs is the number of VMs that send requests to one cold server. Each of them may send a request at the same
 	// moment; with few of them the total stays low even while VMs disagree on which VMs these are.
 	coldVMs = 2
+	// unknownRank is the rank of a VM while it does not know the others. It is higher than that of any VM.
+	unknownRank = math.MaxInt32
 	// coldShare is the fraction of a cold server's tolerated rate that is used.
 	coldShare = 0.8
 	// responseTimeWeight is the weight of one response in the average response time of a route.
@@ -26,6 +29,9 @@
 type Settings struct {
 	TimerService oleandervane.TimerService
 	Membership   oleandervane.Membership
+	// Settled reports whether Membership has all VMs that run; nil means that it always has. Before, this VM sends nothing to cold
+	// servers and to those with a rate limit, which get requests from few VMs of the fleet.
+	Settled func() bool
 	// Observer is notified of changes in the state of servers; nil notifies nobody.
 	Observer Observer
 	// Policy is DefaultPolicy if it is zero.
@@ -98,6 +104,7 @@
 	now := placer.settings.TimerService.Now()
 	previous := placer.view.Load()
 	self, vms := placer.settings.Membership.Self().ID, placer.settings.Membership.EntryVMs()
+	settled := placer.settings.Settled == nil || placer.settings.Settled()
 	known := map[oleandervane.BackendServerID]*server{}
 	for _, servers := range previous.services {
 		for _, server := range servers {
@@ -110,7 +117,11 @@
 		if previous.registry.Evacuated[registered.FailureDomain] && !registry.Evacuated[registered.FailureDomain] {
 			current.extendCold(now.Add(slowStart(registry, registered.Service)))
 		}
-		current = current.withVMRank(rankOf(current.hash, self, vms), len(vms))
+		rank := unknownRank
+		if settled {
+			rank = rankOf(current.hash, self, vms)
+		}
+		current = current.withVMRank(rank, len(vms))
 		next.services[registered.Service] = append(next.services[registered.Service], current)
 		next.byHash[uint32(current.hash)] = current
 		next.byRun[current.target().RunHash()] = current
--- a/entry/placement/placer_test.go
+++ b/entry/placement/placer_test.go
@@ -95,6 +95,44 @@
 	}
 }
 
+// VMs that have all started again know only themselves for a while. Guards against all of them sending to a cold server and to one with a
+// rate limit, because each takes itself for the only VM.
+func TestVMsThatDoNotKnowTheOthersSpareColdAndLimitedServers(t *testing.T) {
+	manual := timer.NewManual(time.Unix(1000, 0))
+	settledAt := manual.Now().Add(2 * time.Second)
+	cold, limited := registered("cold", "kigali-a"), registered("limited", "kigali-a")
+	cold.ColdLeft = slowStartTime
+	run := newServer(limited, manual.Now()).target().RunHash()
+	registry := registryOf(cold, limited, registered("warm", "kigali-a"))
+	var placers []*Placer
+	for _, placer := range fleet(manual, 16) {
+		self := placer.settings.Membership.Self()
+		alone := NewPlacer(Settings{TimerService: manual, Membership: members{self, []oleandervane.EntryVM{self}}, Settled: func() bool { return !manual.Now().Before(settledAt) }})
+		alone.Update(registry)
+		alone.MergeDirectives([]oleandervane.ServerDirective{{Server: run, RateLimit: 1}})
+		placers = append(placers, alone)
+	}
+	send := func() map[oleandervane.BackendServerID]int {
+		counts := map[oleandervane.BackendServerID]int{}
+		for number := range 10 {
+			for _, placer := range placers {
+				reservation, err := placer.Chooser(requestFor(fmt.Sprint(number))).Choose(nil)
+				assert.NilError(t, err)
+				counts[oleandervane.BackendServerID(reservation.Target().ID)]++
+				reservation.Release(oleandervane.AttemptAnswered)
+			}
+			manual.Advance(100 * time.Millisecond)
+		}
+		return counts
+	}
+	assert.DeepEqual(t, send(), map[oleandervane.BackendServerID]int{"warm": 160})
+	manual.Advance(time.Second)
+	for _, placer := range placers {
+		placer.Update(registry)
+	}
+	assert.Assert(t, send()["cold"] > 0, "the VM that knows that it is alone sends nothing to the cold server")
+}
+
 // Guards against servers that receive full load at once after their failure domain was evacuated.
 func TestServersAreColdAfterAnEvacuation(t *testing.T) {
 	manual := timer.NewManual(time.Unix(1000, 0))
--- a/entryvm/hosted/hosted.go
+++ b/entryvm/hosted/hosted.go
@@ -115,6 +115,7 @@
 	entryVM.placer = placement.NewPlacer(placement.Settings{
 		TimerService: timerService,
 		Membership:   entryVM.roster,
+		Settled:      entryVM.roster.Settled,
 		Observer:     entryVM.observer,
 	})
 	entryVM.forwarder = forward.New(forward.Settings{
@@ -170,9 +171,14 @@
 	set.NewGauge("oleandervane_beliefs_age_seconds", func() float64 { return entryVM.replica.age().Seconds() })
 }
 
-// retryBase returns this VM's part of the retries that all VMs together may make beyond the ratio.
+// retryBase returns this VM's part of the retries that all VMs together may make beyond the ratio. While the VM does not know how many
+// VMs there are, it assumes one for each backend server.
 func (entryVM *EntryVM) retryBase() float64 {
-	return retryBaseShare * entryVM.settings.Load().Retries.Base / float64(len(entryVM.roster.EntryVMs()))
+	vms := len(entryVM.roster.EntryVMs())
+	if !entryVM.roster.Settled() {
+		vms = max(vms, len(entryVM.replica.registry.Load().BackendServers))
+	}
+	return retryBaseShare * entryVM.settings.Load().Retries.Base / float64(vms)
 }
 
 // retryBaseShare leaves room for VMs that have just died and are still counted, or that were replaced and start with a new
--- a/entryvm/hosted/replica.go
+++ b/entryvm/hosted/replica.go
@@ -73,6 +73,9 @@
 	replica.mutex.Lock()
 	defer replica.mutex.Unlock()
 	now := replica.timerService.Now()
+	if replica.readAt.Load() == nil {
+		replica.timerService.After(roster.SettleTime, func(time.Time) { replica.publishAgain() })
+	}
 	replica.readAt.Store(&now)
 	replica.applyChanges(replica.deferRemovals(storeChanges.Changes, now))
 }
@@ -115,6 +118,13 @@
 	replica.logDifference(*former, registry)
 }
 
+// publishAgain publishes the registry in force when the roster has settled.
+func (replica *replica) publishAgain() {
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	replica.publish(*replica.registry.Load())
+}
+
 // StoreUnavailable logs that the store is unavailable. The replica stays in force.
 func (replica *replica) StoreUnavailable(err error) {
 	replica.log.WithError(err).WithField("store_age", replica.age().String()).Error("store is away; the known state stays in force")
--- a/entryvm/hosted/trial_test.go
+++ b/entryvm/hosted/trial_test.go
@@ -59,7 +59,7 @@
 	for _, fixture := range fleet.fixtures {
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
 			status, _, _ := fixture.send(t, http.MethodGet, "/lohu/harmless", "ready")
-			if status != http.StatusOK || len(fixture.entryVM.roster.EntryVMs()) < vms {
+			if status != http.StatusOK || len(fixture.entryVM.roster.EntryVMs()) < vms || len(entries) == 0 && !fixture.entryVM.roster.Settled() {
 				return poll.Continue("status %d", status)
 			}
 			return poll.Success()
--- a/fleet/roster/roster.go
+++ b/fleet/roster/roster.go
@@ -27,6 +27,9 @@
 	// renewPeriod allows for two lost renewals within a lease. fastRenewPeriod detects sooner that the store is unavailable.
 	renewPeriod     = time.Second
 	fastRenewPeriod = renewPeriod / 2
+	// SettleTime is the time after the first listing in which this VM has read the entries of all VMs that started with it. After a loss
+	// of power of all VMs, the first listing may lack most of them.
+	SettleTime = 2 * time.Second
 )
 
 // ErrUnreadable is the error of an entry that cannot be read.
@@ -66,6 +69,8 @@
 	mutex   sync.Mutex
 	lease   oleandervane.LeaseID
 	leaving bool
+	// listedAt is when the first entries were applied; zero before.
+	listedAt time.Time
 }
 
 // New returns a roster that lists only the VM itself. It renews its lease twice as often while renewFast returns true.
@@ -86,6 +91,13 @@
 	return *roster.listed.Load()
 }
 
+// Settled reports whether EntryVMs has all VMs that run. Before, its length says nothing about the size of the fleet.
+func (roster *Roster) Settled() bool {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	return !roster.listedAt.IsZero() && roster.timerService.Now().Sub(roster.listedAt) >= SettleTime
+}
+
 // updateListed updates the result of EntryVMs. The caller holds the mutex, or the roster is not shared yet.
 func (roster *Roster) updateListed() {
 	vms := maps.Clone(roster.vms)
@@ -103,6 +115,9 @@
 func (roster *Roster) Apply(changes []oleandervane.StoreChange) error {
 	roster.mutex.Lock()
 	defer roster.mutex.Unlock()
+	if roster.listedAt.IsZero() {
+		roster.listedAt = roster.timerService.Now()
+	}
 	var errs []error
 	for _, change := range changes {
 		id, found := strings.CutPrefix(change.Entry.Key, KeyPrefix)
--- a/fleet/roster/roster_test.go
+++ b/fleet/roster/roster_test.go
@@ -48,6 +48,19 @@
 	return own
 }
 
+// Guards against a VM that takes the first listing after a loss of power of all VMs, which has only its own entry, for the whole fleet.
+func TestRosterSettlesAfterTheFirstListing(t *testing.T) {
+	manual := timer.NewManual(time.Unix(1000, 0))
+	own := roster.New(vm("vm-1", "kigali-a", "kigali"), storestandin.New(manual), manual, noopObserver{}, func() bool { return false })
+	manual.Advance(time.Minute)
+	assert.Assert(t, !own.Settled(), "nothing has been listed")
+	assert.NilError(t, own.Apply(nil))
+	manual.Advance(roster.SettleTime - time.Millisecond)
+	assert.Assert(t, !own.Settled())
+	manual.Advance(time.Millisecond)
+	assert.Assert(t, own.Settled())
+}
+
 // Guards against a VM that stays unlisted after its entry was revoked, which its renewals do not detect, or its lease lapsed.
 func TestEntryIsRegisteredAgain(t *testing.T) {
 	t.Run("revoked", func(t *testing.T) {
