--- a/entryvm/hosted/hosted.go
+++ b/entryvm/hosted/hosted.go
@@ -128,7 +128,7 @@
 		AbortDelay:             forward.DefaultAbortDelay,
 		SuspectObserver:        entryVM.observer,
 		QuarantineRecorder:     quarantineRecords{store: entryVM.observedStore, log: entryVM.log},
-		TrialCoordinator:       newTrialCoordinator(self.ID, entryVM.observedStore, entryVM.log),
+		TrialCoordinator:       newTrialCoordinator(self.ID, entryVM.observedStore, timerService, entryVM.log),
 		RetryBudget: forward.NewRetryBudget(timerService, forward.Allowance{
 			Window: time.Duration(settings.Retries.Window),
 			Ratio:  settings.Retries.Ratio,
--- a/entryvm/hosted/trials.go
+++ b/entryvm/hosted/trials.go
@@ -23,16 +23,18 @@
 
 // trialCoordinator is an oleandervane.TrialCoordinator. Each claim is a key in the store, under a lease.
 type trialCoordinator struct {
-	self  oleandervane.VMID
-	store oleandervane.LeaseStore
-	log   logrus.FieldLogger
+	self         oleandervane.VMID
+	store        oleandervane.LeaseStore
+	timerService oleandervane.TimerService
+	log          logrus.FieldLogger
 
-	mutex  sync.Mutex
+	mutex sync.Mutex
+	// leases has the leases of the trials of this VM that have not expired.
 	leases map[[16]byte]oleandervane.LeaseID
 }
 
-func newTrialCoordinator(self oleandervane.VMID, store oleandervane.LeaseStore, log logrus.FieldLogger) *trialCoordinator {
-	return &trialCoordinator{self: self, store: store, log: log, leases: map[[16]byte]oleandervane.LeaseID{}}
+func newTrialCoordinator(self oleandervane.VMID, store oleandervane.LeaseStore, timerService oleandervane.TimerService, log logrus.FieldLogger) *trialCoordinator {
+	return &trialCoordinator{self: self, store: store, timerService: timerService, log: log, leases: map[[16]byte]oleandervane.LeaseID{}}
 }
 
 // ClaimTrial writes the key of the trial. It returns false if the key exists or the store does not respond.
@@ -56,9 +58,19 @@
 	trialCoordinator.mutex.Lock()
 	defer trialCoordinator.mutex.Unlock()
 	trialCoordinator.leases[fingerprint] = lease
+	trialCoordinator.timerService.After(forward.TrialDuration, func(time.Time) { trialCoordinator.forget(fingerprint, lease) })
 	return true
 }
 
+// forget drops a lease that has expired.
+func (trialCoordinator *trialCoordinator) forget(fingerprint [16]byte, lease oleandervane.LeaseID) {
+	trialCoordinator.mutex.Lock()
+	defer trialCoordinator.mutex.Unlock()
+	if trialCoordinator.leases[fingerprint] == lease {
+		delete(trialCoordinator.leases, fingerprint)
+	}
+}
+
 // ReleaseTrial removes the key of the trial.
 func (trialCoordinator *trialCoordinator) ReleaseTrial(fingerprint [16]byte) {
 	trialCoordinator.mutex.Lock()
