Publish the registry again only when the roster has settled

The registry was published again by a timer that was set before the roster recorded its first listing, so that it could fire just before the roster settled. The ranks then stayed unknown until the next change of the store, and a VM without a rank sends nothing to such servers. The timer is set after the listing now, and waits until the roster has settled.

--- a/entryvm/hosted/replica.go
+++ b/entryvm/hosted/replica.go
@@ -13,6 +13,9 @@
 	"oleandervane.example/fleet/roster"
 )
 
+// settleCheckPeriod is the time between two checks whether the roster has settled.
+const settleCheckPeriod = 50 * time.Millisecond
+
 // replica is this VM's replica of the store. It applies changes and publishes the resulting registry.
 type replica struct {
 	reader       oleandervane.RegistryReader
@@ -73,11 +76,12 @@
 	replica.mutex.Lock()
 	defer replica.mutex.Unlock()
 	now := replica.timerService.Now()
-	if replica.readAt.Load() == nil {
-		replica.timerService.After(roster.SettleTime, func(time.Time) { replica.publishAgain() })
-	}
+	first := replica.readAt.Load() == nil
 	replica.readAt.Store(&now)
 	replica.applyChanges(replica.deferRemovals(storeChanges.Changes, now))
+	if first {
+		replica.timerService.After(roster.SettleTime, func(time.Time) { replica.publishSettled() })
+	}
 }
 
 // deferRemovals defers removals of entries that may have lapsed during an outage of the store, and drops deferred removals
@@ -118,8 +122,13 @@
 	replica.logDifference(*former, registry)
 }
 
-// publishAgain publishes the registry in force when the roster has settled.
-func (replica *replica) publishAgain() {
+// publishSettled publishes the registry in force again once the roster has settled: what depends on the other VMs is decided only
+// then, and there may be no further change. A timer may fire a moment before the roster settles.
+func (replica *replica) publishSettled() {
+	if !replica.roster.Settled() {
+		replica.timerService.After(settleCheckPeriod, func(time.Time) { replica.publishSettled() })
+		return
+	}
 	replica.mutex.Lock()
 	defer replica.mutex.Unlock()
 	replica.publish(*replica.registry.Load())
--- a/entryvm/hosted/replica_test.go
+++ b/entryvm/hosted/replica_test.go
@@ -67,3 +67,37 @@
 	replica.Replace(nil, 9)
 	assert.Assert(t, !replica.hasServer("b"))
 }
+
+// runningClock is a manual timer service whose time also passes between two calls.
+type runningClock struct {
+	*timer.Manual
+	offset time.Duration
+}
+
+func (runningClock *runningClock) Now() time.Time {
+	runningClock.offset += time.Millisecond
+	return runningClock.Manual.Now().Add(runningClock.offset)
+}
+
+// Guards against a VM that never sends to cold and limited servers, because the registry was published a moment before the roster had
+// settled and nothing changed afterwards.
+func TestRegistryIsPublishedAfterTheRosterHasSettled(t *testing.T) {
+	clock := &runningClock{Manual: timer.NewManual(time.Unix(1000, 0))}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	self := oleandervane.EntryVM{ID: "vm-1", CallerAddress: netip.MustParseAddrPort("127.0.0.1:1")}
+	own := roster.New(self, storestandin.New(clock), clock, &observer{}, func() bool { return false })
+	reader := catalog.New(map[oleandervane.FailureDomain]oleandervane.Region{"kigali-a": "kigali"})
+	settled := false
+	replica := newReplica(reader, own, clock, logrus.NewEntry(logger), func(oleandervane.Registry) { settled = own.Settled() })
+	clock.offset = -time.Second
+	replica.Apply(oleandervane.StoreChanges{Changes: []oleandervane.StoreChange{written("servers/i-1")}})
+	assert.Assert(t, !settled)
+	// The timer fires although this clock has not reached the end of the time.
+	clock.offset = -2 * time.Second
+	clock.Advance(roster.SettleTime)
+	assert.Assert(t, !settled)
+	clock.offset = 0
+	clock.Advance(time.Second)
+	assert.Assert(t, settled)
+}
