Log which run of a server a request was sent to and whether it counted as cold

The hypotheses about servers that return cold differ in what the sending VM believed: the log had neither the run of the server nor whether it counted as cold. Requests now have both, entries have the run, and a server that counts as cold without its entry saying so is logged and counted with the cause. The decisions are the same as before.

--- a/entry/placement/decide.go
+++ b/entry/placement/decide.go
@@ -34,6 +34,8 @@
 	// Refusing says that the server is suspended because it refused a request, Leaving that it said that it leaves.
 	Refusing bool
 	Leaving  bool
+	// Cold says that the server counts as cold.
+	Cold bool
 	// Unused says that the server has joined and has not received a request yet.
 	Unused bool
 	// index is the index of the server in the placer's list of servers of the service.
@@ -67,6 +69,8 @@
 	// the number of servers that may be chosen. Both are for logs.
 	Pressure        float64
 	EligibleServers int
+	// Cold says that the chosen server counts as cold, for logs.
+	Cold bool
 	// LimitedServers, RefusingServers and LeavingServers are the numbers of servers that are not used because of what they said, for
 	// logs.
 	LimitedServers  int
--- a/entry/placement/placer.go
+++ b/entry/placement/placer.go
@@ -45,6 +45,8 @@
 	// DirectiveChanged reports that a server asks for something else: a rate limit in requests a second, zero for none, and whether it
 	// leaves.
 	DirectiveChanged(id oleandervane.BackendServerID, rateLimit float64, leaving bool)
+	// ColdStarted reports that a server counts as cold for the duration although its entry does not say so.
+	ColdStarted(id oleandervane.BackendServerID, cause ColdCause, duration time.Duration)
 	// InvalidHeaders reports headers of a server's response that are ignored because their values make no sense.
 	InvalidHeaders(id oleandervane.BackendServerID, names []string)
 	// PeerCoverageChanged reports whether enough other VMs report their requests in flight; covered is how many of the
@@ -52,6 +54,16 @@
 	PeerCoverageChanged(sufficient bool, covered, others int)
 }
 
+// ColdCause says why a server counts as cold.
+type ColdCause string
+
+// The causes for which a server counts as cold, besides its entry.
+const (
+	ColdByResponse      ColdCause = "response"
+	ColdAfterEvacuation ColdCause = "evacuation"
+	ColdAfterAbsence    ColdCause = "absence"
+)
+
 // Placer tracks the state of the backend servers as this VM sees it and places requests. All methods are safe for
 // concurrent use.
 type Placer struct {
@@ -115,7 +127,7 @@
 	for id, registered := range registry.BackendServers {
 		current := updatedServer(known[id], registered, now)
 		if previous.registry.Evacuated[registered.FailureDomain] && !registry.Evacuated[registered.FailureDomain] {
-			current.extendCold(now.Add(slowStart(registry, registered.Service)))
+			placer.extendCold(current, ColdAfterEvacuation, slowStart(registry, registered.Service), now)
 		}
 		rank := unknownRank
 		if settled {
@@ -205,6 +217,7 @@
 		// Another request took the only one that the server accepts for now.
 		return chooser.Choose(append(slices.Clone(excluded), string(server.ID)))
 	}
+	chooser.decision.Cold = candidate.Cold
 	server.inFlight.Add(1)
 	server.sent.Add(1)
 	return &reservation{
@@ -243,6 +256,13 @@
 	}
 }
 
+// extendCold has a server count as cold for the duration, unless it does for longer already.
+func (placer *Placer) extendCold(server *server, cause ColdCause, duration time.Duration, now time.Time) {
+	if server.extendCold(now.Add(duration)) && placer.settings.Observer != nil {
+		placer.settings.Observer.ColdStarted(server.ID, cause, duration)
+	}
+}
+
 // coldInterval is the interval between two requests of this VM to a cold server.
 func (placer *Placer) coldInterval(serviceName oleandervane.ServiceName) time.Duration {
 	table := placer.view.Load().registry.Table
--- a/entry/placement/reservation.go
+++ b/entry/placement/reservation.go
@@ -40,7 +40,7 @@
 		reservation.hasFreeSlots.Store(metadata.Load.Running < metadata.Load.Slots)
 	}
 	if metadata.ColdLeft > 0 {
-		reservation.server.extendCold(now.Add(metadata.ColdLeft))
+		reservation.placer.extendCold(reservation.server, ColdByResponse, metadata.ColdLeft, now)
 	}
 	if metadata.NotRun && !metadata.Misdirected || metadata.RetryAfter > 0 {
 		reservation.server.recordRefusal(metadata.RetryAfter, reservation.reservedAt, now)
@@ -79,7 +79,9 @@
 		reservation.placer.affinities.record(reservation.score, now)
 		reservation.recordRunTime(now)
 		relativeResponseTime := reservation.placer.recordResponseTime(reservation.route, now.Sub(reservation.reservedAt))
-		server.recordSuccess(relativeResponseTime, now, slowStart(reservation.placer.view.Load().registry, server.Service))
+		if server.recordSuccess(relativeResponseTime) {
+			reservation.placer.extendCold(server, ColdAfterAbsence, slowStart(reservation.placer.view.Load().registry, server.Service), now)
+		}
 	case oleandervane.AttemptShed:
 		if reservation.misdirected.Load() {
 			reservation.notifyBackoff(attemptResult, server.recordMisdirected(now))
--- a/entry/placement/server.go
+++ b/entry/placement/server.go
@@ -142,30 +142,31 @@
 	server.averageLoad += (others - server.averageLoad) * averageLoadWeight
 }
 
-// extendCold makes the server cold until the given time, unless it is cold for longer already.
-func (server *server) extendCold(until time.Time) {
+// extendCold makes the server cold until the given time, and reports whether it was not cold for as long already.
+func (server *server) extendCold(until time.Time) (extended bool) {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
-	if until.After(server.coldUntil) {
-		server.coldUntil = until
+	if !until.After(server.coldUntil) {
+		return false
 	}
+	server.coldUntil = until
+	return true
 }
 
-// recordSuccess records a response time, as a multiple of the average. A server that was unreachable for more than a
-// moment has probably restarted and is treated as cold.
-func (server *server) recordSuccess(relative float64, now time.Time, slowStart time.Duration) {
+// recordSuccess records a response time, as a multiple of the average. It reports whether the server was unreachable before for more
+// than a moment, and so has probably restarted and is cold.
+func (server *server) recordSuccess(relative float64) (restarted bool) {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	server.updateSlowdown(relative)
 	server.failureShare -= server.failureShare * failureWeight
-	if server.onProbation && server.backoff > minBackoff && now.Add(slowStart).After(server.coldUntil) {
-		server.coldUntil = now.Add(slowStart)
-	}
+	restarted = server.onProbation && server.backoff > minBackoff
 	server.onProbation = false
 	server.refusals, server.refusedUntil = 0, time.Time{}
 	if server.failureShare < failureThreshold/2 {
 		server.backoff = 0
 	}
+	return restarted
 }
 
 // recordSlowdown records the time that the server has taken so far without a response.
@@ -232,6 +233,7 @@
 		Slowdown:    1,
 		OnProbation: server.onProbation,
 		Suspended:   server.suspended(cold, now),
+		Cold:        cold,
 		Avoided:     now.Before(server.avoidUntil),
 		Unused:      server.sent.Load() == 0 && cold && server.warmUpAssigned(),
 		RateLimit:   server.directive.rateLimit,
--- a/entryvm/hosted/observer.go
+++ b/entryvm/hosted/observer.go
@@ -15,6 +15,7 @@
 	"oleandervane.example"
 	"oleandervane.example/entry/forward"
 	"oleandervane.example/entry/ingress"
+	"oleandervane.example/entry/placement"
 )
 
 // observer writes a log line and updates metrics for each decision.
@@ -48,6 +49,8 @@
 		"service":    completion.Service,
 		"server":     completion.Target.ID,
 		"choice":     completion.Decision.Reason,
+		"cold":       completion.Decision.Cold,
+		"run":        completion.Target.Run,
 		"pressure":   math.Round(completion.Decision.Pressure*100) / 100,
 		"sound":      completion.Decision.EligibleServers,
 		"limited":    completion.Decision.LimitedServers,
@@ -115,6 +118,12 @@
 	}
 }
 
+// ColdStarted logs that a backend server counts as cold and gets few requests.
+func (observer *observer) ColdStarted(id oleandervane.BackendServerID, cause placement.ColdCause, duration time.Duration) {
+	observer.set.GetOrCreateCounter(fmt.Sprintf("oleandervane_server_cold_starts_total{cause=%q}", cause)).Inc()
+	observer.log.WithFields(logrus.Fields{"server": id, "cause": cause, "cold_for": duration.String()}).Info("backend server counts as cold")
+}
+
 // InvalidHeaders counts headers of a backend server that are ignored. It logs one in invalidHeaderLogPeriod.
 func (observer *observer) InvalidHeaders(id oleandervane.BackendServerID, names []string) {
 	for _, name := range names {
--- a/entryvm/hosted/replica.go
+++ b/entryvm/hosted/replica.go
@@ -192,7 +192,7 @@
 		if known, found := former.BackendServers[id]; !found || known != server {
 			replica.log.WithFields(logrus.Fields{
 				"server": id, "service": server.Service, "failure_domain": server.FailureDomain,
-				"address": server.Address.String(), "leaving": server.Leaving, "cold_left": server.ColdLeft.String(),
+				"address": server.Address.String(), "leaving": server.Leaving, "cold_left": server.ColdLeft.String(), "run": server.StartedAt,
 			}).Info("backend server is listed")
 		}
 	}
