Reproduce the flooding of servers that start again under their id

The stand-in of backend servers can end a server, start it again at its address, and write its entry late.

--- /dev/null
+++ b/entryvm/hosted/return_test.go
@@ -0,0 +1,140 @@
+package hosted
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"gotest.tools/v3/assert"
+
+	"oleandervane.example"
+	"oleandervane.example/entryvm/settingsfile"
+	"oleandervane.example/standin/serverstandin"
+)
+
+// returnCase is a case of testdata/returning-servers.toml, which explains the fields.
+type returnCase struct {
+	Name       string                `toml:"name"`
+	VMs        int                   `toml:"vms"`
+	Absence    settingsfile.Duration `toml:"absence"`
+	EntryDelay settingsfile.Duration `toml:"entry_delay"`
+	MinServed  float64               `toml:"min_served"`
+}
+
+const (
+	returnInterval = 12500 * time.Microsecond
+	returnColdTime = 3 * time.Second
+	returnAllowed  = 2.6*1.5 + 5
+)
+
+// returnRun is a run of a case.
+type returnRun struct {
+	fixtures []*fixture
+	servers  *serverstandin.Servers
+	number   int
+	requests sync.WaitGroup
+}
+
+// sendCounts count the requests of a time, and those that were served.
+type sendCounts struct {
+	sent   int
+	served atomic.Int64
+}
+
+// newReturnRun starts servers, and VMs in two failure domains that know each other.
+func newReturnRun(t *testing.T, vms int) *returnRun {
+	first := newFixture(t, newBackend(t))
+	_, err := first.store.Commit(t.Context(), oleandervane.StoreTransaction{Removals: []string{"servers/i-0"}})
+	assert.NilError(t, err)
+	run := &returnRun{servers: serverstandin.New(first.store, serverstandin.Settings{Work: 20 * time.Millisecond}), fixtures: []*fixture{first}}
+	t.Cleanup(run.servers.Close)
+	for number := range 4 {
+		assert.NilError(t, run.servers.Start(fmt.Sprintf("i-%d", number+1), "ledger"))
+	}
+	for number := 2; number <= vms; number++ {
+		another := *first
+		if number%2 == 0 {
+			another.settings.FailureDomain = "huye-a"
+			another.settings.FailureDomains = map[oleandervane.FailureDomain]oleandervane.Region{"kigali-a": "kigali", "huye-a": "huye"}
+		}
+		run.fixtures = append(run.fixtures, startAnother(t, another, oleandervane.VMID(fmt.Sprintf("vm-%d", number))))
+	}
+	time.Sleep(3 * time.Second)
+	return run
+}
+
+// send sends requests about different objects to the VMs in turn.
+func (run *returnRun) send(t *testing.T, duration time.Duration) *sendCounts {
+	counts := &sendCounts{}
+	for startedAt := time.Now(); time.Since(startedAt) < duration; counts.sent++ {
+		time.Sleep(returnInterval)
+		run.number++
+		id := fmt.Sprint("r-", run.number)
+		request := newRequest(t.Context(), t, http.MethodGet, run.fixtures[run.number%len(run.fixtures)].settings.CallerAddress.String(), "/lohu/1", id, id)
+		run.requests.Go(func() {
+			response, err := http.DefaultClient.Do(request)
+			if err != nil {
+				return
+			}
+			defer response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				counts.served.Add(1)
+			}
+		})
+	}
+	return counts
+}
+
+// Servers start again under their ids. Guards against VMs that take a server for warm until they read its new entry, although one of
+// them was refused a connection meanwhile, and against all VMs that were refused one coming back to it at the same moment.
+func TestReturningServersAreNotFlooded(t *testing.T) {
+	text, err := os.ReadFile("testdata/returning-servers.toml")
+	assert.NilError(t, err)
+	var table struct {
+		Cases []returnCase `toml:"case"`
+	}
+	assert.NilError(t, toml.Unmarshal(text, &table))
+	for _, returnCase := range table.Cases {
+		t.Run(returnCase.Name, func(t *testing.T) {
+			run := newReturnRun(t, returnCase.VMs)
+			run.send(t, time.Second)
+			for _, id := range []string{"i-1", "i-2"} {
+				run.requests.Go(func() {
+					assert.Check(t, run.servers.Return(id, serverstandin.Return{
+						Absence: time.Duration(returnCase.Absence), EntryDelay: time.Duration(returnCase.EntryDelay), Cold: returnColdTime,
+					}))
+				})
+			}
+			run.send(t, time.Duration(returnCase.Absence))
+			counts := run.send(t, returnColdTime)
+			run.requests.Wait()
+			for _, id := range []string{"i-1", "i-2"} {
+				checkColdRate(t, id, run.servers.Arrivals(id))
+			}
+			served := counts.served.Load()
+			t.Logf("%d of %d requests were served from the return on", served, counts.sent)
+			assert.Check(t, float64(served) >= returnCase.MinServed*float64(counts.sent), "%d of %d requests were served from the return on", served, counts.sent)
+		})
+	}
+}
+
+// checkColdRate checks the arrivals at a server from its start until it is no longer cold.
+func checkColdRate(t *testing.T, id string, arrivals []time.Time) {
+	most := 0
+	for i, first := range arrivals {
+		within := 0
+		for _, at := range arrivals[i:] {
+			if at.Sub(first) < time.Second && at.Sub(arrivals[0]) < returnColdTime-200*time.Millisecond {
+				within++
+			}
+		}
+		most = max(most, within)
+	}
+	t.Logf("%s got %d requests, %d in one second", id, len(arrivals), most)
+	assert.Check(t, float64(most) <= returnAllowed, "%s got %d requests in one second while it was cold; %.1f are allowed", id, most, returnAllowed)
+}
--- a/standin/serverstandin/servers.go
+++ b/standin/serverstandin/servers.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -39,6 +40,8 @@
 	Crash Crash
 	// KeepID has a server start again under its id. Otherwise its entry is removed, and it gets another id.
 	KeepID bool
+	// Work is the time that a request takes.
+	Work time.Duration
 	// FailEverySecond has every second deadly request end with status 500 instead, without harm to the server.
 	FailEverySecond bool
 }
@@ -52,11 +55,20 @@
 
 	mutex                sync.Mutex
 	sent, ended, started int
+	// running has the newest run of each server.
+	running map[string]*run
+}
+
+// run is a run of a server.
+type run struct {
+	service  oleandervane.ServiceName
+	server   *httptest.Server
+	arrivals []time.Time
 }
 
 // New returns servers that register in the store. Start starts the first ones.
 func New(store *storestandin.Store, settings Settings) *Servers {
-	servers := &Servers{store: store, settings: settings}
+	servers := &Servers{store: store, settings: settings, running: map[string]*run{}}
 	servers.ctx, servers.close = context.WithCancel(context.Background())
 	return servers
 }
@@ -75,25 +87,78 @@
 
 // Start starts a server of a service and registers it.
 func (servers *Servers) Start(id string, serviceName oleandervane.ServiceName) error {
-	servers.mutex.Lock()
-	servers.started++
-	born := servers.started
-	servers.mutex.Unlock()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	run, err := servers.listen(id, serviceName, "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	return servers.register(id, run, 0)
+}
+
+// listen starts a run of a server at the address.
+func (servers *Servers) listen(id string, serviceName oleandervane.ServiceName, address string) (*run, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return fmt.Errorf("starting server %s: %w", id, err)
+		return nil, fmt.Errorf("starting server %s: %w", id, err)
 	}
-	server := httptest.NewUnstartedServer(nil)
-	server.Listener = listener
+	run := &run{service: serviceName, server: httptest.NewUnstartedServer(nil)}
+	run.server.Listener = listener
 	end := sync.OnceFunc(func() { servers.restart(listener, id, serviceName) })
-	server.Config.Handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+	run.server.Config.Handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		servers.mutex.Lock()
+		run.arrivals = append(run.arrivals, time.Now())
+		servers.mutex.Unlock()
 		servers.serve(writer, request, end)
 	})
-	server.Start()
-	entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"kigali-a","concurrency_limit":3,"state":"ready","born":%d}`, serviceName, listener.Addr(), born)
+	run.server.Start()
+	servers.mutex.Lock()
+	defer servers.mutex.Unlock()
+	servers.running[id] = run
+	return run, nil
+}
+
+// register writes the entry of a run that stays cold for a time.
+func (servers *Servers) register(id string, run *run, coldLeft time.Duration) error {
+	servers.mutex.Lock()
+	servers.started++
+	born := servers.started
+	servers.mutex.Unlock()
+	entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"kigali-a","concurrency_limit":3,"state":"ready","born":%d,"warmup_left_s":%v}`,
+		run.service, run.server.Listener.Addr(), born, coldLeft.Seconds())
 	return servers.commit(oleandervane.StoreTransaction{Writes: []oleandervane.StoreWrite{{Key: "servers/" + id, Value: []byte(entry)}}})
 }
 
+// Return describes how a server starts again under its id and at its address. It is immutable.
+type Return struct {
+	// Absence is the time between its end and its start, EntryDelay that between its start and its new entry.
+	Absence, EntryDelay time.Duration
+	// Cold is how long it is cold after its start.
+	Cold time.Duration
+}
+
+// Return ends a server and starts it again. It returns when the server has written its new entry.
+func (servers *Servers) Return(id string, how Return) error {
+	servers.mutex.Lock()
+	former := servers.running[id]
+	servers.mutex.Unlock()
+	if err := former.server.Config.Close(); err != nil {
+		return fmt.Errorf("ending server %s: %w", id, err)
+	}
+	time.Sleep(how.Absence)
+	run, err := servers.listen(id, former.service, former.server.Listener.Addr().String())
+	if err != nil {
+		return err
+	}
+	time.Sleep(how.EntryDelay)
+	return servers.register(id, run, max(0, how.Cold-how.EntryDelay))
+}
+
+// Arrivals returns the times at which requests arrived at the newest run of a server.
+func (servers *Servers) Arrivals(id string) []time.Time {
+	servers.mutex.Lock()
+	defer servers.mutex.Unlock()
+	return slices.Clone(servers.running[id].arrivals)
+}
+
 func (servers *Servers) commit(storeTransaction oleandervane.StoreTransaction) error {
 	_, err := servers.store.Commit(servers.ctx, storeTransaction)
 	return err
@@ -103,6 +168,7 @@
 	writer.Header().Set("X-Request-Id", request.Header.Get("X-Request-Id"))
 	writer.Header().Set("X-Response-Signature", "m")
 	if !strings.Contains(request.URL.Path, Deadly) {
+		time.Sleep(servers.settings.Work)
 		return
 	}
 	if !servers.endsNow() {
