Count a server that refuses connections as cold until its entry changes

Callers met servers that had just started again and were flooded. A refused connection says that no process listens, so the run has ended: the server now counts as cold at this VM, for its slow start from then on or until its entry shows a new run, and the VMs that send to cold servers try it as a new one.

--- a/entry/forward/attempt.go
+++ b/entry/forward/attempt.go
@@ -248,7 +248,7 @@
 	switch {
 	case attempt.target.Relay:
 	case errors.Is(err, syscall.ECONNREFUSED):
-		quarantine.RecordEnd(attempt.target)
+		attempt.recordEnd()
 	case outcome != oleandervane.Unknown:
 	case reason == ReasonBroken:
 		quarantine.recordBroken(attempt.identity, attempt.target.RunHash())
@@ -257,6 +257,14 @@
 	}
 }
 
+// recordEnd records that the run of the target has ended, because its address refuses connections.
+func (attempt *attempt) recordEnd() {
+	attempt.forwarder.quarantine.RecordEnd(attempt.target)
+	if endObserver, observes := attempt.reservation.(EndObserver); observes {
+		endObserver.ObserveEnd()
+	}
+}
+
 // end stops the timers and releases the reservation. It cancels the request if it still runs at the target.
 func (attempt *attempt) end(attemptResult oleandervane.AttemptResult) {
 	for _, stop := range attempt.stopTimers {
--- a/entry/forward/target.go
+++ b/entry/forward/target.go
@@ -87,6 +87,11 @@
 	ObserveResponse(metadata oleandervane.ResponseMetadata)
 }
 
+// EndObserver is a Reservation that uses the news that its target refuses connections, which means that its run has ended.
+type EndObserver interface {
+	ObserveEnd()
+}
+
 // TargetChooser chooses the target of an attempt.
 type TargetChooser interface {
 	// Choose returns a target whose id is not in excluded. It fails with oleandervane.ErrNoBackendServer when there is
--- a/entry/placement/placer.go
+++ b/entry/placement/placer.go
@@ -62,6 +62,8 @@
 	ColdByResponse      ColdCause = "response"
 	ColdAfterEvacuation ColdCause = "evacuation"
 	ColdAfterAbsence    ColdCause = "absence"
+	// ColdAfterEnd says that the server refuses connections.
+	ColdAfterEnd ColdCause = "end"
 )
 
 // Placer tracks the state of the backend servers as this VM sees it and places requests. All methods are safe for
--- a/entry/placement/reservation.go
+++ b/entry/placement/reservation.go
@@ -48,6 +48,12 @@
 	reservation.observeDirective(metadata, now)
 }
 
+// ObserveEnd records that the run of the server has ended. The server may start again under its id at any moment.
+func (reservation *reservation) ObserveEnd() {
+	placer := reservation.placer
+	placer.recordEnd(reservation.server, ColdAfterEnd, placer.settings.TimerService.Now())
+}
+
 // observeDirective records what the server asks for in a response. A response that does not ask for a limit ends the former one,
 // unless the response may come from another server or its headers make no sense.
 func (reservation *reservation) observeDirective(metadata oleandervane.ResponseMetadata, now time.Time) {
--- a/entry/placement/server.go
+++ b/entry/placement/server.go
@@ -70,7 +70,9 @@
 	onProbation      bool
 	coldUntil        time.Time
 	nextColdSend     time.Time
-	directive        directive
+	// endedAt is when the run was last found to have ended; zero if it was not.
+	endedAt   time.Time
+	directive directive
 	// nextLimitedSend is when this VM may send the next request while the server limits its requests.
 	nextLimitedSend time.Time
 	// refusals is the number of refusals since the last success, refusedAt the time of the last one, and refusedUntil the end of the
