Tell other VMs which servers refuse connections

What one VM had learned from a refused connection stayed with it. Notices now have the ends of runs that were found in the last second, by the run, so that an end does not outlive the entry of the next run. A VM that hears of less than half of the others reports none, because a cut may refuse its connections to all servers.

--- a/entry/placement/end.go
+++ b/entry/placement/end.go
@@ -1,9 +1,20 @@
 package placement
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
 
-// endStep is the least time between two ends of a run that count as different. The same end is found by several requests.
-const endStep = 500 * time.Millisecond
+	"oleandervane.example"
+)
+
+const (
+	// endStep is the least time between two ends of a run that count as different. The same end is found by several requests, and its
+	// age grows by the delay of each notice.
+	endStep = 500 * time.Millisecond
+	// endLifetime is how long an end is sent to other VMs: in several notices, because one may be lost.
+	endLifetime = time.Second
+)
 
 // recordEnd records that the run of a server was found to have ended. Its entry shows a new run only some time after its start, and
 // until then the server counts as cold: if it is back, it has just started.
@@ -25,3 +36,35 @@
 	server.sent.Store(0)
 	return true
 }
+
+// ServerEnds returns the ends that were found recently, the newest first. A VM that hears of few others may be cut off from the servers
+// as well, and returns none.
+func (placer *Placer) ServerEnds() []oleandervane.ServerEnd {
+	if placer.peerScale() == 0 {
+		return nil
+	}
+	now := placer.settings.TimerService.Now()
+	var serverEnds []oleandervane.ServerEnd
+	for run, server := range placer.view.Load().byRun {
+		server.mutex.Lock()
+		age := now.Sub(server.endedAt)
+		server.mutex.Unlock()
+		if age < endLifetime {
+			serverEnds = append(serverEnds, oleandervane.ServerEnd{Server: run, Age: age})
+		}
+	}
+	slices.SortFunc(serverEnds, func(a, b oleandervane.ServerEnd) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Server, b.Server))
+	})
+	return serverEnds
+}
+
+// MergeServerEnds records the ends that another VM knows.
+func (placer *Placer) MergeServerEnds(serverEnds []oleandervane.ServerEnd) {
+	now, view := placer.settings.TimerService.Now(), placer.view.Load()
+	for _, serverEnd := range serverEnds {
+		if server := view.byRun[serverEnd.Server]; server != nil {
+			placer.recordEnd(server, ColdByPeer, now.Add(-serverEnd.Age))
+		}
+	}
+}
--- a/entry/placement/placer.go
+++ b/entry/placement/placer.go
@@ -64,6 +64,8 @@
 	ColdAfterAbsence    ColdCause = "absence"
 	// ColdAfterEnd says that the server refuses connections.
 	ColdAfterEnd ColdCause = "end"
+	// ColdByPeer says that the server refuses the connections of another VM.
+	ColdByPeer ColdCause = "another_vm"
 )
 
 // Placer tracks the state of the backend servers as this VM sees it and places requests. All methods are safe for
--- a/entryvm/hosted/fleet.go
+++ b/entryvm/hosted/fleet.go
@@ -22,6 +22,7 @@
 		Affinity:     entryVM.placer,
 		Suspects:     suspectTracker{entryVM.forwarder.Quarantine()},
 		Directives:   entryVM.placer,
+		ServerEnds:   entryVM.placer,
 		Store:        entryVM.changeLog,
 		Sender:       entryVM.noticeSocket,
 	})
--- a/exchange.go
+++ b/exchange.go
@@ -50,6 +50,22 @@
 	MergeDirectives(directives []ServerDirective)
 }
 
+// ServerEnd says that a run of a backend server was found to have ended: its address refused a connection. It is immutable.
+type ServerEnd struct {
+	// Server is the hash of the run of the server.
+	Server uint32
+	// Age is the time since the connection was refused.
+	Age time.Duration
+}
+
+// ServerEndTracker tracks which runs of backend servers have ended, before their entries show it.
+type ServerEndTracker interface {
+	// ServerEnds returns the ends that were found recently, the newest first.
+	ServerEnds() []ServerEnd
+	// MergeServerEnds adds the ends that another VM knows.
+	MergeServerEnds(serverEnds []ServerEnd)
+}
+
 // SuspectRequest is a request that broke the connection to a backend server and may do so again. It is immutable.
 type SuspectRequest struct {
 	Fingerprint [16]byte
--- a/fleet/exchange/exchange.go
+++ b/fleet/exchange/exchange.go
@@ -1,5 +1,6 @@
 // Package exchange sends notices between entry VMs several times a second. A notice reports the requests in flight at
-// backend servers, what those ask of all VMs, the requests that broke connections, and the store revision that its sender has applied.
+// backend servers, what those ask of all VMs, which of them have ended, the requests that broke connections, and the store revision that
+// its sender has applied.
 //
 // Each VM sends its notices to the VMs of its own failure domain. Two delegates of the domain take turns to send the sums of
 // the domain to one delegate of each other domain, which forwards them to the VMs of its own domain, so that the traffic
@@ -42,6 +43,8 @@
 	newestSuspects = 4
 	// maxDirectives bounds the directives of backend servers in a notice, 14 bytes each.
 	maxDirectives = 128
+	// maxServerEnds bounds the ends of backend servers in a notice, 10 bytes each.
+	maxServerEnds = 128
 	// maxAffinityMarks bounds the cache affinity marks in a notice, 4 bytes each.
 	maxAffinityMarks = 1024
 )
@@ -59,6 +62,7 @@
 	Affinity     oleandervane.AffinityTracker
 	Suspects     oleandervane.SuspectTracker
 	Directives   oleandervane.DirectiveTracker
+	ServerEnds   oleandervane.ServerEndTracker
 	Store        oleandervane.StoreRevisionSource
 	Sender       Sender
 	// Period is DefaultPeriod if it is zero.
@@ -196,6 +200,7 @@
 	notice.Quarantined = encodeSuspects(part(exchange.settings.Suspects.Quarantined(), sequence))
 	notice.StoreRevision, notice.StoreFresh = exchange.settings.Store.StoreRevision()
 	notice.Directives = encodeDirectives(exchange.settings.Directives.Directives())
+	notice.ServerEnds = encodeServerEnds(exchange.settings.ServerEnds.ServerEnds())
 	notice.Familiar = exchange.settings.Affinity.PendingAffinity()
 	exchange.addPendingAffinity(notice.Familiar)
 	return notice
@@ -252,7 +257,7 @@
 	notice := &peer.Notice{
 		Vm: own.Vm, Incarnation: own.Incarnation, Sequence: own.Sequence, FailureDomain: string(self.FailureDomain),
 		Vms: uint32(vms), Suspects: own.Suspects, Quarantined: own.Quarantined, Directives: own.Directives,
-		Familiar: pending,
+		ServerEnds: own.ServerEnds, Familiar: pending,
 	}
 	setSums(notice, sums)
 	return notice
@@ -270,6 +275,7 @@
 	}
 	exchange.settings.Suspects.Merge(decodeSuspects(notice.GetSuspects()), decodeSuspects(notice.GetQuarantined()))
 	exchange.settings.Directives.MergeDirectives(decodeDirectives(notice.GetDirectives()))
+	exchange.settings.ServerEnds.MergeServerEnds(decodeServerEnds(notice.GetServerEnds()))
 	exchange.settings.InFlight.ReplaceInFlight(source(notice), int(notice.GetVms()), counts(notice))
 	exchange.settings.Affinity.MergeAffinity(notice.GetFamiliar())
 	if notice.GetFailureDomain() == "" {
--- a/fleet/exchange/exchange_test.go
+++ b/fleet/exchange/exchange_test.go
@@ -26,6 +26,7 @@
 	suspects                       []oleandervane.SuspectRequest
 	receivedSuspects               []oleandervane.SuspectRequest
 	directives, receivedDirectives []oleandervane.ServerDirective
+	serverEnds, receivedServerEnds []oleandervane.ServerEnd
 	quarantined                    []oleandervane.SuspectRequest
 	// receivedQuarantined are the fingerprints that other VMs refuse.
 	receivedQuarantined map[[16]byte]bool
@@ -59,6 +60,12 @@
 	node.receivedDirectives = append(node.receivedDirectives, directives...)
 }
 
+func (node *node) ServerEnds() []oleandervane.ServerEnd { return node.serverEnds }
+
+func (node *node) MergeServerEnds(serverEnds []oleandervane.ServerEnd) {
+	node.receivedServerEnds = append(node.receivedServerEnds, serverEnds...)
+}
+
 func (node *node) PendingAffinity() []uint32 {
 	marks := node.pendingMarks
 	node.pendingMarks = nil
@@ -106,7 +113,7 @@
 	for _, vm := range fleet.vms {
 		node := &node{self: vm, fleet: fleet, received: map[string][]oleandervane.ServerCount{}, vms: map[string]int{}, receivedQuarantined: map[[16]byte]bool{}}
 		node.exchange = New(Settings{
-			TimerService: fleet.manual, Membership: node, InFlight: node, Affinity: node, Suspects: suspectTrackerOf{node}, Directives: node, Store: node, Sender: node,
+			TimerService: fleet.manual, Membership: node, InFlight: node, Affinity: node, Suspects: suspectTrackerOf{node}, Directives: node, ServerEnds: node, Store: node, Sender: node,
 		})
 		fleet.nodes[vm.ID] = node
 	}
--- a/fleet/exchange/notice.go
+++ b/fleet/exchange/notice.go
@@ -123,3 +123,19 @@
 	}
 	return directives
 }
+
+func encodeServerEnds(serverEnds []oleandervane.ServerEnd) []*peer.ServerEnd {
+	var encoded []*peer.ServerEnd
+	for _, serverEnd := range serverEnds[:min(len(serverEnds), maxServerEnds)] {
+		encoded = append(encoded, &peer.ServerEnd{Server: serverEnd.Server, AgeMillis: uint32(max(0, serverEnd.Age.Milliseconds()))})
+	}
+	return encoded
+}
+
+func decodeServerEnds(encoded []*peer.ServerEnd) []oleandervane.ServerEnd {
+	var serverEnds []oleandervane.ServerEnd
+	for _, message := range encoded {
+		serverEnds = append(serverEnds, oleandervane.ServerEnd{Server: message.GetServer(), Age: time.Duration(message.GetAgeMillis()) * time.Millisecond})
+	}
+	return serverEnds
+}
--- a/standin/emulation/exchange.go
+++ b/standin/emulation/exchange.go
@@ -13,7 +13,7 @@
 func (vm *vm) startExchange() {
 	vm.exchange = exchange.New(exchange.Settings{
 		TimerService: vm.world.manual, Membership: vm, InFlight: vm.placer, Affinity: vm.affinityTracker(),
-		Suspects: noSuspects{}, Directives: vm.placer, Store: noStore{}, Sender: vm,
+		Suspects: noSuspects{}, Directives: vm.placer, ServerEnds: vm.placer, Store: noStore{}, Sender: vm,
 		Period: time.Duration(vm.world.variant.ExchangePeriod),
 	})
 	if vm.world.variant.Isolated {
