Probe servers that have ended until they accept connections again

Callers met servers that were flooded after an absence of some seconds while the store was away. Only requests found out that a server still refused connections; the two VMs that may send to a cold server backed off or had no request for it, so 3.5 s after the first refusal all VMs took it for warm and sent to it when it returned. The two VMs now open a connection to it every half second and tell the others that it is still refused; nobody sends to it meanwhile, and when a connection is accepted, it is cold from then on.

TestServerThatStaysAwayIsColdWhenItReturns: without probes 16 of 16 VMs send to the server 3.5 s after it was refused; now two at most.

--- a/entry/placement/placer.go
+++ b/entry/placement/placer.go
@@ -32,6 +32,8 @@
 	// Settled reports whether Membership has all VMs that run; nil means that it always has. Before, this VM sends nothing to cold
 	// servers and to those with a rate limit, which get requests from few VMs of the fleet.
 	Settled func() bool
+	// Prober checks whether a server that has ended is back; nil leaves that to the requests.
+	Prober oleandervane.ConnectionProber
 	// Observer is notified of changes in the state of servers; nil notifies nobody.
 	Observer Observer
 	// Policy is DefaultPolicy if it is zero.
@@ -262,7 +264,7 @@
 
 // extendCold has a server count as cold for the duration, unless it does for longer already.
 func (placer *Placer) extendCold(server *server, cause ColdCause, duration time.Duration, now time.Time) {
-	if server.extendCold(now.Add(duration)) && placer.settings.Observer != nil {
+	if server.extendCold(now.Add(duration), now) && placer.settings.Observer != nil {
 		placer.settings.Observer.ColdStarted(server.ID, cause, duration)
 	}
 }
--- a/entry/placement/server.go
+++ b/entry/placement/server.go
@@ -70,9 +70,11 @@
 	onProbation      bool
 	coldUntil        time.Time
 	nextColdSend     time.Time
-	// endedAt is when the run was last found to have ended; zero if it was not.
-	endedAt   time.Time
-	directive directive
+	// endedAt is when the run was last found to have ended; zero if it was not. absent says that the server gets no requests until a
+	// probe finds that it accepts connections again, and probing that such probes go on.
+	endedAt         time.Time
+	absent, probing bool
+	directive       directive
 	// nextLimitedSend is when this VM may send the next request while the server limits its requests.
 	nextLimitedSend time.Time
 	// refusals is the number of refusals since the last success, refusedAt the time of the last one, and refusedUntil the end of the
@@ -102,7 +104,7 @@
 	changed.serverState = server.serverState
 	changed.clearMisdirected()
 	if registered.ColdLeft > 0 {
-		changed.extendCold(now.Add(registered.ColdLeft))
+		changed.extendCold(now.Add(registered.ColdLeft), now)
 	}
 	return changed
 }
@@ -144,15 +146,20 @@
 	server.averageLoad += (others - server.averageLoad) * averageLoadWeight
 }
 
-// extendCold makes the server cold until the given time, and reports whether it was not cold for as long already.
-func (server *server) extendCold(until time.Time) (extended bool) {
+// extendCold makes the server cold until the given time, unless it is cold for longer already. It reports whether the server was warm.
+func (server *server) extendCold(until, now time.Time) (wasWarm bool) {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
-	if !until.After(server.coldUntil) {
-		return false
-	}
-	server.coldUntil = until
-	return true
+	wasWarm = !now.Before(server.coldUntil) && until.After(now)
+	server.coldUntil = later(server.coldUntil, until)
+	return wasWarm
+}
+
+// isCold reports whether the server counts as cold.
+func (server *server) isCold(now time.Time) bool {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return now.Before(server.coldUntil)
 }
 
 // recordSuccess records a response time, as a multiple of the average. It reports whether the server was unreachable before for more
@@ -262,7 +269,7 @@
 	if now.Before(server.backoffUntil) || now.Before(server.misdirectedUntil) {
 		return true
 	}
-	return cold && (!server.warmUpAssigned() || now.Before(server.nextColdSend))
+	return cold && (server.absent || !server.warmUpAssigned() || now.Before(server.nextColdSend))
 }
 
 // admit reports whether a request may be sent to the server now. A server that is cold, limits its requests or has refused the last
--- a/entryvm/hosted/hosted.go
+++ b/entryvm/hosted/hosted.go
@@ -112,12 +112,6 @@
 	entryVM.changeLog = relay.NewChangeLog(entryVM.roster, entryVM.observedStore)
 	entryVM.replica = newReplica(catalog.New(settings.FailureDomains), entryVM.roster, timerService, entryVM.log, entryVM.publish)
 	entryVM.observer.replica = entryVM.replica
-	entryVM.placer = placement.NewPlacer(placement.Settings{
-		TimerService: timerService,
-		Membership:   entryVM.roster,
-		Settled:      entryVM.roster.Settled,
-		Observer:     entryVM.observer,
-	})
 	entryVM.forwarder = forward.New(forward.Settings{
 		IdleTimeout:            backendIdleTimeout,
 		MaxResponseBytes:       int64(settings.MaxResponseMegabytes) * megabyte,
@@ -135,6 +129,13 @@
 			Base:   entryVM.retryBase,
 		}),
 	}, timerService)
+	entryVM.placer = placement.NewPlacer(placement.Settings{
+		TimerService: timerService,
+		Membership:   entryVM.roster,
+		Settled:      entryVM.roster.Settled,
+		Prober:       entryVM.forwarder,
+		Observer:     entryVM.observer,
+	})
 	entryVM.ingress = ingress.New(ingress.Dependencies{
 		Self:          self,
 		CallerDialect: dialect.Dialect{},
--- a/exchange.go
+++ b/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 )
 
@@ -66,6 +67,22 @@
 	MergeServerEnds(serverEnds []ServerEnd)
 }
 
+// ConnectionState is the result of a probe of a backend server.
+type ConnectionState uint8
+
+// The results of a probe. ConnectionUnknown is the result of a probe without response: the server may be cut off from this VM.
+const (
+	ConnectionUnknown ConnectionState = iota
+	ConnectionAccepted
+	ConnectionRefused
+)
+
+// ConnectionProber checks whether backend servers accept connections.
+type ConnectionProber interface {
+	// ProbeConnection opens a connection to the address and calls done with the result. It does not wait for that.
+	ProbeConnection(address netip.AddrPort, done func(ConnectionState))
+}
+
 // SuspectRequest is a request that broke the connection to a backend server and may do so again. It is immutable.
 type SuspectRequest struct {
 	Fingerprint [16]byte
