Pause between watches of the store only while changes keep coming

Callers met servers that had just started and were flooded, after VMs had started with them, or after they had been silent, so that no connection was refused. A VM that had listed all entries or read a change read nothing for 0.8 s; servers that start together write their entries within some ten milliseconds, so that VMs read the first one and took the others for what they had been. A listing, and a watch without changes, is now followed by the next watch at once; the pause after a change begins with an eighth of the former one and doubles while each watch returns changes.

TestSecondChangeArrivesSoon: the second of two changes took more than 400 ms before.

--- a/fleet/registrywatch/watcher.go
+++ b/fleet/registrywatch/watcher.go
@@ -18,9 +18,12 @@
 	// may accept a watch that never receives the changes made since; the next call detects this. The phases in which
 	// watches of the store receive nothing last a second.
 	confirmWait = 1500 * time.Millisecond
-	// batchShare is the share of the change limit, the time in which a change must be in force, that passes between two
+	// batchShare is the share of the change limit, the time in which a change must be in force, that passes at most between two
 	// calls of a watch. Changes come in series, and one call can return them all.
 	batchShare = 0.4
+	// firstBatchShare is the part of the longest pause that follows the first change of a series. The pause doubles with each further
+	// change: servers that start at the same time write their entries within some ten milliseconds.
+	firstBatchShare = 0.125
 	// minRetryDelay and maxRetryDelay bound the backoff after a failed call.
 	minRetryDelay = 200 * time.Millisecond
 	maxRetryDelay = time.Second
@@ -74,7 +77,8 @@
 	relay        Relay
 	timerService oleandervane.TimerService
 	sink         Sink
-	batchDelay   time.Duration
+	// batchDelay is the longest pause between two calls of a watch, nextPause the one after the next change.
+	batchDelay, nextPause time.Duration
 	// interrupt cancels the watch in progress.
 	interrupt chan struct{}
 
@@ -83,6 +87,8 @@
 	listed   bool
 	// confirmed is set if a watch has ended without changes since the last listing or change.
 	confirmed bool
+	// changed is set if the last watch returned changes.
+	changed bool
 	// direct is set if the next call goes to the store because the last call to another VM failed.
 	direct bool
 	// relayed is set if the last call went to another VM.
@@ -115,7 +121,7 @@
 			watcher.listed = true
 			watcher.recordContact()
 			if !relayed {
-				watcher.pause(ctx, watcher.batchDelay)
+				watcher.pauseAfterChange(ctx)
 			}
 		case errors.Is(err, oleandervane.ErrHistoryGone):
 			watcher.listed = false
@@ -164,7 +170,7 @@
 		return err
 	}
 	watcher.recordContact()
-	watcher.confirmed, watcher.revision = false, revision
+	watcher.confirmed, watcher.changed, watcher.revision = false, false, revision
 	watcher.sink.Replace(entries, revision)
 	return nil
 }
@@ -183,14 +189,18 @@
 		case <-ctx.Done():
 		}
 	}()
+	startedAt := watcher.timerService.Now()
 	storeChanges, err := store.WatchPrefix(ctx, "", watcher.revision, wait)
 	if err != nil {
 		return err
 	}
 	watcher.recordContact()
+	if watcher.timerService.Now().Sub(startedAt) > watcher.batchDelay {
+		watcher.nextPause = 0
+	}
 	// A follower that watches the store only because it finds no delegate looks for one after each short watch.
 	watcher.confirmed = len(storeChanges.Changes) == 0 && !watcher.relayed && !watcher.relay.IsFollower()
-	watcher.revision = storeChanges.Revision
+	watcher.changed, watcher.revision = len(storeChanges.Changes) > 0, storeChanges.Revision
 	if len(storeChanges.Changes) > 0 {
 		watcher.sink.Apply(storeChanges)
 	}
@@ -231,6 +241,16 @@
 	}
 }
 
+// pauseAfterChange pauses before the next watch if the last one returned changes. Pauses grow while each watch returns changes.
+func (watcher *Watcher) pauseAfterChange(ctx context.Context) {
+	if !watcher.changed {
+		watcher.nextPause = 0
+		return
+	}
+	watcher.nextPause = min(max(2*watcher.nextPause, time.Duration(firstBatchShare*float64(watcher.batchDelay))), watcher.batchDelay)
+	watcher.pause(ctx, watcher.nextPause)
+}
+
 func (watcher *Watcher) pause(ctx context.Context, duration time.Duration) {
 	done := make(chan struct{})
 	defer watcher.timerService.After(duration, func(time.Time) { close(done) })()
--- a/fleet/registrywatch/watcher_test.go
+++ b/fleet/registrywatch/watcher_test.go
@@ -20,6 +20,7 @@
 	mutex      sync.Mutex
 	values     map[string]string
 	replaced   int
+	applied    int
 	outages    int
 	recoveries int
 }
@@ -37,6 +38,7 @@
 func (sink *sink) Apply(storeChanges oleandervane.StoreChanges) {
 	sink.mutex.Lock()
 	defer sink.mutex.Unlock()
+	sink.applied++
 	for _, change := range storeChanges.Changes {
 		if change.Removed {
 			delete(sink.values, change.Entry.Key)
@@ -99,6 +101,25 @@
 	return sink, watcher
 }
 
+// Guards against a VM that does not learn of a server that starts just after another one, and against a call for each change of a long
+// series.
+func TestSecondChangeArrivesSoon(t *testing.T) {
+	store, sink := storestandin.New(timer.System{}), &sink{}
+	go registrywatch.New(store, registrywatch.NoRelay{}, timer.System{}, sink, 2*time.Second).Run(t.Context())
+	poll.WaitOn(t, waiting(store, 1))
+	write(t, store, "a", "1")
+	poll.WaitOn(t, sink.has("a", "1"), poll.WithDelay(time.Millisecond))
+	write(t, store, "b", "1")
+	poll.WaitOn(t, sink.has("b", "1"), poll.WithDelay(time.Millisecond), poll.WithTimeout(400*time.Millisecond))
+	for number := range 40 {
+		write(t, store, "c", string(rune('a'+number)))
+		time.Sleep(50 * time.Millisecond)
+	}
+	sink.mutex.Lock()
+	defer sink.mutex.Unlock()
+	assert.Assert(t, sink.applied <= 8, "%d calls returned changes", sink.applied)
+}
+
 func write(t *testing.T, store *storestandin.Store, key, value string) {
 	t.Helper()
 	_, err := store.Commit(context.Background(), oleandervane.StoreTransaction{Writes: []oleandervane.StoreWrite{{Key: key, Value: []byte(value)}}})
