Do not count the times in notices that were queued during a pause

Callers saw a request refused as quarantined for longer than its quarantine, and no VM tried it in between. The times in a notice are relative to when it was sent, and a VM takes them as relative to when it reads it. A notice that waited in the socket of a VM that was paused, say for a minute, extended the quarantine of the request by that minute, and the VM then told all others of the longer one.

In the traced run, vm-1 refuses the request again 8 ms after the clocks of the VMs moved by 2 min, for 1m59.04s, source another_vm: a notice from before the move was read after it. The other VMs hear of it from vm-1. To the VMs, such a move is a pause of all of them.

A VM that has neither sent nor read a notice for 2 s now takes only the ends of servers from the notices that it reads in the next 500 ms; these name the run that has ended. Senders repeat the rest several times a second.

TestNoticesQueuedDuringAPauseAreIgnored fails without the change.

--- a/entryvm/hosted/trial_test.go
+++ b/entryvm/hosted/trial_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -56,6 +57,7 @@
 	for i := range vms - 1 {
 		fleet.fixtures = append(fleet.fixtures, startAnother(t, *first, oleandervane.VMID(fmt.Sprintf("vm-%d", i+2))))
 	}
+	t.Cleanup(func() { fleet.logOnFailure(t) })
 	for _, fixture := range fleet.fixtures {
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
 			status, _, _ := fixture.send(t, http.MethodGet, "/lohu/harmless", "ready")
@@ -68,6 +70,18 @@
 	return fleet
 }
 
+// logOnFailure logs what VMs logged after a failure.
+func (trialFleet *trialFleet) logOnFailure(t *testing.T) {
+	if !t.Failed() {
+		return
+	}
+	for _, fixture := range trialFleet.fixtures {
+		for line := range strings.Lines(fixture.log.text()) {
+			t.Log(fixture.settings.ID, strings.TrimSpace(line))
+		}
+	}
+}
+
 // quarantine sends the request until it is refused.
 func (trialFleet *trialFleet) quarantine(t *testing.T) {
 	for range 2 {
--- a/fleet/exchange/exchange.go
+++ b/fleet/exchange/exchange.go
@@ -47,6 +47,11 @@
 	maxServerEnds = 128
 	// maxAffinityMarks bounds the cache affinity marks in a notice, 4 bytes each.
 	maxAffinityMarks = 1024
+	// maxGap is the longest time between two notices that a VM sends or receives, unless it was paused. It is far above the delays of a
+	// busy machine, and below the differences between two VMs that a quarantine tolerates.
+	maxGap = 2 * time.Second
+	// queuedPeriod is the time in which a VM that was paused reads the notices that were queued meanwhile.
+	queuedPeriod = 500 * time.Millisecond
 )
 
 // Sender sends a notice to VMs. It must not block.
@@ -80,6 +85,8 @@
 	pendingAffinity []uint32
 	// received has the newest notice of each sender and scope: the VM itself, or the failure domain that it reports for.
 	received map[string]receivedNotice
+	// activeAt is when this VM last sent or received a notice. Notices that it reads before queuedUntil may have been queued.
+	activeAt, queuedUntil time.Time
 }
 
 type receivedNotice struct {
@@ -128,10 +135,29 @@
 func (exchange *Exchange) isDue(sources int) bool {
 	exchange.mutex.Lock()
 	defer exchange.mutex.Unlock()
+	exchange.detectPause(exchange.settings.TimerService.Now())
 	exchange.periods++
 	return sources < halfRateSources || exchange.periods%2 == 0
 }
 
+// detectPause must be called with the mutex held. After a pause, either a notice or the next period comes first.
+func (exchange *Exchange) detectPause(now time.Time) {
+	if !exchange.activeAt.IsZero() && now.Sub(exchange.activeAt) > maxGap {
+		exchange.queuedUntil = now.Add(queuedPeriod)
+	}
+	exchange.activeAt = now
+}
+
+// wasPaused reports whether a notice that is read now may have been queued while this VM was paused. The times in a notice are relative
+// to when it was sent, and wrong by the time for which it was queued.
+func (exchange *Exchange) wasPaused() bool {
+	now := exchange.settings.TimerService.Now()
+	exchange.mutex.Lock()
+	defer exchange.mutex.Unlock()
+	exchange.detectPause(now)
+	return now.Before(exchange.queuedUntil)
+}
+
 func without(vms []oleandervane.EntryVM, id oleandervane.VMID) []oleandervane.EntryVM {
 	return slices.DeleteFunc(slices.Clone(vms), func(vm oleandervane.EntryVM) bool { return vm.ID == id })
 }
@@ -264,12 +290,17 @@
 }
 
 // Receive processes a notice. It ignores notices from unknown VMs, from an earlier incarnation, older than the last one, or
-// for a failure domain that is not the sender's.
+// for a failure domain that is not the sender's. Of notices that were queued while this VM was paused, only ends of servers count.
 func (exchange *Exchange) Receive(notice *peer.Notice) {
 	sender, known := exchange.find(oleandervane.VMID(notice.GetVm()))
 	if !known || notice.GetFailureDomain() != "" && notice.GetFailureDomain() != string(sender.FailureDomain) {
 		return
 	}
+	if exchange.wasPaused() {
+		// An end names the run that has ended, and is valid however late it is read.
+		exchange.settings.ServerEnds.MergeServerEnds(decodeServerEnds(notice.GetServerEnds()))
+		return
+	}
 	if !exchange.record(notice) {
 		return
 	}
--- a/fleet/exchange/exchange_test.go
+++ b/fleet/exchange/exchange_test.go
@@ -242,6 +242,36 @@
 	}
 }
 
+// Guards against notices that were queued while a VM was paused and whose times count from when it reads them: a request stays refused
+// for the time of the pause after its quarantine. Also guards against ends of servers that are lost with them.
+func TestNoticesQueuedDuringAPauseAreIgnored(t *testing.T) {
+	for _, sendsFirst := range []bool{false, true} {
+		fleet := newFleet(1, 2)
+		receiver := fleet.nodes["vm-0-01"]
+		fleet.sendNotices()
+		fleet.manual.Advance(time.Minute)
+		if sendsFirst {
+			receiver.exchange.SendNotices()
+		}
+		for sequence := uint64(10); sequence < 20; sequence++ {
+			receiver.exchange.Receive(&peer.Notice{
+				Vm: "vm-0-00", Incarnation: 1, Sequence: sequence, Vms: 1, Quarantined: []*peer.Suspect{{Fingerprint: make([]byte, 16), Millis: 59000}},
+				ServerEnds: []*peer.ServerEnd{{Server: 7}},
+			})
+			fleet.manual.Advance(10 * time.Millisecond)
+		}
+		receiver.exchange.SendNotices()
+		assert.Equal(t, len(receiver.receivedQuarantined), 0, "sends first: %v", sendsFirst)
+		assert.Assert(t, len(receiver.receivedServerEnds) > 0, "sends first: %v", sendsFirst)
+		fleet.manual.Advance(queuedPeriod)
+		fleet.nodes["vm-0-00"].quarantined = []oleandervane.SuspectRequest{{Fingerprint: [16]byte{1}, Since: time.Minute}}
+		for range 20 {
+			fleet.sendNotices()
+		}
+		assert.Assert(t, receiver.receivedQuarantined[[16]byte{1}], "sends first: %v", sendsFirst)
+	}
+}
+
 // Guards against suspect requests, which may crash servers, that are known only in one failure domain.
 func TestSuspectsReachAllVMs(t *testing.T) {
 	fleet := newFleet(3, 3)
