Reproduce the growth of the change log with each configuration

A delegate keeps the values of the last 1024 changes for its followers, also those that a later change of the same key replaces. TestChangeLogKeepsNoFormerValues applies 1,000 changes of 977 KB of one key.

TestChangeLogIsBounded used one key for all changes and now uses a key for each: the number of changes that a follower gets after a revision is the same, and does not depend on whether former values of a key are kept.

--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -275,8 +278,10 @@
 	domain.waitFor(t, "a", "2")
 }
 
-// Guards against a delegate that returns changes although it has dropped the first of them.
-func TestChangeLogIsBounded(t *testing.T) {
+// newDelegateLog returns the change log of the first of three VMs that is a delegate with a follower. It holds one entry, of revision
+// 10.
+func newDelegateLog(t *testing.T) *relay.ChangeLog {
+	t.Helper()
 	domain := &domain{}
 	for i := range 3 {
 		domain.list = append(domain.list, oleandervane.EntryVM{ID: oleandervane.VMID(fmt.Sprint(i)), FailureDomain: "a"})
@@ -285,24 +290,90 @@
 		vm := &vm{self: self, domain: domain, link: &storeLink{}}
 		changeLog := relay.NewChangeLog(vm, vm)
 		changeLog.Replace([]oleandervane.StoreEntry{{Key: "k", Value: []byte("0"), Version: 10}}, 10)
-		if !changeLog.HasFollowers() {
-			_, fresh := changeLog.StoreRevision()
-			assert.Assert(t, !fresh)
-			continue
+		if changeLog.HasFollowers() {
+			return changeLog
+		}
+		_, fresh := changeLog.StoreRevision()
+		assert.Assert(t, !fresh)
+	}
+	t.Fatal("no VM is a delegate")
+	return nil
+}
+
+func applyChange(changeLog *relay.ChangeLog, key, value string, revision uint64) {
+	changeLog.Apply(oleandervane.StoreChanges{Revision: revision, Changes: []oleandervane.StoreChange{{
+		Entry: oleandervane.StoreEntry{Key: key, Value: []byte(value), Version: revision}, Removed: value == "",
+	}}})
+}
+
+// Guards against a delegate that returns changes although it has dropped the first of them.
+func TestChangeLogIsBounded(t *testing.T) {
+	changeLog := newDelegateLog(t)
+	for revision := uint64(11); revision <= 3000; revision++ {
+		applyChange(changeLog, fmt.Sprint("key-", revision), "v", revision)
+	}
+	for _, readCase := range []struct {
+		after   uint64
+		full    bool
+		changes int
+	}{{0, true, 2991}, {10, true, 2991}, {1975, true, 2991}, {1976, false, 1024}, {2999, false, 1}, {3000, false, 0}, {3001, true, 2991}} {
+		changes, full, revision := changeLog.Read(readCase.after)
+		assert.Equal(t, full, readCase.full, "%d", readCase.after)
+		assert.Equal(t, len(changes), readCase.changes, "%d", readCase.after)
+		assert.Equal(t, revision, uint64(3000))
+	}
+}
+
+// Guards against a delegate whose memory fills with former values of a key that changes often.
+func TestChangeLogKeepsNoFormerValues(t *testing.T) {
+	changeLog := newDelegateLog(t)
+	heapAfter := func(first, last uint64) float64 {
+		for revision := first; revision <= last; revision++ {
+			applyChange(changeLog, "op/config", strings.Repeat("x", 977<<10), revision)
 		}
-		for revision := uint64(11); revision <= 3000; revision++ {
-			changeLog.Apply(oleandervane.StoreChanges{Revision: revision, Changes: []oleandervane.StoreChange{{Entry: oleandervane.StoreEntry{Key: "k", Version: revision}}}})
+		runtime.GC()
+		var memory runtime.MemStats
+		runtime.ReadMemStats(&memory)
+		return float64(memory.HeapAlloc)
+	}
+	few := heapAfter(11, 60)
+	many := heapAfter(61, 1010)
+	assert.Assert(t, many < 1.1*few, "%.1f MB after 50 changes, %.1f MB after 1000", few/1e6, many/1e6)
+	changes, full, revision := changeLog.Read(10)
+	assert.Equal(t, revision, uint64(1010))
+	assert.Assert(t, !full && len(changes) == 1 && changes[0].Entry.Version == 1010, "%d changes", len(changes))
+}
+
+// Guards against a follower that misses the newest version of a key, or gets a removed one, wherever its revision is.
+func TestFollowersGetTheNewestVersionOfEachKey(t *testing.T) {
+	changeLog := newDelegateLog(t)
+	random := rand.New(rand.NewPCG(31, 3))
+	states := map[uint64]map[string]string{10: {"k": "0"}}
+	current := map[string]string{"k": "0"}
+	for revision := uint64(11); revision <= 2500; revision++ {
+		key, value := fmt.Sprint("key-", random.IntN(40)), fmt.Sprint(revision)
+		if random.IntN(4) == 0 {
+			value = ""
+		}
+		applyChange(changeLog, key, value, revision)
+		if current[key] = value; value == "" {
+			delete(current, key)
+		}
+		states[revision] = maps.Clone(current)
+	}
+	for after, state := range states {
+		changes, full, _ := changeLog.Read(after)
+		if full {
+			state = map[string]string{}
 		}
-		for _, readCase := range []struct {
-			after   uint64
-			full    bool
-			changes int
-		}{{0, true, 1}, {10, true, 1}, {1975, true, 1}, {1976, false, 1024}, {2999, false, 1}, {3000, false, 0}, {3001, true, 1}} {
-			changes, full, revision := changeLog.Read(readCase.after)
-			assert.Equal(t, full, readCase.full, "%d", readCase.after)
-			assert.Equal(t, len(changes), readCase.changes, "%d", readCase.after)
-			assert.Equal(t, revision, uint64(3000))
+		for _, change := range changes {
+			if change.Removed {
+				delete(state, change.Entry.Key)
+				continue
+			}
+			state[change.Entry.Key] = string(change.Entry.Value)
 		}
+		assert.Assert(t, maps.Equal(state, current), "after revision %d", after)
 	}
 }
 
