Keep no former values of entries for followers

Callers saw connections end without a response when a delegate was killed for its memory after about 200 changes of the configuration.

The cause: the change log kept the last 1024 changes with their values, so that each former version of the configuration, of up to 1 MiB, stayed in the memory of both delegates of a failure domain.

--- a/fleet/relay/changelog.go
+++ b/fleet/relay/changelog.go
@@ -7,15 +7,22 @@
 	"oleandervane.example"
 )
 
-// maxChanges bounds the changes that are kept for followers. A follower that is further behind reads a full snapshot.
-const maxChanges = 1024
+const (
+	// maxChanges and maxLogBytes bound what is kept of former changes for followers. A follower that is further behind reads a
+	// full snapshot.
+	maxChanges  = 1024
+	maxLogBytes = 256 << 10
+	// loggedChangeBytes is the memory of a logged change without its key.
+	loggedChangeBytes = 40
+)
 
 // Contact reports whether the store responded to this VM a moment ago.
 type Contact interface {
 	InContact() bool
 }
 
-// ChangeLog holds a replica of all entries of the store and the latest changes while other VMs follow this one.
+// ChangeLog holds a replica of all entries of the store while other VMs follow this one, and which of them changed lately. It keeps
+// no former values: followers need only the newest version of a key.
 type ChangeLog struct {
 	membership oleandervane.Membership
 	contact    Contact
@@ -23,8 +30,9 @@
 	mutex    sync.Mutex
 	revision uint64
 	entries  map[string]oleandervane.StoreEntry
-	// changes are the latest changes in order; since is the revision before the first of them.
+	// changes are the latest changes in order and bytes is their memory; since is the revision before the first of them.
 	changes []loggedChange
+	bytes   int
 	since   uint64
 }
 
@@ -56,10 +64,15 @@
 	return revision, loaded && changeLog.contact.InContact()
 }
 
-// loggedChange is a change with the revision of the log after it.
+// loggedChange says that a key changed. Its value is in the entries, unless the key was removed.
 type loggedChange struct {
-	oleandervane.StoreChange
-	revision uint64
+	key string
+	// version is that of the entry, revision that of the log after the change.
+	version, revision uint64
+}
+
+func (loggedChange loggedChange) bytes() int {
+	return loggedChangeBytes + len(loggedChange.key)
 }
 
 // Replace sets all entries, if other VMs follow this one.
@@ -73,7 +86,7 @@
 	for _, entry := range entries {
 		changeLog.entries[entry.Key] = entry
 	}
-	changeLog.changes, changeLog.since, changeLog.revision = nil, revision, revision
+	changeLog.changes, changeLog.bytes, changeLog.since, changeLog.revision = nil, 0, revision, revision
 }
 
 // Apply applies changes in order. It does nothing before the first Replace.
@@ -89,13 +102,31 @@
 		} else {
 			changeLog.entries[change.Entry.Key] = change.Entry
 		}
-		changeLog.changes = append(changeLog.changes, loggedChange{change, storeChanges.Revision})
+		changeLog.log(loggedChange{key: change.Entry.Key, version: change.Entry.Version, revision: storeChanges.Revision})
 	}
 	changeLog.revision = storeChanges.Revision
-	if surplus := len(changeLog.changes) - maxChanges; surplus > 0 {
-		// Changes of one revision of the log are dropped together.
-		changeLog.since = changeLog.changes[surplus-1].revision
-		changeLog.changes = slices.DeleteFunc(changeLog.changes, func(change loggedChange) bool { return change.revision <= changeLog.since })
+	changeLog.dropSurplus()
+}
+
+func (changeLog *ChangeLog) log(change loggedChange) {
+	changeLog.changes = append(changeLog.changes, change)
+	changeLog.bytes += change.bytes()
+}
+
+// dropSurplus drops the oldest changes beyond the bounds. Changes of one revision of the log are dropped together.
+func (changeLog *ChangeLog) dropSurplus() {
+	dropped := 0
+	for dropped < len(changeLog.changes) {
+		change := changeLog.changes[dropped]
+		if len(changeLog.changes)-dropped <= maxChanges && changeLog.bytes <= maxLogBytes && change.revision > changeLog.since {
+			break
+		}
+		changeLog.since = change.revision
+		changeLog.bytes -= change.bytes()
+		dropped++
+	}
+	if dropped > 0 {
+		changeLog.changes = slices.Delete(changeLog.changes, 0, dropped)
 	}
 }
 
@@ -103,7 +134,7 @@
 func (changeLog *ChangeLog) clear() {
 	changeLog.mutex.Lock()
 	defer changeLog.mutex.Unlock()
-	changeLog.entries, changeLog.changes, changeLog.since, changeLog.revision = nil, nil, 0, 0
+	changeLog.entries, changeLog.changes, changeLog.bytes, changeLog.since, changeLog.revision = nil, nil, 0, 0, 0
 }
 
 // loaded returns the revision of the log, and false before the first Replace.
@@ -113,7 +144,7 @@
 	return changeLog.revision, changeLog.entries != nil
 }
 
-// Read returns the changes after a revision in order, or all entries if full is true.
+// Read returns the newest change of each key after a revision in order, or all entries if full is true.
 func (changeLog *ChangeLog) Read(after uint64) (changes []oleandervane.StoreChange, full bool, revision uint64) {
 	changeLog.mutex.Lock()
 	defer changeLog.mutex.Unlock()
@@ -124,10 +155,26 @@
 		}
 		return changes, true, changeLog.revision
 	}
-	for _, change := range changeLog.changes {
-		if change.revision > after {
-			changes = append(changes, change.StoreChange)
+	seen := map[string]bool{}
+	for _, change := range slices.Backward(changeLog.changes) {
+		if change.revision <= after {
+			break
+		}
+		if seen[change.key] {
+			continue
 		}
+		seen[change.key] = true
+		changes = append(changes, changeLog.newest(change))
 	}
+	slices.Reverse(changes)
 	return changes, false, changeLog.revision
 }
+
+// newest returns the newest change of a key, which is the given one. The caller must hold the mutex.
+func (changeLog *ChangeLog) newest(change loggedChange) oleandervane.StoreChange {
+	entry, found := changeLog.entries[change.key]
+	if !found {
+		entry = oleandervane.StoreEntry{Key: change.key, Version: change.version}
+	}
+	return oleandervane.StoreChange{Entry: entry, Removed: !found}
+}
--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -322,6 +322,11 @@
 		assert.Equal(t, len(changes), readCase.changes, "%d", readCase.after)
 		assert.Equal(t, revision, uint64(3000))
 	}
+	for revision := uint64(3001); revision <= 6000; revision++ {
+		applyChange(changeLog, strings.Repeat("k", 4096)+fmt.Sprint(revision%2), "v", revision)
+	}
+	_, full, _ := changeLog.Read(5000)
+	assert.Assert(t, full, "a thousand keys of 4 KiB are kept")
 }
 
 // Guards against a delegate whose memory fills with former values of a key that changes often.
