--- a/entryvm/hosted/stop_test.go
+++ b/entryvm/hosted/stop_test.go
@@ -140,6 +140,15 @@
 // warmUpRounds is how often the request of warm_up is sent.
 const warmUpRounds = 2
 
+// allowTime gives the requests of all routes 20 s.
+func (fixture *fixture) allowTime(t *testing.T) {
+	configuration, err := os.ReadFile("testdata/configuration.json")
+	assert.NilError(t, err)
+	text := strings.NewReplacer(`"r7"`, `"r8"`, `"timeout_s": 2,`, `"timeout_s": 20,`, `"timeout_s": 1.5,`, `"timeout_s": 20,`).Replace(string(configuration))
+	fixture.write(t, "op/config", text)
+	time.Sleep(time.Second)
+}
+
 // newFixture starts a VM with a server, and has it serve the requests of warm_up.
 func (lateCase lateCase) newFixture(t *testing.T) (*fixture, *backend) {
 	backend := newBackend(t)
@@ -152,11 +161,7 @@
 		writer.Header().Set("X-Response-Signature", "m")
 	})
 	fixture := newFixture(t, backend)
-	configuration, err := os.ReadFile("testdata/configuration.json")
-	assert.NilError(t, err)
-	text := strings.NewReplacer(`"r7"`, `"r8"`, `"timeout_s": 2,`, `"timeout_s": 20,`, `"timeout_s": 1.5,`, `"timeout_s": 20,`).Replace(string(configuration))
-	fixture.write(t, "op/config", text)
-	time.Sleep(time.Second)
+	fixture.allowTime(t)
 	if lateCase.WarmUp {
 		for round := range warmUpRounds {
 			status, _ := lateCase.send(t, fixture, fmt.Sprint("warm-", round))
