Pause between watches that a store cuts at once

Calls are limited and priced, and those of one VM can starve the others. Pauses now also grow while watches end at once or the history is gone, and the delay after a failed call is reset by a watch that succeeds, not by a listing. TestCutWatchesAreRepeatedWithPauses: at most 16 calls in 3 s.

--- a/fleet/registrywatch/watcher.go
+++ b/fleet/registrywatch/watcher.go
@@ -77,7 +77,7 @@
 	relay        Relay
 	timerService oleandervane.TimerService
 	sink         Sink
-	// batchDelay is the longest pause between two calls of a watch, nextPause the one after the next change.
+	// batchDelay is the longest pause between two calls of a watch, nextPause the last one in a series of changes.
 	batchDelay, nextPause time.Duration
 	// interrupt cancels the watch in progress.
 	interrupt chan struct{}
@@ -115,16 +115,18 @@
 func (watcher *Watcher) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		store, relayed := watcher.source()
+		wasListed, startedAt := watcher.listed, watcher.timerService.Now()
 		err := watcher.read(ctx, store)
 		switch {
 		case err == nil:
 			watcher.listed = true
 			watcher.recordContact()
-			if !relayed {
-				watcher.pauseAfterChange(ctx)
+			if wasListed && !relayed {
+				watcher.pauseAfterWatch(ctx, watcher.timerService.Now().Sub(startedAt))
 			}
 		case errors.Is(err, oleandervane.ErrHistoryGone):
 			watcher.listed = false
+			watcher.pauseLonger(ctx)
 		case relayed:
 			// Changes from another VM are complete up to their revision, so the store is watched from that revision on.
 			watcher.direct = true
@@ -170,7 +172,7 @@
 		return err
 	}
 	watcher.recordContact()
-	watcher.confirmed, watcher.changed, watcher.revision = false, false, revision
+	watcher.confirmed, watcher.revision = false, revision
 	watcher.sink.Replace(entries, revision)
 	return nil
 }
@@ -189,18 +191,14 @@
 		case <-ctx.Done():
 		}
 	}()
-	startedAt := watcher.timerService.Now()
 	storeChanges, err := store.WatchPrefix(ctx, "", watcher.revision, wait)
 	if err != nil {
 		return err
 	}
 	watcher.recordContact()
-	if watcher.timerService.Now().Sub(startedAt) > watcher.batchDelay {
-		watcher.nextPause = 0
-	}
 	// A follower that watches the store only because it finds no delegate looks for one after each short watch.
 	watcher.confirmed = len(storeChanges.Changes) == 0 && !watcher.relayed && !watcher.relay.IsFollower()
-	watcher.changed, watcher.revision = len(storeChanges.Changes) > 0, storeChanges.Revision
+	watcher.changed, watcher.revision, watcher.retryDelay = len(storeChanges.Changes) > 0, storeChanges.Revision, minRetryDelay
 	if len(storeChanges.Changes) > 0 {
 		watcher.sink.Apply(storeChanges)
 	}
@@ -212,7 +210,7 @@
 	if watcher.unavailable {
 		watcher.sink.StoreRecovered(watcher.timerService.Now().Sub(watcher.failingSince))
 	}
-	watcher.unavailable, watcher.failingSince, watcher.retryDelay = false, time.Time{}, minRetryDelay
+	watcher.unavailable, watcher.failingSince = false, time.Time{}
 }
 
 func (watcher *Watcher) recordFailure(ctx context.Context, err error) {
@@ -241,13 +239,23 @@
 	}
 }
 
-// pauseAfterChange pauses before the next watch if the last one returned changes. Pauses grow while each watch returns changes.
-func (watcher *Watcher) pauseAfterChange(ctx context.Context) {
-	if !watcher.changed {
+// pauseAfterWatch pauses before the next watch if the last one returned changes, or returned at once. Pauses grow while this goes on.
+func (watcher *Watcher) pauseAfterWatch(ctx context.Context, took time.Duration) {
+	if took >= watcher.batchDelay {
 		watcher.nextPause = 0
-		return
 	}
-	watcher.nextPause = min(max(2*watcher.nextPause, time.Duration(firstBatchShare*float64(watcher.batchDelay))), watcher.batchDelay)
+	if watcher.changed || took < watcher.firstPause() {
+		watcher.pauseLonger(ctx)
+	}
+}
+
+func (watcher *Watcher) firstPause() time.Duration {
+	return time.Duration(firstBatchShare * float64(watcher.batchDelay))
+}
+
+// pauseLonger pauses for twice the time of the last pause.
+func (watcher *Watcher) pauseLonger(ctx context.Context) {
+	watcher.nextPause = min(max(2*watcher.nextPause, watcher.firstPause()), watcher.batchDelay)
 	watcher.pause(ctx, watcher.nextPause)
 }
 
--- a/fleet/registrywatch/watcher_test.go
+++ b/fleet/registrywatch/watcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -135,6 +136,34 @@
 	}
 }
 
+// cutStore cuts each watch at once, with or without an error.
+type cutStore struct {
+	oleandervane.PrefixStore
+	err          error
+	lists, calls atomic.Int64
+}
+
+func (cutStore *cutStore) List(context.Context, string) ([]oleandervane.StoreEntry, uint64, error) {
+	cutStore.lists.Add(1)
+	return nil, 1, nil
+}
+
+func (cutStore *cutStore) WatchPrefix(context.Context, string, uint64, time.Duration) (oleandervane.StoreChanges, error) {
+	cutStore.calls.Add(1)
+	return oleandervane.StoreChanges{Revision: 1}, cutStore.err
+}
+
+// Guards against a VM that calls a store which cuts its watches again and again without a pause.
+func TestCutWatchesAreRepeatedWithPauses(t *testing.T) {
+	for _, err := range []error{nil, oleandervane.ErrHistoryGone, oleandervane.ErrStoreUnavailable} {
+		store := &cutStore{err: err}
+		go registrywatch.New(store, registrywatch.NoRelay{}, timer.System{}, &sink{}, 2*time.Second).Run(t.Context())
+		time.Sleep(3 * time.Second)
+		calls := store.lists.Load() + store.calls.Load()
+		assert.Assert(t, calls <= 16, "%d calls in 3 s, %v", calls, err)
+	}
+}
+
 // Guards against a VM that misses a change.
 func TestChangesArrive(t *testing.T) {
 	store, sink := start(t)
