Tell only ends of servers that a VM found itself, while servers answer it

A VM now tells the ends that it found itself, for 3 s, if a server answered it in the second before; delegates add those of the VMs of their domain, as for requests in flight. A probe ends the backoff only when a connection is accepted, and ends from before that are ignored. Probes run in the guarded timer.

--- a/entry/forward/probe.go
+++ b/entry/forward/probe.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/netip"
@@ -10,21 +11,22 @@
 	"oleandervane.example"
 )
 
-// ProbeConnection opens a connection to a backend server and calls done with the result. A request uses the connection afterwards.
-func (forwarder *Forwarder) ProbeConnection(address netip.AddrPort, done func(oleandervane.ConnectionState)) {
-	go func() {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		defer forwarder.timerService.After(forwarder.settings.ConnectTimeout, func(time.Time) { cancel() })()
-		connection, _, err := forwarder.pool.acquire(ctx, address, true)
-		switch {
-		case err == nil:
-			forwarder.pool.release(connection)
-			done(oleandervane.ConnectionAccepted)
-		case errors.Is(err, syscall.ECONNREFUSED):
-			done(oleandervane.ConnectionRefused)
-		default:
-			done(oleandervane.ConnectionUnknown)
-		}
-	}()
+// defaultProbeTimeout bounds probes if no connect timeout is set.
+const defaultProbeTimeout = 500 * time.Millisecond
+
+// ProbeConnection opens a connection to a backend server. A request uses the connection afterwards.
+func (forwarder *Forwarder) ProbeConnection(address netip.AddrPort) oleandervane.ConnectionState {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	timeout := cmp.Or(forwarder.settings.ConnectTimeout, defaultProbeTimeout)
+	defer forwarder.timerService.After(timeout, func(time.Time) { cancel() })()
+	connection, _, err := forwarder.pool.acquire(ctx, address, true)
+	switch {
+	case err == nil:
+		forwarder.pool.release(connection)
+		return oleandervane.ConnectionAccepted
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return oleandervane.ConnectionRefused
+	}
+	return oleandervane.ConnectionUnknown
 }
--- a/entry/placement/end.go
+++ b/entry/placement/end.go
@@ -9,20 +9,33 @@
 )
 
 const (
-	// endStep is the least time between two ends of a run that count as different. The same end is found by several requests, and its
-	// age grows by the delay of each notice.
+	// endStep is the least time between two ends of a run that count as different. Several requests and VMs find the same end.
 	endStep = 400 * time.Millisecond
-	// endLifetime is how long an end is sent to other VMs: in several notices, because one may be lost.
-	endLifetime = time.Second
+	// endLifetime is how long an end is sent to other VMs, so that those hear of it that have just started or missed a notice.
+	endLifetime = 3 * time.Second
 	// probePeriod is the time between two probes of a server that has ended.
 	probePeriod = 500 * time.Millisecond
+	// answeredPeriod is the time in which some server must have answered a VM that tells others of ends. A VM without any answer may be
+	// the one that is cut off.
+	answeredPeriod = time.Second
 )
 
-// recordEnd records that the run of a server was found to have ended. Its entry shows a new run only some time after its start, and
-// until then the server counts as cold: if it is back, it has started since the last probe.
+// findEnd records that this VM was refused a connection, which means that the run of the server has ended.
+func (placer *Placer) findEnd(server *server) {
+	now := placer.settings.TimerService.Now()
+	if now.Sub(time.Unix(0, placer.answeredAt.Load())) < answeredPeriod {
+		server.mutex.Lock()
+		server.foundEndAt = now
+		server.mutex.Unlock()
+	}
+	placer.recordEnd(server, ColdAfterEnd, now)
+}
+
+// recordEnd records that the run of a server has ended. Its entry shows a new run only some time after its start, and until then the
+// server counts as cold: if it is back, it has started since the last probe.
 func (placer *Placer) recordEnd(server *server, cause ColdCause, endedAt time.Time) {
 	duration := slowStart(placer.view.Load().registry, server.Service)
-	if duration == 0 || !server.recordEnd(endedAt) {
+	if duration == 0 || !server.updateEnd(endedAt) {
 		return
 	}
 	placer.extendCold(server, cause, duration+probePeriod, endedAt)
@@ -31,15 +44,15 @@
 	}
 }
 
-// recordEnd reports whether the end is another one than the last one that is known. The VMs that send to the server while it is cold
-// try it as one that has received no request yet.
-func (server *server) recordEnd(endedAt time.Time) bool {
+// updateEnd reports whether the end is later than the last one that is known, and than the last time at which the server was back.
+func (server *server) updateEnd(endedAt time.Time) bool {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
-	if endedAt.Sub(server.endedAt) < endStep {
+	if endedAt.Sub(server.endedAt) < endStep || !endedAt.After(server.backAt) {
 		return false
 	}
 	server.endedAt = endedAt
+	// The server is tried as one that has received no request yet.
 	server.sent.Store(0)
 	return true
 }
@@ -55,12 +68,19 @@
 	return true
 }
 
-// endProbing has the server get requests again.
+// endProbing ends probes without a result.
 func (server *server) endProbing() {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	server.probing, server.absent = false, false
-	server.backoffUntil = time.Time{}
+}
+
+// recordBack records that the server accepts connections again. It is tried at once, as one that has received no request yet.
+func (server *server) recordBack(now time.Time) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.probing, server.absent = false, false
+	server.backAt, server.backoffUntil = now, time.Time{}
 	server.sent.Store(0)
 }
 
@@ -68,43 +88,35 @@
 	placer.settings.TimerService.After(probePeriod, func(now time.Time) { placer.probe(server, now) })
 }
 
-// probe checks whether a server that has ended is back, if this VM is one of those that send to the server while it is cold. Probes end
-// when the server is back, when its entry shows a new run, or when it was not found to have ended for as long as it would be cold.
+// probe checks whether a server that has ended is back, if this VM is one of those that send to the server while it is cold. It goes on
+// until the server is back, has a new run, or no longer counts as cold.
 func (placer *Placer) probe(server *server, now time.Time) {
 	current := placer.view.Load().byRun[server.target().RunHash()]
 	if current == nil || current.serverState != server.serverState || !current.isCold(now) {
 		server.endProbing()
 		return
 	}
-	if !current.warmUpAssigned() {
-		placer.probeLater(current)
-		return
-	}
-	placer.settings.Prober.ProbeConnection(current.Address, func(connectionState oleandervane.ConnectionState) {
-		now := placer.settings.TimerService.Now()
-		if connectionState == oleandervane.ConnectionAccepted {
-			current.endProbing()
+	if current.warmUpAssigned() {
+		switch placer.settings.Prober.ProbeConnection(current.Address) {
+		case oleandervane.ConnectionAccepted:
+			now := placer.settings.TimerService.Now()
+			current.recordBack(now)
 			placer.extendCold(current, ColdAfterEnd, slowStart(placer.view.Load().registry, current.Service), now)
 			return
+		case oleandervane.ConnectionRefused:
+			placer.findEnd(current)
 		}
-		if connectionState == oleandervane.ConnectionRefused {
-			placer.recordEnd(current, ColdAfterEnd, now)
-		}
-		placer.probeLater(current)
-	})
+	}
+	placer.probeLater(current)
 }
 
-// ServerEnds returns the ends that were found recently, the newest first. A VM that hears of few others may be cut off from the servers
-// as well, and returns none.
+// ServerEnds returns the ends that this VM found recently, the newest first.
 func (placer *Placer) ServerEnds() []oleandervane.ServerEnd {
-	if placer.peerScale() == 0 {
-		return nil
-	}
 	now := placer.settings.TimerService.Now()
 	var serverEnds []oleandervane.ServerEnd
 	for run, server := range placer.view.Load().byRun {
 		server.mutex.Lock()
-		age := now.Sub(server.endedAt)
+		age := now.Sub(server.foundEndAt)
 		server.mutex.Unlock()
 		if age < endLifetime {
 			serverEnds = append(serverEnds, oleandervane.ServerEnd{Server: run, Age: age})
@@ -116,7 +128,7 @@
 	return serverEnds
 }
 
-// MergeServerEnds records the ends that another VM knows.
+// MergeServerEnds records the ends that other VMs found.
 func (placer *Placer) MergeServerEnds(serverEnds []oleandervane.ServerEnd) {
 	now, view := placer.settings.TimerService.Now(), placer.view.Load()
 	for _, serverEnd := range serverEnds {
--- a/entry/placement/end_test.go
+++ b/entry/placement/end_test.go
@@ -17,33 +17,35 @@
 	until  time.Time
 }
 
-func (prober refusingProber) ProbeConnection(_ netip.AddrPort, done func(oleandervane.ConnectionState)) {
-	if prober.manual.Now().Before(prober.until) {
-		done(oleandervane.ConnectionRefused)
-		return
+func (refusingProber refusingProber) ProbeConnection(netip.AddrPort) oleandervane.ConnectionState {
+	if refusingProber.manual.Now().Before(refusingProber.until) {
+		return oleandervane.ConnectionRefused
 	}
-	done(oleandervane.ConnectionAccepted)
+	return oleandervane.ConnectionAccepted
 }
 
 // A server stays away for longer than it would be cold while the store is away, and the VMs that try cold servers have no requests for
-// it. Guards against all VMs taking it for warm when it returns.
+// it. Guards against all VMs taking it for warm when it returns, and against none trying it.
 func TestServerThatStaysAwayIsColdWhenItReturns(t *testing.T) {
 	manual := timer.NewManual(time.Unix(1000, 0))
-	away := refusingProber{manual, manual.Now().Add(2 * slowStartTime)}
+	away := refusingProber{manual: manual, until: manual.Now().Add(2 * slowStartTime)}
 	placers := fleet(manual, 16)
+	server := func(placer *Placer) *server { return placer.view.Load().services["ledger"][0] }
 	for i, placer := range placers {
 		placer.settings.Prober = away
 		placer.Update(registryOf(registered("away", "kigali-a")))
-		if server := placer.view.Load().services["ledger"][0]; !server.warmUpAssigned() {
+		if !server(placer).warmUpAssigned() {
 			placers[0], placers[i] = placers[i], placers[0]
 		}
 	}
-	placers[0].ReplaceInFlight("others", 15, nil)
-	placers[0].recordEnd(placers[0].view.Load().services["ledger"][0], ColdAfterEnd, manual.Now())
+	answer := func(placer *Placer) { placer.answeredAt.Store(manual.Now().UnixNano()) }
+	answer(placers[0])
+	placers[0].findEnd(server(placers[0]))
+	back := 0
 	for manual.Now().Before(away.until.Add(slowStartTime)) {
 		sent := 0
 		for _, placer := range placers {
-			placer.ReplaceInFlight("others", 15, nil)
+			answer(placer)
 			for _, other := range placers {
 				other.MergeServerEnds(placer.ServerEnds())
 			}
@@ -53,6 +55,20 @@
 			}
 		}
 		assert.Assert(t, sent <= coldVMs, "%d VMs sent to the server at %v", sent, manual.Now())
+		assert.Assert(t, sent == 0 || !manual.Now().Before(away.until), "a request was sent to the server while it was away")
+		if manual.Now().Before(away.until.Add(time.Second)) {
+			back += sent
+		}
 		manual.Advance(100 * time.Millisecond)
 	}
+	assert.Assert(t, back > 0, "nobody tried the server within a second of its return")
+}
+
+// Guards against a VM that is cut off from all servers and has the others take them for cold.
+func TestVMWithoutAnswersTellsNoEnds(t *testing.T) {
+	manual := timer.NewManual(time.Unix(1000, 0))
+	placer := fleet(manual, 2)[0]
+	placer.Update(registryOf(registered("a", "kigali-a")))
+	placer.findEnd(placer.view.Load().services["ledger"][0])
+	assert.Equal(t, len(placer.ServerEnds()), 0)
 }
--- a/entry/placement/placer.go
+++ b/entry/placement/placer.go
@@ -83,6 +83,8 @@
 	runTimes   runTimeTracker
 	returns    returnSchedule
 	allLeaving leavingTimes
+	// answeredAt is when a server last answered a request, in Unix nanoseconds.
+	answeredAt atomic.Int64
 
 	responseTimesMutex sync.Mutex
 	responseTimes      map[string]time.Duration
--- a/entry/placement/reservation.go
+++ b/entry/placement/reservation.go
@@ -50,8 +50,7 @@
 
 // ObserveEnd records that the run of the server has ended. The server may start again under its id at any moment.
 func (reservation *reservation) ObserveEnd() {
-	placer := reservation.placer
-	placer.recordEnd(reservation.server, ColdAfterEnd, placer.settings.TimerService.Now())
+	reservation.placer.findEnd(reservation.server)
 }
 
 // observeDirective records what the server asks for in a response. A response that does not ask for a limit ends the former one,
@@ -82,6 +81,7 @@
 			reservation.recordFailure(attemptResult, now)
 			return
 		}
+		reservation.placer.answeredAt.Store(now.UnixNano())
 		reservation.placer.affinities.record(reservation.score, now)
 		reservation.recordRunTime(now)
 		relativeResponseTime := reservation.placer.recordResponseTime(reservation.route, now.Sub(reservation.reservedAt))
--- a/entry/placement/server.go
+++ b/entry/placement/server.go
@@ -70,11 +70,12 @@
 	onProbation      bool
 	coldUntil        time.Time
 	nextColdSend     time.Time
-	// endedAt is when the run was last found to have ended; zero if it was not. absent says that the server gets no requests until a
-	// probe finds that it accepts connections again, and probing that such probes go on.
-	endedAt         time.Time
-	absent, probing bool
-	directive       directive
+	// endedAt is when the run was last found to have ended, foundEndAt when this VM found that, and backAt when this VM found that the
+	// server accepts connections again; zero if never. absent says that the server gets no requests until then, and probing that this
+	// VM checks it.
+	endedAt, foundEndAt, backAt time.Time
+	absent, probing             bool
+	directive                   directive
 	// nextLimitedSend is when this VM may send the next request while the server limits its requests.
 	nextLimitedSend time.Time
 	// refusals is the number of refusals since the last success, refusedAt the time of the last one, and refusedUntil the end of the
--- a/entryvm/hosted/return_test.go
+++ b/entryvm/hosted/return_test.go
@@ -71,8 +71,8 @@
 // send sends requests about different objects to the VMs in turn.
 func (run *returnRun) send(t *testing.T, duration time.Duration) *sendCounts {
 	counts := &sendCounts{}
-	for startedAt := time.Now(); time.Since(startedAt) < duration; counts.sent++ {
-		time.Sleep(returnInterval)
+	for startedAt := time.Now(); counts.sent < int(duration/returnInterval); counts.sent++ {
+		time.Sleep(time.Duration(counts.sent)*returnInterval - time.Since(startedAt))
 		run.number++
 		id := fmt.Sprint("r-", run.number)
 		request := newRequest(t.Context(), t, http.MethodGet, run.fixtures[run.number%len(run.fixtures)].settings.CallerAddress.String(), "/lohu/1", id, id)
@@ -136,5 +136,6 @@
 		most = max(most, within)
 	}
 	t.Logf("%s got %d requests, %d in one second", id, len(arrivals), most)
+	assert.Check(t, most > 0, "%s got no request after its return", id)
 	assert.Check(t, float64(most) <= returnAllowed, "%s got %d requests in one second while it was cold; %.1f are allowed", id, most, returnAllowed)
 }
--- a/exchange.go
+++ b/exchange.go
@@ -61,9 +61,9 @@
 
 // ServerEndTracker tracks which runs of backend servers have ended, before their entries show it.
 type ServerEndTracker interface {
-	// ServerEnds returns the ends that were found recently, the newest first.
+	// ServerEnds returns the ends that this VM found recently, the newest first.
 	ServerEnds() []ServerEnd
-	// MergeServerEnds adds the ends that another VM knows.
+	// MergeServerEnds adds the ends that other VMs found.
 	MergeServerEnds(serverEnds []ServerEnd)
 }
 
@@ -79,8 +79,8 @@
 
 // ConnectionProber checks whether backend servers accept connections.
 type ConnectionProber interface {
-	// ProbeConnection opens a connection to the address and calls done with the result. It does not wait for that.
-	ProbeConnection(address netip.AddrPort, done func(ConnectionState))
+	// ProbeConnection opens a connection to the address and waits for the result for a bounded time.
+	ProbeConnection(address netip.AddrPort) ConnectionState
 }
 
 // SuspectRequest is a request that broke the connection to a backend server and may do so again. It is immutable.
--- a/fleet/exchange/exchange.go
+++ b/fleet/exchange/exchange.go
@@ -268,12 +268,15 @@
 func (exchange *Exchange) domainNotice(self oleandervane.EntryVM, own *peer.Notice) *peer.Notice {
 	sums := map[uint32]int{}
 	addCounts(sums, own)
+	ends := map[uint32]time.Duration{}
+	addServerEnds(ends, own, 0)
 	vms := 1
 	now := exchange.settings.TimerService.Now()
 	exchange.mutex.Lock()
 	for _, received := range exchange.received {
 		if received.notice.FailureDomain == "" && now.Sub(received.at) < noticeLifetime {
 			addCounts(sums, received.notice)
+			addServerEnds(ends, received.notice, now.Sub(received.at))
 			vms++
 		}
 	}
@@ -283,7 +286,7 @@
 	notice := &peer.Notice{
 		Vm: own.Vm, Incarnation: own.Incarnation, Sequence: own.Sequence, FailureDomain: string(self.FailureDomain),
 		Vms: uint32(vms), Suspects: own.Suspects, Quarantined: own.Quarantined, Directives: own.Directives,
-		ServerEnds: own.ServerEnds, Familiar: pending,
+		ServerEnds: encodeServerEnds(youngestEnds(ends)), Familiar: pending,
 	}
 	setSums(notice, sums)
 	return notice
--- a/fleet/exchange/notice.go
+++ b/fleet/exchange/notice.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -132,6 +133,28 @@
 	return encoded
 }
 
+// addServerEnds adds the ends in a notice that came some time ago to the ages of those that are known.
+func addServerEnds(ages map[uint32]time.Duration, notice *peer.Notice, receivedAgo time.Duration) {
+	for _, serverEnd := range decodeServerEnds(notice.GetServerEnds()) {
+		age := serverEnd.Age + receivedAgo
+		if known, found := ages[serverEnd.Server]; !found || age < known {
+			ages[serverEnd.Server] = age
+		}
+	}
+}
+
+// youngestEnds returns the ends, the newest first.
+func youngestEnds(ages map[uint32]time.Duration) []oleandervane.ServerEnd {
+	serverEnds := make([]oleandervane.ServerEnd, 0, len(ages))
+	for server, age := range ages {
+		serverEnds = append(serverEnds, oleandervane.ServerEnd{Server: server, Age: age})
+	}
+	slices.SortFunc(serverEnds, func(a, b oleandervane.ServerEnd) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Server, b.Server))
+	})
+	return serverEnds
+}
+
 func decodeServerEnds(encoded []*peer.ServerEnd) []oleandervane.ServerEnd {
 	var serverEnds []oleandervane.ServerEnd
 	for _, message := range encoded {
