Log how the first list after an outage of the store differs from the known entries

The log of a VM that was cut off from the store did not show whether other VMs had kept their entries meanwhile, which tells an outage of the store from a cut of this VM. Takes the versions of all known keys, not only the keys.

--- a/entryvm/hosted/replica.go
+++ b/entryvm/hosted/replica.go
@@ -29,7 +29,10 @@
 	readAt atomic.Pointer[time.Time]
 
 	mutex sync.Mutex
-	keys  map[string]bool
+	// versions are the versions of the entries in force, by key.
+	versions map[string]uint64
+	// afterOutage is set from the end of an outage of the store until the entries are listed.
+	afterOutage bool
 	// deferredRemovals are removals that came after an outage of the store and wait until it is known whether their entries
 	// come back.
 	deferredRemovals map[string]oleandervane.StoreChange
@@ -40,7 +43,7 @@
 func newReplica(reader oleandervane.RegistryReader, roster *roster.Roster, timerService oleandervane.TimerService, log *logrus.Entry, publish func(oleandervane.Registry)) *replica {
 	replica := &replica{
 		reader: reader, roster: roster, timerService: timerService, log: log, publish: publish,
-		keys: map[string]bool{}, deferredRemovals: map[string]oleandervane.StoreChange{},
+		versions: map[string]uint64{}, deferredRemovals: map[string]oleandervane.StoreChange{},
 	}
 	replica.registry.Store(&oleandervane.Registry{})
 	return replica
@@ -58,7 +61,8 @@
 // Replace replaces all entries. Keys that are missing have been removed.
 func (replica *replica) Replace(entries []oleandervane.StoreEntry, revision uint64) {
 	replica.mutex.Lock()
-	missing := maps.Clone(replica.keys)
+	missing := maps.Clone(replica.versions)
+	replica.compareAfterOutage(entries)
 	replica.mutex.Unlock()
 	changes := make([]oleandervane.StoreChange, 0, len(entries))
 	for _, entry := range entries {
@@ -71,6 +75,19 @@
 	replica.Apply(oleandervane.StoreChanges{Changes: changes, Revision: revision})
 }
 
+// compareAfterOutage logs how the first list after an outage of the store differs from the entries in force.
+func (replica *replica) compareAfterOutage(entries []oleandervane.StoreEntry) {
+	if !replica.afterOutage {
+		return
+	}
+	replica.afterOutage = false
+	comparison := compare(replica.versions, entries, roster.KeyPrefix+string(replica.roster.Self().ID))
+	replica.log.WithFields(logrus.Fields{
+		"unchanged": comparison.unchanged, "missing": len(replica.versions) - comparison.found,
+		"unchanged_vms": comparison.unchangedVMs, "known_vms": comparison.knownVMs,
+	}).Info("entries are listed after an outage")
+}
+
 // Apply applies changes in order.
 func (replica *replica) Apply(storeChanges oleandervane.StoreChanges) {
 	replica.mutex.Lock()
@@ -104,9 +121,9 @@
 func (replica *replica) applyChanges(changes []oleandervane.StoreChange) {
 	for _, change := range changes {
 		if change.Removed {
-			delete(replica.keys, change.Entry.Key)
+			delete(replica.versions, change.Entry.Key)
 		} else {
-			replica.keys[change.Entry.Key] = true
+			replica.versions[change.Entry.Key] = change.Entry.Version
 		}
 	}
 	former := replica.registry.Load()
@@ -144,6 +161,7 @@
 func (replica *replica) StoreRecovered(outage time.Duration) {
 	replica.log.WithField("away", outage.String()).Info("store is back")
 	replica.mutex.Lock()
+	replica.afterOutage = true
 	replica.deferUntil = replica.timerService.Now().Add(registrywatch.RemovalDelay)
 	replica.mutex.Unlock()
 	replica.timerService.After(registrywatch.RemovalDelay, func(time.Time) { replica.applyDeferredRemovals() })
