Apply removals at once after a cut of this VM only

The VM took its cut for an outage of the store, in which entries lapse and come back, and deferred all removals for 2.2 s after its return.

The first list after an outage now decides. The entries of VMs have the shortest leases, so if the entry of any other VM still has the version known before, no entry lapsed because the store was away, and all removals apply with that list. In an outage with lapse of 3 s, 4 s and 8 s no entry of another VM was unchanged in any of the 48 first lists, while 17 to 20 other entries were after 3 s, so entries of servers are no evidence; in outages without lapse all 15 were unchanged and nothing was missing (32 lists); after a cut 10 of 15 were unchanged (6 lists). A delegate that has lost the store drops its log, because a follower could take a list from before the outage for one from after it.

TestLapsedEntriesAreKeptUntilTheirOwnersReturn is unchanged and passes.

--- a/entryvm/hosted/fleet.go
+++ b/entryvm/hosted/fleet.go
@@ -78,6 +78,13 @@
 	storeSink.changeLog.Apply(storeChanges)
 }
 
+// StoreUnavailable keeps the replica in force. Followers get no entries until this VM has listed them again: an older list would show
+// them the entries of VMs as they were before an outage.
+func (storeSink storeSink) StoreUnavailable(err error) {
+	storeSink.replica.StoreUnavailable(err)
+	storeSink.changeLog.Clear()
+}
+
 // startNotices opens the notice socket and starts to send and receive notices.
 func (entryVM *EntryVM) startNotices(address netip.AddrPort) (stop func(), err error) {
 	if err := entryVM.noticeSocket.Open(address); err != nil {
--- a/entryvm/hosted/replica.go
+++ b/entryvm/hosted/replica.go
@@ -62,7 +62,7 @@
 func (replica *replica) Replace(entries []oleandervane.StoreEntry, revision uint64) {
 	replica.mutex.Lock()
 	missing := maps.Clone(replica.versions)
-	replica.compareAfterOutage(entries)
+	replica.endDeferralAfterCut(entries)
 	replica.mutex.Unlock()
 	changes := make([]oleandervane.StoreChange, 0, len(entries))
 	for _, entry := range entries {
@@ -75,16 +75,21 @@
 	replica.Apply(oleandervane.StoreChanges{Changes: changes, Revision: revision})
 }
 
-// compareAfterOutage logs how the first list after an outage of the store differs from the entries in force.
-func (replica *replica) compareAfterOutage(entries []oleandervane.StoreEntry) {
+// endDeferralAfterCut ends the deferral of removals if the first list after an outage shows that only this VM was cut off. The
+// entries of VMs have the shortest leases, so those of other VMs would have lapsed before any entry of a server.
+func (replica *replica) endDeferralAfterCut(entries []oleandervane.StoreEntry) {
 	if !replica.afterOutage {
 		return
 	}
 	replica.afterOutage = false
 	comparison := compare(replica.versions, entries, roster.KeyPrefix+string(replica.roster.Self().ID))
+	cut := comparison.unchangedVMs > 0
+	if cut {
+		replica.deferUntil = time.Time{}
+	}
 	replica.log.WithFields(logrus.Fields{
 		"unchanged": comparison.unchanged, "missing": len(replica.versions) - comparison.found,
-		"unchanged_vms": comparison.unchangedVMs, "known_vms": comparison.knownVMs,
+		"unchanged_vms": comparison.unchangedVMs, "known_vms": comparison.knownVMs, "removals_deferred": !cut,
 	}).Info("entries are listed after an outage")
 }
 
@@ -157,7 +162,7 @@
 }
 
 // StoreRecovered defers removals for a while: entries that lapsed while the store was unavailable come back if their owners
-// are alive.
+// are alive. The first list ends the deferral if the store was unavailable to this VM only.
 func (replica *replica) StoreRecovered(outage time.Duration) {
 	replica.log.WithField("away", outage.String()).Info("store is back")
 	replica.mutex.Lock()
--- a/entryvm/hosted/replica_test.go
+++ b/entryvm/hosted/replica_test.go
@@ -11,6 +11,7 @@
 
 	"oleandervane.example"
 	"oleandervane.example/fleet/registrywatch"
+	"oleandervane.example/fleet/relay"
 	"oleandervane.example/fleet/roster"
 	"oleandervane.example/platform/catalog"
 	"oleandervane.example/standin/storestandin"
@@ -92,6 +93,27 @@
 	}
 }
 
+// contact is a relay.Contact that is always in contact.
+type contact struct{}
+
+func (contact) InContact() bool { return true }
+
+// Guards against followers that read a list from before an outage and take it for one from after it.
+func TestDelegateHasNoEntriesUntilItListsThemAfterAnOutage(t *testing.T) {
+	replica := newTestReplica(timer.NewManual(time.Unix(1000, 0)))
+	storeSink := storeSink{replica: replica, changeLog: relay.NewChangeLog(replica.roster, contact{})}
+	entries := []oleandervane.StoreEntry{listed("vms/vm-2", vmEntry, 5), listed("vms/vm-4", vmEntry, 6)}
+	storeSink.Replace(entries, 6)
+	_, fresh := storeSink.changeLog.StoreRevision()
+	assert.Assert(t, fresh)
+	storeSink.StoreUnavailable(oleandervane.ErrStoreUnavailable)
+	_, fresh = storeSink.changeLog.StoreRevision()
+	assert.Assert(t, !fresh)
+	storeSink.Replace(entries, 9)
+	revision, fresh := storeSink.changeLog.StoreRevision()
+	assert.Assert(t, fresh && revision == 9)
+}
+
 // Guards against a server that still gets requests after it has left while the store was available.
 func TestRemovalAppliesImmediatelyWhileTheStoreIsAvailable(t *testing.T) {
 	replica := newTestReplica(timer.NewManual(time.Unix(1000, 0)))
--- a/fleet/relay/changelog.go
+++ b/fleet/relay/changelog.go
@@ -44,7 +44,7 @@
 	hasFollowers := changeLog.HasFollowers()
 	_, loaded := changeLog.loaded()
 	if loaded && !hasFollowers {
-		changeLog.clear()
+		changeLog.Clear()
 	}
 	return hasFollowers && !loaded
 }
@@ -99,8 +99,8 @@
 	}
 }
 
-// clear drops all entries and changes.
-func (changeLog *ChangeLog) clear() {
+// Clear drops all entries and changes. Followers get none until the next Replace.
+func (changeLog *ChangeLog) Clear() {
 	changeLog.mutex.Lock()
 	defer changeLog.mutex.Unlock()
 	changeLog.entries, changeLog.changes, changeLog.since, changeLog.revision = nil, nil, 0, 0
