Start the VMs of the soak with SIGHUP ignored

Its log says "signal: hangup": vm-3 was killed at 37.9 s and got SIGHUP at 38.2 s, some 0.1 s after it was started again. The daemon handles SIGHUP from the first line of main on; before that, the Go runtime and the packages take 7 to 8 ms of their own, and no program can handle a signal before its first instruction.

A process inherits that SIGHUP is ignored, until it asks for the signal.

--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	signals "os/signal"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -78,6 +79,9 @@
 		started: time.Now(),
 	}
 	soak.check = &check{journal: newJournal()}
+	// A process that was started with SIGHUP ignored ignores it until it handles the signal. Otherwise a SIGHUP before its first
+	// instruction ends it, whatever the program does.
+	signals.Ignore(syscall.SIGHUP)
 	storeServer := httptest.NewServer(soak.store.Handler())
 	defer storeServer.Close()
 	defer storeServer.CloseClientConnections()
