End servers in the soak and start them again under their ids

The soak ended servers only under requests that crash them, one at a time, and did not check what a server got when it was back. A server that has just started may get coldPerSecond x 1.5 + 5 requests in any second from all VMs, 14 here, whatever disturbs the VMs. As on the platform, slow_start_s is now the time for which a server is cold after its start. A cold rate that is too high is reported with its highest value.

--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -18,7 +18,7 @@
 	recoveredShare = 0.9
 	// minResponses is the number of responses below which a run has checked too little.
 	minResponses = 300
-	// minEvents is the number of drains, of evacuations, of cold starts and of configurations that a run must check.
+	// minEvents is the number of drains, of evacuations, of cold starts, of returns and of configurations that a run must check.
 	minEvents = 1
 	// evacuationLimit is the time after which an evacuated failure domain must get no new requests.
 	evacuationLimit = 5 * time.Second
@@ -55,6 +55,8 @@
 	versions    int
 	evacuations int
 	coldStarts  int
+	// returns counts the servers that started again and were checked.
+	returns int
 	// signals counts the signals of servers that were checked, crashes the requests that crash servers.
 	signals, crashes int
 }
@@ -117,9 +119,9 @@
 		check.fail("%d of %d requests were served after the last fault", served, requests)
 	}
 	check.checkBudget()
-	if len(responses) < minResponses || requests == 0 || min(check.drains, check.versions, check.evacuations, check.coldStarts) < minEvents {
-		check.fail("too little was checked: %d answers, %d after the last fault, %d drains, %d versions, %d evacuations, %d cold starts",
-			len(responses), requests, check.drains, check.versions, check.evacuations, check.coldStarts)
+	if len(responses) < minResponses || requests == 0 || min(check.drains, check.versions, check.evacuations, check.coldStarts, check.returns) < minEvents {
+		check.fail("too little was checked: %d answers, %d after the last fault, %d drains, %d versions, %d evacuations, %d cold starts, %d returns",
+			len(responses), requests, check.drains, check.versions, check.evacuations, check.coldStarts, check.returns)
 	}
 }
 
@@ -143,12 +145,17 @@
 // checkCold checks the rate at which a server ran requests while it was cold.
 func (check *check) checkCold(server string, runTimes []time.Time) {
 	check.count(&check.coldStarts)
-	for _, end := range runTimes {
-		requests := len(timesBetween(runTimes, end.Add(-time.Second), end)) + 1
-		if allowed := coldRateFactor*coldPerSecond + coldBurst; float64(requests) > allowed {
-			check.fail("%s got %d requests in a second while it was cold, %.0f are allowed", server, requests, allowed)
-			return
-		}
+	check.checkColdRate(server, runTimes)
+}
+
+// checkColdRate checks the requests of each second at a server that was cold.
+func (check *check) checkColdRate(server string, times []time.Time) {
+	most := 0
+	for _, end := range times {
+		most = max(most, len(timesBetween(times, end.Add(-time.Second), end))+1)
+	}
+	if allowed := coldRateFactor*coldPerSecond + coldBurst; float64(most) > allowed {
+		check.fail("%s got %d requests in a second while it was cold, %.0f are allowed", server, most, allowed)
 	}
 }
 
--- a/standin/soak/check_test.go
+++ b/standin/soak/check_test.go
@@ -12,7 +12,7 @@
 
 // passingCheck returns a check of a run that has enough responses and events and no violations.
 func passingCheck(start time.Time) *check {
-	check := &check{journal: newJournal(), drains: 1, versions: 1, evacuations: 1, coldStarts: 1}
+	check := &check{journal: newJournal(), drains: 1, versions: 1, evacuations: 1, coldStarts: 1, returns: 1}
 	for i := range 2 * minResponses {
 		id := fmt.Sprint(i)
 		check.journal.recordArrival("i-0", id, start.Add(time.Duration(i)*time.Millisecond))
@@ -50,6 +50,9 @@
 		"repeats within budget":             {func(check *check) { repeat(check, start, 2*minResponses/5) }, ""},
 		"cold server above rate":            {func(check *check) { check.checkCold("i-0", burst(start, 15)) }, "while it was cold"},
 		"cold server within rate":           {func(check *check) { check.checkCold("i-0", burst(start, 14)) }, ""},
+		"no return":                         {func(check *check) { check.returns = 0 }, "too little"},
+		"returned server above rate":        {func(check *check) { check.checkReturn("i-0", burst(start, 15)) }, "while it was cold"},
+		"returned server within rate":       {func(check *check) { check.checkReturn("i-0", burst(start, 14)) }, ""},
 		"evacuated server with request":     {func(check *check) { check.checkEvacuated("i-0", burst(start, 1)) }, "evacuated"},
 		"limited server above limit":        {func(check *check) { check.checkSignal("i-0", signalLimit, spread(start, 60), start, 4) }, "limits its requests"},
 		"limited server within limit":       {func(check *check) { check.checkSignal("i-0", signalLimit, spread(start, 20), start, 4) }, ""},
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	signals "os/signal"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -44,6 +45,7 @@
 	Versions    int
 	Evacuations int
 	ColdStarts  int
+	Returns     int
 	Signals     int
 	Crashes     int
 	Broken      []string
@@ -101,7 +103,7 @@
 var failureDomains = []string{"kigali-a", "kigali-b"}
 
 const (
-	// coldPerSecond is the rate that a cold server tolerates, and coldDuration the time for which it is cold after a drain.
+	// coldPerSecond is the rate that a cold server tolerates, and coldDuration the time for which it is cold after its start.
 	coldPerSecond = 6
 	coldDuration  = 2 * time.Second
 )
@@ -137,8 +139,8 @@
 		name := fmt.Sprintf("version-%d", version)
 		routes = append(routes, route(name, "/"+name+"/", "safe"))
 	}
-	soak.write("op/config", fmt.Sprintf(`{"version":"r%d","resources":[%s,{"resource_type":"services","metadata":{"name":"ledger"},"spec":{"health_path":"/healthz","max_connections":600,"slow_start_s":0.5,"cold_per_s":%d}}]}`,
-		soak.version, strings.Join(routes, ","), coldPerSecond))
+	soak.write("op/config", fmt.Sprintf(`{"version":"r%d","resources":[%s,{"resource_type":"services","metadata":{"name":"ledger"},"spec":{"health_path":"/healthz","max_connections":600,"slow_start_s":%v,"cold_per_s":%d}}]}`,
+		soak.version, strings.Join(routes, ","), coldDuration.Seconds(), coldPerSecond))
 	return soak.version
 }
 
@@ -218,8 +220,8 @@
 	return lastFault
 }
 
-// checkWithoutFaults changes the configuration, drains a server, has servers send signals and evacuates a failure domain, and then
-// sends a request that crashes servers, before the first fault, so that each run checks all of them.
+// checkWithoutFaults changes the configuration, drains a server and evacuates a failure domain, then has servers send signals while
+// others end and start again, and then sends a request that crashes servers, before the first fault, so that each run checks all of them.
 func (soak *Soak) checkWithoutFaults(ctx context.Context) {
 	soak.changeConfiguration(ctx)
 	soak.drain(soak.backends[0])
@@ -228,6 +230,7 @@
 	for number, next := range []signal{signalLimit, signalLeaving, signalPause} {
 		soak.signalFor(soak.backends[number%len(soak.backends)], next)
 	}
+	soak.returnServers(soak.backends)
 	soak.pending.Wait()
 	soak.sendCrashingRequest(ctx, soak.options.Seed%2 == 0)
 	soak.pending.Wait()
@@ -244,7 +247,7 @@
 	backend := soak.backends[soak.random.IntN(len(soak.backends))]
 	duration := time.Duration(300+soak.random.IntN(2200)) * time.Millisecond
 	mode := 1 + soak.random.IntN(modeCount-1)
-	switch soak.random.IntN(18) {
+	switch soak.random.IntN(19) {
 	case 0:
 		soak.logFault("%s is killed", vm.id)
 		vm.recordFault(0)
@@ -304,6 +307,10 @@
 			soak.changeConfiguration(ctx)
 			time.Sleep(100 * time.Millisecond)
 		}
+	case 18:
+		backends := slices.Clone(soak.backends)
+		soak.random.Shuffle(len(backends), func(i, j int) { backends[i], backends[j] = backends[j], backends[i] })
+		soak.returnServers(backends[:1+soak.random.IntN(len(backends)/2)])
 	}
 }
 
@@ -469,6 +476,6 @@
 	return Report{
 		Responses: len(soak.check.responses), Served: served, Faults: soak.faults,
 		Drains: soak.check.drains, Versions: soak.check.versions, Evacuations: soak.check.evacuations,
-		ColdStarts: soak.check.coldStarts, Signals: soak.check.signals, Crashes: soak.check.crashes, Broken: soak.check.violations,
+		ColdStarts: soak.check.coldStarts, Returns: soak.check.returns, Signals: soak.check.signals, Crashes: soak.check.crashes, Broken: soak.check.violations,
 	}
 }
