Record in the schedule of a soak when the soak itself stands still

The schedule now has a line for each time of 0.5 s or more in which the soak could not run; no check changes with it. TestServerSignalsAreFollowed prints the logs of the VMs when it fails.

--- a/entryvm/hosted/signal_test.go
+++ b/entryvm/hosted/signal_test.go
@@ -155,6 +155,9 @@
 			}
 			requests.Wait()
 			run.check(t)
+			if t.Failed() {
+				t.Log(fixture.log.text())
+			}
 		})
 	}
 }
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -32,7 +32,7 @@
 	VMs      int
 	Backends int
 	Callers  int
-	// Output receives a line for each fault.
+	// Output receives a line for each fault, and for each time that the soak itself stood still.
 	Output io.Writer
 }
 
@@ -68,6 +68,8 @@
 
 	mutex   sync.Mutex
 	version int
+	// outputMutex is held while a line is written to the output.
+	outputMutex sync.Mutex
 	// pending waits for the faults and checks that have not ended.
 	pending sync.WaitGroup
 }
@@ -94,7 +96,12 @@
 	if err := soak.waitReady(ctx); err != nil {
 		return Report{}, err
 	}
+	stallCtx, stopWatching := context.WithCancel(ctx)
+	var watching sync.WaitGroup
+	watching.Go(func() { soak.watchStalls(stallCtx) })
 	lastFault := soak.injectFaults(ctx)
+	stopWatching()
+	watching.Wait()
 	soak.check.finish(lastFault)
 	return soak.report(), nil
 }
@@ -238,7 +245,7 @@
 
 func (soak *Soak) logFault(format string, arguments ...any) {
 	soak.faults++
-	fmt.Fprintf(soak.options.Output, "%7.3f %s\n", time.Since(soak.started).Seconds(), fmt.Sprintf(format, arguments...))
+	soak.writeLine(fmt.Sprintf(format, arguments...))
 }
 
 // injectFault starts a random fault. Faults last up to a few seconds, so that several overlap.
