--- a/fleet/relay/changelog.go
+++ b/fleet/relay/changelog.go
@@ -52,7 +52,7 @@
 	hasFollowers := changeLog.HasFollowers()
 	_, loaded := changeLog.loaded()
 	if loaded && !hasFollowers {
-		changeLog.clear()
+		changeLog.Clear()
 	}
 	return hasFollowers && !loaded
 }
@@ -130,8 +130,8 @@
 	}
 }
 
-// clear drops all entries and changes.
-func (changeLog *ChangeLog) clear() {
+// Clear drops all entries and changes. Followers get none until the next Replace.
+func (changeLog *ChangeLog) Clear() {
 	changeLog.mutex.Lock()
 	defer changeLog.mutex.Unlock()
 	changeLog.entries, changeLog.changes, changeLog.bytes, changeLog.since, changeLog.revision = nil, nil, 0, 0, 0
