Register a VM again whose entry was removed while its lease lives

The VM wrote it again on news of the removal, but if that write failed it kept its former lease, and the renewals of that lease succeeded, so nothing wrote the entry again. A failed registration now drops the lease, and the next renewal registers.

TestEntryIsRegisteredAgain/revoked,_the_next_write_fails: not listed within 10 s before, listed after 1.05 s now. go test of fleet/roster, relay, registrywatch and exchange passes.

--- a/fleet/roster/roster.go
+++ b/fleet/roster/roster.go
@@ -198,6 +198,8 @@
 		err = roster.write(ctx, lease)
 	}
 	if err != nil {
+		// A former lease may still be alive without the entry, and its renewals would not show that.
+		roster.setLease(0)
 		roster.observer.RegistrationFailed(err)
 		return
 	}
@@ -215,6 +217,12 @@
 	roster.observer.Registered(lease)
 }
 
+func (roster *Roster) setLease(lease oleandervane.LeaseID) {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	roster.lease = lease
+}
+
 func (roster *Roster) write(ctx context.Context, lease oleandervane.LeaseID) error {
 	value, err := json.Marshal(entry{
 		Incarnation:   uint64(roster.self.Incarnation),
--- a/fleet/roster/roster_test.go
+++ b/fleet/roster/roster_test.go
@@ -71,6 +71,17 @@
 		assert.NilError(t, own.Apply([]oleandervane.StoreChange{removal}))
 		poll.WaitOn(t, listed(store, "vm-1"))
 	})
+	t.Run("revoked, the next write fails", func(t *testing.T) {
+		store := storestandin.New(timer.System{})
+		own := run(t, store)
+		store.Revoke(roster.KeyPrefix)
+		store.SetFaults(storestandin.Faults{Down: true})
+		removal := oleandervane.StoreChange{Entry: oleandervane.StoreEntry{Key: roster.KeyPrefix + "vm-1"}, Removed: true}
+		assert.NilError(t, own.Apply([]oleandervane.StoreChange{removal}))
+		time.Sleep(50 * time.Millisecond)
+		store.SetFaults(storestandin.Faults{})
+		poll.WaitOn(t, listed(store, "vm-1"))
+	})
 	t.Run("lapsed", func(t *testing.T) {
 		store := storestandin.New(timer.System{})
 		run(t, store)
