Fail with 502 when a server refuses a filing without a proof that it has not run

Such a response is now a failure of this VM, 502 without the server's signature, with reason unproven_refusal. Responses to safe requests are passed on as before.

TestStatusOfServerIsNoProofThatARequestHasNotRun: 408 for a request that must not run twice before, 502 for 408, 429 and 503 now. go test of entry/ingress, route and pipeline passes, and of the parts of entryvm/hosted about responses, crashes, quarantine and stopping. TestServerSignalsAreFollowed, which sends safe requests only, fails at a load average of 60 to 85.

--- a/entry/ingress/ingress.go
+++ b/entry/ingress/ingress.go
@@ -49,6 +49,7 @@
 	reasonBodyNotReceived forward.Reason = "body_not_received"
 	reasonStopping        forward.Reason = "vm_stops"
 	reasonPanic           forward.Reason = "unexpected_error"
+	reasonUnprovenRefusal forward.Reason = "unproven_refusal"
 )
 
 // Placer places requests at backend servers.
@@ -279,16 +280,28 @@
 	call.completion.Outcome, call.completion.Reason, call.completion.Err = result.Outcome, result.Reason, result.Err
 	call.completion.Target, call.completion.Attempts, call.completion.AttemptSummaries = result.Target, result.Attempts, result.AttemptSummaries
 	call.completion.Decision, call.completion.Identity = chooser.Decision(), result.Identity
-	switch result.Outcome {
-	case oleandervane.Answered:
+	switch {
+	case result.Outcome == oleandervane.Answered && !matched.Idempotent() && statesNotRun(result.Response.Status):
+		result.Response.Close()
+		call.fail(reasonUnprovenRefusal)
+	case result.Outcome == oleandervane.Answered:
 		call.sendResponse(result.Response)
-	case oleandervane.NotRun:
+	case result.Outcome == oleandervane.NotRun:
 		call.refuse(http.StatusServiceUnavailable, result.Reason, retryAfter(result.Reason, chooser.Decision()))
 	default:
 		call.fail(result.Reason)
 	}
 }
 
+// statesNotRun reports whether callers read a status as proof that their request has not run.
+func statesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // object identifies the object of the request among those of the service. Requests of different kinds may concern the
 // same object, and a server has affinity for it separately for each kind of work.
 func (call *call) object(serviceName oleandervane.ServiceName) string {
--- a/entryvm/hosted/hosted_test.go
+++ b/entryvm/hosted/hosted_test.go
@@ -246,6 +246,22 @@
 	assert.Equal(t, fixture.log.lines("r1")[0]["outcome"], "unknown")
 }
 
+// A server responds to an unsafe request with a status that callers read as "not run", but does not state that it did not run it.
+// Guards against a caller that repeats a request which has run.
+func TestStatusOfServerIsNoProofThatARequestHasNotRun(t *testing.T) {
+	only := newBackend(t)
+	fixture := newFixture(t, only)
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		only.respondWith(func(writer http.ResponseWriter, _ *http.Request) {
+			writer.Header().Set("X-Response-Signature", "m")
+			writer.WriteHeader(status)
+		})
+		got, _, header := fixture.send(t, http.MethodPost, "/pufi/1", fmt.Sprint(status))
+		assert.Equal(t, got, http.StatusBadGateway, "%d", status)
+		assert.Equal(t, header.Get("X-Response-Signature"), "")
+	}
+}
+
 // Guards against a safe request that fails although another server could run it, and against a refusal by a full server
 // that counts as a run.
 func TestRequestGoesToAnotherServer(t *testing.T) {
