--- a/entry/placement/placer_test.go
+++ b/entry/placement/placer_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -271,3 +273,33 @@
 	_, err := placer.Chooser(requestFor("x")).Choose(nil)
 	assert.NilError(t, err)
 }
+
+// Guards against callers who wait for the way to another region although a server of their object is in their own, and against a region
+// with few servers that has to run all requests of its callers.
+func TestRequestsDoNotLeaveARegionWithEnoughServers(t *testing.T) {
+	placer := fleet(timer.NewManual(time.Unix(1000, 0)), 1)[0]
+	registry := registryOf()
+	regions := slices.Concat(slices.Repeat([]oleandervane.Region{"norte"}, 41), slices.Repeat([]oleandervane.Region{"occidente"}, 49), slices.Repeat([]oleandervane.Region{"centro"}, 10))
+	for i, id := range serverNames(len(regions)) {
+		server := registered(id, "a")
+		server.Region = regions[i]
+		registry.BackendServers[id] = server
+	}
+	placer.Update(registry)
+	const objects = 2000
+	// In a region with enough servers, the requests for an object run there if one of its two servers is there.
+	for home, share := range map[oleandervane.Region]float64{"norte": 1 - 0.59*0.59, "occidente": 1 - 0.51*0.51, "centro": 0.1} {
+		local := 0
+		for number := range objects {
+			request := requestFor(fmt.Sprint(number))
+			request.Home = home
+			reservation, err := placer.Chooser(request).Choose(nil)
+			assert.NilError(t, err)
+			if registry.BackendServers[oleandervane.BackendServerID(reservation.Target().ID)].Region == home {
+				local++
+			}
+			reservation.Release(oleandervane.AttemptAnswered)
+		}
+		assert.Assert(t, math.Abs(float64(local)/objects-share) < 0.05, "%d of %d requests from %s run there", local, objects, home)
+	}
+}
