Prefer servers in the region of the caller

Cause: placement ranked the servers of an object without regard to the region of the caller. 57 in 100 requests from norte ran elsewhere.

Now one in the region of the caller comes first among the first four eligible servers of an object, in regions with enough servers. The order does not depend on load, nor on servers that may not be chosen, so that neither a burst nor a crash of many servers moves requests between regions.

--- a/entry/placement/decide.go
+++ b/entry/placement/decide.go
@@ -57,6 +57,8 @@
 	ResponseTime time.Duration
 	// RunTimes are the average run times of requests of this route and of its service.
 	RunTimes RunTimes
+	// Region is the region whose servers come first among the first eligible ones; empty if all regions are alike.
+	Region oleandervane.Region
 }
 
 // Decision is the decision for a request: the chosen candidate, or a delay after which a server may have room.
@@ -110,6 +112,10 @@
 	if len(eligible) == 0 {
 		return decideWithoutEligible(candidates)
 	}
+	if profile.Region != "" {
+		// Servers that may not be chosen do not count, so that the failure of many servers does not move requests between regions.
+		preferRegion(profile.Region, candidates, eligible[:min(policy.LocalChoices, len(eligible))])
+	}
 	bound := policy.OrdinaryBound
 	if profile.Urgent {
 		bound = policy.UrgentBound
--- a/entry/placement/decide_test.go
+++ b/entry/placement/decide_test.go
@@ -43,6 +43,8 @@
 		{"only servers on probation", RequestProfile{}, []Candidate{{ID: "a", Slots: 3, OnProbation: true}}, 0, ReasonNoEligibleServer},
 		{"new server gets an idempotent request", RequestProfile{Idempotent: true}, []Candidate{{ID: "a", Slots: 3}, second, {ID: "c", Slots: 3, Unused: true}}, 2, ReasonNewServer},
 		{"new server gets no unsafe request", RequestProfile{}, []Candidate{{ID: "a", Slots: 3}, {ID: "b", Slots: 3, Load: 9, Unused: true}}, 0, ReasonFirstChoice},
+		{"server in the region of the caller", RequestProfile{Region: "norte"}, []Candidate{{ID: "a", Slots: 3}, second, third, {ID: "d", Slots: 3, Region: "norte"}}, 3, ReasonFirstChoice},
+		{"server in the region of the caller behind a failure", RequestProfile{Region: "norte"}, []Candidate{{ID: "a", Slots: 3, Suspended: true}, second, third, {ID: "d", Slots: 3}, {ID: "e", Slots: 3, Region: "norte"}}, 4, ReasonFirstChoice},
 		{"all servers are suspended", RequestProfile{}, []Candidate{{ID: "a", Slots: 3, Suspended: true}}, -1, ReasonNoServer},
 		{"no servers", RequestProfile{}, nil, -1, ReasonNoServer},
 	}
--- a/entry/placement/placer.go
+++ b/entry/placement/placer.go
@@ -90,6 +90,8 @@
 type view struct {
 	registry oleandervane.Registry
 	services map[oleandervane.ServiceName][]*server
+	// preferences are the region preferences by service.
+	preferences map[oleandervane.ServiceName]map[oleandervane.Region]float64
 	// byHash has the servers by the hash that identifies them in the in-flight counts of VMs, byRun by that of their run.
 	byHash map[uint32]*server
 	byRun  map[uint32]*server
@@ -127,7 +129,13 @@
 			known[server.ID] = server
 		}
 	}
-	next := &view{registry: registry, services: map[oleandervane.ServiceName][]*server{}, byHash: map[uint32]*server{}, byRun: map[uint32]*server{}}
+	next := &view{
+		registry:    registry,
+		services:    map[oleandervane.ServiceName][]*server{},
+		preferences: map[oleandervane.ServiceName]map[oleandervane.Region]float64{},
+		byHash:      map[uint32]*server{},
+		byRun:       map[uint32]*server{},
+	}
 	for id, registered := range registry.BackendServers {
 		current := updatedServer(known[id], registered, now)
 		if previous.registry.Evacuated[registered.FailureDomain] && !registry.Evacuated[registered.FailureDomain] {
@@ -142,6 +150,9 @@
 		next.byHash[uint32(current.hash)] = current
 		next.byRun[current.target().RunHash()] = current
 	}
+	for serviceName, servers := range next.services {
+		next.preferences[serviceName] = regionPreferences(servers, registry.Evacuated)
+	}
 	placer.replaceView(next)
 }
 
@@ -197,17 +208,13 @@
 	placer, request := chooser.placer, chooser.request
 	now := placer.settings.TimerService.Now()
 	servers, candidates, leaving := placer.candidates(request, excluded, now)
-	preferred := oleandervane.Region("")
-	if request.Route.Kind == oleandervane.RouteDownload {
-		// Responses to downloads are large, and bandwidth between regions is the scarcest resource.
-		preferred = request.Home
-	}
-	Rank(preferred, candidates)
+	preferred := placer.rank(request, candidates)
 	chooser.decision = placer.settings.Policy.Decide(RequestProfile{
 		Urgent:       request.Urgent,
 		Idempotent:   request.Route.Idempotent(),
 		ResponseTime: placer.averageResponseTime(request.Route.Name),
 		RunTimes:     placer.runTimes.get(request.Route.Name, request.Service),
+		Region:       preferred,
 	}, candidates)
 	chooser.decision.PeerCountsKnown = placer.peerScale() > 0
 	chooser.countUnused(candidates, leaving)
@@ -230,6 +237,20 @@
 	}, nil
 }
 
+// rank sorts the candidates for a request, best first, and returns the region whose servers the decision prefers, if any.
+func (placer *Placer) rank(request Request, candidates []Candidate) (preferred oleandervane.Region) {
+	if request.Route.Kind == oleandervane.RouteDownload {
+		// Responses to downloads are large, and bandwidth between regions is the scarcest resource.
+		Rank(request.Home, candidates)
+		return ""
+	}
+	Rank("", candidates)
+	if prefersRegion(objectHash(request.Object), request.Home, placer.view.Load().preferences[request.Service][request.Home]) {
+		return request.Home
+	}
+	return ""
+}
+
 // countUnused counts the servers that are not used because of what they said.
 func (chooser *Chooser) countUnused(candidates []Candidate, leaving int) {
 	chooser.decision.LeavingServers = leaving
--- a/entry/placement/policy.go
+++ b/entry/placement/policy.go
@@ -4,6 +4,8 @@
 type Policy struct {
 	// WarmChoices is the number of servers that share the requests of an object.
 	WarmChoices int
+	// LocalChoices is the number of eligible servers among which one in the region of the caller comes first.
+	LocalChoices int
 	// UrgentBound and OrdinaryBound are the pressures, in requests per slot times the slowdown, from which the first
 	// choices accept no more requests.
 	UrgentBound   float64
@@ -23,6 +25,9 @@
 	// warmChoices is two: two servers balance their load nearly as well as all servers would, and each object takes up
 	// memory on two servers only.
 	warmChoices = 2
+	// localChoices is limited: if all servers of the region of the caller came first, they would run all requests of callers there,
+	// and besides those of callers in regions with too few servers.
+	localChoices = 4
 	// Affinity saves 0.7 of the work, so a request without it takes 3.3 times as long. coldCost is lower, because a
 	// server that loads the object benefits from it later.
 	coldCost = 2.4
@@ -41,6 +46,7 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		WarmChoices:   warmChoices,
+		LocalChoices:  localChoices,
 		UrgentBound:   urgentBound,
 		OrdinaryBound: ordinaryBound,
 		ColdCost:      coldCost,
--- a/entry/placement/rank.go
+++ b/entry/placement/rank.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -47,6 +48,44 @@
 	})
 }
 
+// preferRegion moves the first of the choices that is in a region to the front. The choices are indexes into the candidates.
+func preferRegion(region oleandervane.Region, candidates []Candidate, choices []int) {
+	index := slices.IndexFunc(choices, func(choice int) bool { return candidates[choice].Region == region })
+	if index > 0 {
+		preferred := choices[index]
+		copy(choices[1:index+1], choices[:index])
+		choices[0] = preferred
+	}
+}
+
+// minRegionSize is the size of a region, as a multiple of the average, up to which callers do not prefer servers of their own region:
+// these would be overloaded.
+const minRegionSize = 0.5
+
+// regionPreferences returns by region the share of objects for which callers prefer servers of their own region. It grows with the size
+// of the region up to the average, so that a server that joins or leaves changes the preference for few objects. Load has no influence
+// on it, because requests would move between regions in a burst.
+func regionPreferences(servers []*server, evacuated map[oleandervane.FailureDomain]bool) map[oleandervane.Region]float64 {
+	slots, total := map[oleandervane.Region]int{}, 0
+	for _, server := range servers {
+		if !server.Leaving && !evacuated[server.FailureDomain] {
+			slots[server.Region] += server.Slots
+			total += server.Slots
+		}
+	}
+	preferences := map[oleandervane.Region]float64{}
+	for region, own := range slots {
+		size := float64(own*len(slots)) / float64(max(1, total))
+		preferences[region] = min(1, max(0, (size-minRegionSize)/(1-minRegionSize)))
+	}
+	return preferences
+}
+
+// prefersRegion reports whether callers in a region prefer its servers for an object, at all VMs alike.
+func prefersRegion(object uint64, region oleandervane.Region, preference float64) bool {
+	return float64(score(object, memberHash(string(region))))/math.MaxUint64 < preference
+}
+
 // rankOf returns the rank of self among the VMs for a key, 0 for the first.
 func rankOf(key uint64, self oleandervane.VMID, vms []oleandervane.EntryVM) int {
 	own := score(key, memberHash(string(self)))
