--- a/entry/placement/placer_test.go
+++ b/entry/placement/placer_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -271,3 +273,46 @@
 	_, err := placer.Chooser(requestFor("x")).Choose(nil)
 	assert.NilError(t, err)
 }
+
+// Guards against callers who wait for the way to another region although one of the first servers of their object is in their own, and
+// against a region with few servers that has to run all requests of its callers.
+func TestRequestsDoNotLeaveARegionWithEnoughServers(t *testing.T) {
+	placer := fleet(timer.NewManual(time.Unix(1000, 0)), 1)[0]
+	registry := registryOf()
+	regions := slices.Concat(slices.Repeat([]oleandervane.Region{"norte"}, 41), slices.Repeat([]oleandervane.Region{"occidente"}, 49), slices.Repeat([]oleandervane.Region{"centro"}, 10))
+	for i, id := range serverNames(len(regions)) {
+		server := registered(id, "a")
+		server.Region = regions[i]
+		registry.BackendServers[id] = server
+	}
+	placer.Update(registry)
+	const objects = 2000
+	// In a region with enough servers, the requests for an object run there if one of its first four servers is there.
+	for home, share := range map[oleandervane.Region]float64{"norte": 1 - math.Pow(0.59, 4), "occidente": 1 - math.Pow(0.51, 4), "centro": 0.1} {
+		local := 0
+		for number := range objects {
+			request := requestFor(fmt.Sprint(number))
+			request.Home = home
+			reservation, err := placer.Chooser(request).Choose(nil)
+			assert.NilError(t, err)
+			if registry.BackendServers[oleandervane.BackendServerID(reservation.Target().ID)].Region == home {
+				local++
+			}
+			reservation.Release(oleandervane.AttemptAnswered)
+		}
+		assert.Assert(t, math.Abs(float64(local)/objects-share) < 0.05, "%d of %d requests from %s run there", local, objects, home)
+	}
+}
+
+// Guards against callers who all change the region of their requests when one server of their region leaves.
+func TestServerThatLeavesMovesFewRequestsToOtherRegions(t *testing.T) {
+	var servers []*server
+	for i, id := range serverNames(100) {
+		servers = append(servers, newServer(registered(id, "a"), time.Unix(1000, 0)))
+		servers[i].Region = [2]oleandervane.Region{"norte", "occidente"}[i/50]
+	}
+	for left := range 50 {
+		before, after := regionPreferences(servers[left:], nil)["norte"], regionPreferences(servers[left+1:], nil)["norte"]
+		assert.Assert(t, before-after >= 0 && before-after < 0.05, "from %v to %v", before, after)
+	}
+}
