Check its own connections before a VM keeps an end of a server to itself

A VM tells others of a refused connection only if a server answered it in the second before, because otherwise it may be the one that is cut off; VMs with few requests are seldom answered, so that the probes of a server that stayed away were told to nobody. Such a VM now opens a connection to another server first. TestOnlyAVMThatReachesServersTellsEnds. That this was the cause is likely, not traced.

--- a/entry/placement/end.go
+++ b/entry/placement/end.go
@@ -23,7 +23,7 @@
 // findEnd records that this VM was refused a connection, which means that the run of the server has ended.
 func (placer *Placer) findEnd(server *server) {
 	now := placer.settings.TimerService.Now()
-	if now.Sub(time.Unix(0, placer.answeredAt.Load())) < answeredPeriod {
+	if placer.wasAnswered(now) {
 		server.mutex.Lock()
 		server.foundEndAt = now
 		server.mutex.Unlock()
@@ -104,12 +104,42 @@
 			placer.extendCold(current, ColdAfterEnd, slowStart(placer.view.Load().registry, current.Service), now)
 			return
 		case oleandervane.ConnectionRefused:
+			placer.checkOwnConnection(current)
 			placer.findEnd(current)
 		}
 	}
 	placer.probeLater(current)
 }
 
+// checkOwnConnection opens a connection to another server if none has answered this VM lately, as when it gets few requests. It shows
+// whether this VM is cut off.
+func (placer *Placer) checkOwnConnection(refusing *server) {
+	if placer.wasAnswered(placer.settings.TimerService.Now()) {
+		return
+	}
+	for _, other := range placer.view.Load().services[refusing.Service] {
+		if other.ID == refusing.ID || other.isAbsent() {
+			continue
+		}
+		if placer.settings.Prober.ProbeConnection(other.Address) == oleandervane.ConnectionAccepted {
+			placer.answeredAt.Store(placer.settings.TimerService.Now().UnixNano())
+		}
+		return
+	}
+}
+
+// wasAnswered reports whether a server has answered this VM lately.
+func (placer *Placer) wasAnswered(now time.Time) bool {
+	return now.Sub(time.Unix(0, placer.answeredAt.Load())) < answeredPeriod
+}
+
+// isAbsent reports whether the server gets no requests until a probe finds that it accepts connections.
+func (server *server) isAbsent() bool {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.absent
+}
+
 // ServerEnds returns the ends that this VM found recently, the newest first.
 func (placer *Placer) ServerEnds() []oleandervane.ServerEnd {
 	now := placer.settings.TimerService.Now()
--- a/entry/placement/end_test.go
+++ b/entry/placement/end_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -64,11 +65,30 @@
 	assert.Assert(t, back > 0, "nobody tried the server within a second of its return")
 }
 
-// Guards against a VM that is cut off from all servers and has the others take them for cold.
-func TestVMWithoutAnswersTellsNoEnds(t *testing.T) {
-	manual := timer.NewManual(time.Unix(1000, 0))
-	placer := fleet(manual, 2)[0]
-	placer.Update(registryOf(registered("a", "kigali-a")))
-	placer.findEnd(placer.view.Load().services["ledger"][0])
-	assert.Equal(t, len(placer.ServerEnds()), 0)
+// portProber finds that only one port accepts connections.
+type portProber uint16
+
+func (portProber portProber) ProbeConnection(address netip.AddrPort) oleandervane.ConnectionState {
+	if address.Port() == uint16(portProber) {
+		return oleandervane.ConnectionAccepted
+	}
+	return oleandervane.ConnectionRefused
+}
+
+// Guards against a VM that is cut off from all servers and has the others take them for cold, and against one with few requests that
+// does not tell the others of a server that stays away.
+func TestOnlyAVMThatReachesServersTellsEnds(t *testing.T) {
+	for port, told := range map[portProber]int{3: 0, 2: 1} {
+		manual := timer.NewManual(time.Unix(1000, 0))
+		placer := fleet(manual, 1)[0]
+		placer.settings.Prober = port
+		other := registered("b", "kigali-a")
+		other.Address = netip.MustParseAddrPort("127.0.0.1:2")
+		placer.Update(registryOf(registered("a", "kigali-a"), other))
+		ended := slices.IndexFunc(placer.view.Load().services["ledger"], func(server *server) bool { return server.ID == "a" })
+		placer.findEnd(placer.view.Load().services["ledger"][ended])
+		assert.Equal(t, len(placer.ServerEnds()), 0)
+		manual.Advance(2 * probePeriod)
+		assert.Equal(t, len(placer.ServerEnds()), told)
+	}
 }
--- a/entry/placement/placer.go
+++ b/entry/placement/placer.go
@@ -65,7 +65,7 @@
 	ColdAfterEvacuation ColdCause = "evacuation"
 	ColdAfterAbsence    ColdCause = "absence"
 	// ColdAfterEnd says that the server refuses connections.
-	ColdAfterEnd ColdCause = "end"
+	ColdAfterEnd ColdCause = "connection_refused"
 	// ColdByPeer says that the server refuses the connections of another VM.
 	ColdByPeer ColdCause = "another_vm"
 )
