Add values for organisations, uploads and the slowness of servers

Cause: the configuration of the platform has organisations, routes for uploads and servers that state how slow their machine is. Nothing uses them yet.

--- a/dialect.go
+++ b/dialect.go
@@ -12,6 +12,10 @@
 	TimeLeft time.Duration
 	// BackendServer is the only server that may run the request.
 	BackendServer BackendServerID
+	// ReplacesOrganisation is set if the installation has organisations. The key of the caller is then not passed on, and
+	// Organisation, which is empty if the caller has none, replaces what the caller says about it.
+	ReplacesOrganisation bool
+	Organisation         OrganisationName
 }
 
 // ResponseMetadata is the metadata in the header of a backend server's response. It is immutable.
@@ -47,6 +51,9 @@
 	Running int
 	Queued  int
 	Slots   int
+	// Slowness is how many times longer than usual work takes on the machine of the server at this moment; zero if the server does not
+	// state it.
+	Slowness float64
 }
 
 // BackendDialect writes the headers of requests to backend servers and reads those of their responses.
@@ -65,6 +72,9 @@
 	Timeout time.Duration
 	// Object identifies the object that the request is about; empty if the request does not state it.
 	Object string
+	// Key is the digest of the key of the caller's organisation if KeyState is KeyPresent.
+	Key      KeyDigest
+	KeyState KeyState
 }
 
 // CallerDialect reads the metadata of callers' requests.
--- a/routing.go
+++ b/routing.go
@@ -8,12 +8,14 @@
 // RouteKind determines whether requests of a route may run more than once.
 type RouteKind uint8
 
-// The kinds of routes. Requests of unsafe routes run at most once; the others may run again.
+// The kinds of routes. Requests of unsafe and upload routes run at most once; the others may run again.
 const (
 	RouteSafe RouteKind = iota
 	RouteUnsafe
 	// RouteDownload is for safe requests with large responses.
 	RouteDownload
+	// RouteUpload is for unsafe requests with large bodies.
+	RouteUpload
 )
 
 // String returns the kind in lower case, as written to logs.
@@ -25,6 +27,8 @@
 		return "unsafe"
 	case RouteDownload:
 		return "download"
+	case RouteUpload:
+		return "upload"
 	}
 	return "unknown"
 }
@@ -50,6 +54,8 @@
 	Sticky bool
 	// AllowedRegions are the only regions that may run the requests; empty allows all.
 	AllowedRegions []Region
+	// Public is set if requests need no key of an organisation.
+	Public bool
 }
 
 // SplitPart is a service of a route and its weight among the parts.
@@ -60,7 +66,7 @@
 
 // Idempotent reports whether a request of the route may run more than once.
 func (route Route) Idempotent() bool {
-	return route.Kind != RouteUnsafe
+	return route.Kind != RouteUnsafe && route.Kind != RouteUpload
 }
 
 // Allows reports whether a region may run requests of the route.
@@ -93,4 +99,8 @@
 	Routes   []Route
 	Services map[ServiceName]RoutedService
 	Limits   CallerLimits
+	// Organisations are those whose requests are accepted. RequiresKeys is set if requests of routes that are not public need a key,
+	// also when no organisation could be read.
+	Organisations []Organisation
+	RequiresKeys  bool
 }
