Add floods of untrusted callers that show where a VM exceeds its memory and descriptors

Cause: nothing bounds the connections, header fields and unread responses of untrusted callers, and no test sent any. Change: standin/flood runs oleandervane-hosted on loopback addresses with 136 MB, the least memory of an installation, and 600 descriptors, and sends it the floods of testdata/floods.toml, each to a new VM. It checks that the process lives, that the peak of resident memory is below 80% of memory_megabytes, that descriptors are below the limit, that requests and readiness do not hang during the flood, and that a request is served after it. The settings file of test processes moves from standin/soak to standin/vmprocess. Makefile runs the package after all others.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 # TEST_FLAGS adds flags to the test command; .ci/run sets -race. The environment variable KNOWN_RED is a pattern of
 # tests to skip; .ci/run sets it from KNOWN-RED.txt.
 TEST_FLAGS ?=
+# FLOODS has the package whose tests run apart from all others: they bound the memory of processes, one at a time.
+FLOODS = oleandervane.example/standin/flood
 
 .PHONY: build test lint format generate demo figures compare fuzz
 
@@ -12,7 +14,8 @@
 
 test:
 	go vet work
-	go test $(TEST_FLAGS) $${KNOWN_RED:+-skip "$$KNOWN_RED"} work
+	go test $(TEST_FLAGS) $${KNOWN_RED:+-skip "$$KNOWN_RED"} $$(go list work | grep -v '^$(FLOODS)$$')
+	go test $(TEST_FLAGS) $${KNOWN_RED:+-skip "$$KNOWN_RED"} $(FLOODS)
 
 lint:
 	@unformatted=$$(gofumpt -l $(GO_FILES)); if [ -n "$$unformatted" ]; then echo "gofumpt would change:"; echo "$$unformatted"; exit 1; fi
--- a/standin/soak/vm.go
+++ b/standin/soak/vm.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -10,7 +9,7 @@
 	"syscall"
 	"time"
 
-	"oleandervane.example/standin/loopback"
+	"oleandervane.example/standin/vmprocess"
 )
 
 const (
@@ -49,21 +48,11 @@
 		return nil, err
 	}
 	vm.store = store
-	addresses := make([]netip.AddrPort, 5)
-	for i := range addresses {
-		if addresses[i], err = loopback.FreeAddress(); err != nil {
-			return nil, err
-		}
-	}
-	vm.caller, vm.directory = addresses[0].String(), addresses[1].String()
-	text := fmt.Sprintf("id = %q\nregion = \"kigali\"\nfailure_domain = \"kigali-a\"\ncaller_address = %q\ndirectory_address = %q\n"+
-		"readiness_address = %q\npeer_address = %q\noperations_address = %q\nstore_url = \"http://%s\"\nstop_limit = \"%v\"\n"+
-		"[retries]\nratio = 0.2\nbase = 100\n[failure_domains]\nkigali-a = \"kigali\"\nkigali-b = \"kigali\"\n",
-		id, addresses[0], addresses[1], addresses[2], addresses[3], addresses[4], store.address(), stopLimit)
-	vm.settings = filepath.Join(folder, id+".toml")
-	if err := os.WriteFile(vm.settings, []byte(text), 0o600); err != nil {
+	file, err := vmprocess.Settings{ID: id, StoreAddress: store.address(), StopLimit: stopLimit}.Write(folder)
+	if err != nil {
 		return nil, err
 	}
+	vm.caller, vm.directory, vm.settings = file.Caller.String(), file.Directory.String(), file.Path
 	go vm.superviseProcess()
 	return vm, nil
 }
