Keep memory and descriptors under floods of untrusted callers

Cause: a header field takes many times its bytes, headers and responses could be left unfinished for long, requests ahead and buffered responses were bounded for each connection only, and the directory and readiness had no limits at all. Change: the listeners of the caller, directory and readiness addresses charge connections and headers to the account before net/http parses them, apply max_header_bytes and header_timeout_s of the configuration, and end bodies and responses that make no progress. Bodies, served requests, buffered beginnings of responses and early responses are charged too; without room a request gets a true 503, a response is passed on in smaller parts, and a pipelined request waits for its turn. The soft memory limit of the runtime falls from 0.8 to 0.72 of memory_megabytes, because resident memory includes pages of the program.

--- a/entry/bodymemory/budget.go
+++ b/entry/bodymemory/budget.go
@@ -36,6 +36,7 @@
 type Budget struct {
 	timerService oleandervane.TimerService
 	capacity     int64
+	account      Account
 
 	// collecting is held during a collection.
 	collecting  sync.Mutex
@@ -52,6 +53,13 @@
 	slots []*slot
 }
 
+// Account accounts for bodies together with what else a VM keeps for callers.
+type Account interface {
+	// ChargeBody reports whether there is room for the bytes, and accounts for them if so.
+	ChargeBody(bytes int64) bool
+	ReleaseBody(bytes int64)
+}
+
 // slot is a time in which a body is expected to be held.
 type slot struct {
 	from, to time.Time
@@ -62,9 +70,22 @@
 
 // New returns a budget of a number of bytes.
 func New(timerService oleandervane.TimerService, capacity int64) *Budget {
-	return &Budget{timerService: timerService, capacity: capacity, hold: initialHold, freed: make(chan struct{}, 1)}
+	return &Budget{timerService: timerService, capacity: capacity, account: noAccount{}, hold: initialHold, freed: make(chan struct{}, 1)}
+}
+
+// NewWithAccount returns a budget of a number of bytes whose bodies also need room in an account.
+func NewWithAccount(timerService oleandervane.TimerService, capacity int64, account Account) *Budget {
+	budget := New(timerService, capacity)
+	budget.account = account
+	return budget
 }
 
+// noAccount is an account with room for everything.
+type noAccount struct{}
+
+func (noAccount) ChargeBody(int64) bool { return true }
+func (noAccount) ReleaseBody(int64)     {}
+
 // Used returns the bytes of the bodies that are held or not yet freed.
 func (budget *Budget) Used() int64 {
 	budget.mutex.Lock()
@@ -129,7 +150,7 @@
 	if bytes > SmallBytes {
 		limit = budget.MaxBodyBytes()
 	}
-	if budget.used+bytes > limit {
+	if budget.used+bytes > limit || !budget.account.ChargeBody(bytes) {
 		return nil
 	}
 	budget.used += bytes
@@ -223,6 +244,7 @@
 	defer budget.mutex.Unlock()
 	if buffer.slot == nil {
 		budget.used -= buffer.bytes
+		budget.account.ReleaseBody(buffer.bytes)
 		return
 	}
 	budget.uncollected += buffer.bytes
@@ -235,6 +257,7 @@
 	budget.used -= bytes
 	budget.uncollected -= bytes
 	budget.mutex.Unlock()
+	budget.account.ReleaseBody(bytes)
 	select {
 	case budget.freed <- struct{}{}:
 	default:
--- a/entry/forward/attempt.go
+++ b/entry/forward/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -15,6 +16,8 @@
 )
 
 const (
+	// minBufferedBytes is the size up to which a response is buffered while memory is scarce.
+	minBufferedBytes = 16 << 10
 	// maxRefusalBytes is the size up to which the body of a refusal is read, so that its connection can be reused.
 	maxRefusalBytes = 4 << 10
 	// refusalBodyTimeout bounds the reading of that body. Servers send the body together with the header.
@@ -294,8 +297,10 @@
 	if !attempt.detectsTruncation(response) || response.StatusCode == http.StatusSwitchingProtocols {
 		return attempt.failTruncated(ErrTruncated)
 	}
-	beginning, whole, err := readBeginning(response.Body, attempt.forwarder.settings.MaxBufferedBytes)
+	limit, release := attempt.reserveBeginning(response)
+	beginning, whole, err := readBeginning(response.Body, limit)
 	if err != nil {
+		release()
 		return attempt.failTruncated(err)
 	}
 	attempt.forwarder.firstBytes.record(attempt.request, attempt.forwarder.timerService.Now().Sub(attempt.startedAt))
@@ -304,6 +309,7 @@
 		Header: responseHeader(attempt.target, response.Header),
 		Body:   beginning,
 	}
+	result.release = release
 	finish := onceWith(attempt.finish)
 	if whole {
 		finish(nil)
@@ -314,6 +320,18 @@
 	return attemptOutcome{outcome: outcome, response: result}
 }
 
+// reserveBeginning returns the size up to which a response is buffered, and a function to call when the buffer is not needed any more.
+func (attempt *attempt) reserveBeginning(response *http.Response) (limit int, release func()) {
+	limit = attempt.forwarder.settings.MaxBufferedBytes
+	if response.ContentLength >= 0 && response.ContentLength <= minBufferedBytes {
+		return limit, func() {}
+	}
+	if release = attempt.forwarder.settings.ReserveResponse(int64(limit)); release == nil {
+		return min(limit, minBufferedBytes), func() {}
+	}
+	return limit, sync.OnceFunc(release)
+}
+
 // endRefused ends an attempt for which the target stated that it was not run or that its outcome is unknown.
 func (attempt *attempt) endRefused(response *http.Response, outcome oleandervane.Outcome, reason Reason) attemptOutcome {
 	attemptResult := oleandervane.AttemptBroken
--- a/entry/forward/forwarder.go
+++ b/entry/forward/forwarder.go
@@ -56,6 +56,9 @@
 	QuarantineRecorder oleandervane.QuarantineRecorder
 	// RetryBudget bounds retries; nil allows 10% of the requests of this VM.
 	RetryBudget RetryBudget
+	// ReserveResponse accounts for the buffer of a response of more than 16 KiB, until the returned function is called. If it returns
+	// nil, no more than 16 KiB are buffered. A nil function buffers all up to MaxBufferedBytes.
+	ReserveResponse func(bytes int64) (release func())
 }
 
 // RetryBudget bounds the attempts of a service beyond the first attempt of each request.
@@ -89,6 +92,9 @@
 	if settings.QuarantinePeriod == 0 {
 		settings.QuarantinePeriod = DefaultQuarantinePeriod
 	}
+	if settings.ReserveResponse == nil {
+		settings.ReserveResponse = func(int64) func() { return func() {} }
+	}
 	return settings
 }
 
--- a/entry/forward/response.go
+++ b/entry/forward/response.go
@@ -18,6 +18,8 @@
 	// rest is nil when Body is the complete body.
 	rest   io.Reader
 	finish func(err error)
+	// release says that Body is not needed any more; nil if nothing was reserved for it.
+	release func()
 }
 
 // Streamed reports whether Body is only the beginning of the body.
@@ -71,6 +73,9 @@
 // Close releases the connection and the reservation. A streamed response that was not read to its end is cancelled at
 // the target. Later calls have no effect.
 func (response *Response) Close() {
+	if response.release != nil {
+		response.release()
+	}
 	if response.finish != nil {
 		response.finish(errClosedEarly)
 	}
--- a/entry/ingress/body.go
+++ b/entry/ingress/body.go
@@ -79,6 +79,8 @@
 	switch reason {
 	case reasonBodyTooLarge:
 		call.refuse(http.StatusRequestEntityTooLarge, reason, 0)
+	case reasonNoRoom:
+		call.refuse(http.StatusServiceUnavailable, reason, busyRetryAfter())
 	case reasonNoBodyMemory:
 		call.refuse(http.StatusServiceUnavailable, reason, call.bodyRetryAfter(limit))
 	default:
--- a/entry/ingress/ingress.go
+++ b/entry/ingress/ingress.go
@@ -49,6 +49,7 @@
 	reasonBodyTooLarge    forward.Reason = "body_too_large"
 	reasonBodyNotReceived forward.Reason = "body_not_received"
 	reasonNoBodyMemory    forward.Reason = "no_memory_for_the_body"
+	reasonNoRoom          forward.Reason = "no_room_for_the_request"
 	reasonStopping        forward.Reason = "vm_stops"
 	reasonPanic           forward.Reason = "unexpected_error"
 	reasonUnprovenRefusal forward.Reason = "unproven_refusal"
@@ -155,7 +156,13 @@
 	if handler.stopDeadline.Load() != nil && pipeline.MayClose(request.Context()) {
 		writer.Header().Set("Connection", "close")
 	}
-	call := &call{
+	call := handler.newCall(writer, request)
+	defer call.finish()
+	call.serve()
+}
+
+func (handler *Handler) newCall(writer http.ResponseWriter, request *http.Request) *call {
+	return &call{
 		handler:   handler,
 		writer:    writer,
 		request:   request,
@@ -168,8 +175,21 @@
 			CallerAddress: callerAddress(request),
 		},
 	}
+}
+
+// RefuseBusy responds that the VM has no room for a request, which has not run.
+func (handler *Handler) RefuseBusy(writer http.ResponseWriter, request *http.Request) {
+	call := handler.newCall(writer, request)
 	defer call.finish()
-	call.serve()
+	if request.ContentLength == 0 {
+		call.refuse(http.StatusServiceUnavailable, reasonNoRoom, busyRetryAfter())
+		return
+	}
+	call.refuseBody(reasonNoRoom, 0)
+}
+
+func busyRetryAfter() time.Duration {
+	return retryAfter(reasonNoRoom, placement.Decision{RetryAfter: unavailableRetryAfter})
 }
 
 // call is one request of a caller while it is served.
--- a/entry/pipeline/connection.go
+++ b/entry/pipeline/connection.go
@@ -134,9 +134,11 @@
 	pending := &pendingRequest{method: request.Method, target: request.RequestURI, host: request.Host, headEnd: scanned.headEnd}
 	queued := connection.serving || len(connection.pending) > 0
 	if queued && connection.mayStartEarly(request) {
-		request.RemoteAddr = connection.RemoteAddr().String()
-		pending.early = startEarly(connection.ctx, connection.dispatcher.handler, request)
-		connection.dispatcher.startedEarly.Add(1)
+		if release := connection.dispatcher.reserve(); release != nil {
+			request.RemoteAddr = connection.RemoteAddr().String()
+			pending.early = startEarly(connection.ctx, connection.dispatcher.handler, request, release)
+			connection.dispatcher.startedEarly.Add(1)
+		}
 	}
 	connection.pending = append(connection.pending, pending)
 	// No requests are read after a request that closes the connection.
--- a/entry/pipeline/dispatcher.go
+++ b/entry/pipeline/dispatcher.go
@@ -26,6 +26,8 @@
 type Dispatcher struct {
 	handler  Handler
 	maxAhead int
+	// reserve returns a function that releases what an early response takes, or nil if there is no room for it.
+	reserve func() (release func())
 	// stopped says that no further requests start early.
 	stopped      atomic.Bool
 	startedEarly atomic.Uint64
@@ -33,7 +35,13 @@
 
 // NewDispatcher returns a dispatcher that lets at most maxAhead requests of a connection run before their turn.
 func NewDispatcher(handler Handler, maxAhead int) *Dispatcher {
-	return &Dispatcher{handler: handler, maxAhead: maxAhead}
+	return &Dispatcher{handler: handler, maxAhead: maxAhead, reserve: func() func() { return func() {} }}
+}
+
+// WithReserve returns the dispatcher with a function that is called before a request starts early. It returns a function that is called
+// when the response is sent, or nil if the request must not start early.
+func (dispatcher *Dispatcher) WithReserve(reserve func() (release func())) *Dispatcher {
+	return &Dispatcher{handler: dispatcher.handler, maxAhead: dispatcher.maxAhead, reserve: reserve}
 }
 
 // StartedEarly returns the number of requests that started before their turn.
--- a/entry/pipeline/early.go
+++ b/entry/pipeline/early.go
@@ -22,6 +22,8 @@
 	header http.Header
 	// turn is closed when the response's turn has come, done when the handler has returned.
 	turn, done chan struct{}
+	// release says that the response takes no memory any more.
+	release func()
 
 	mutex   sync.Mutex
 	status  int
@@ -30,10 +32,11 @@
 	aborted bool
 }
 
-// startEarly runs the handler for a request until ctx ends.
-func startEarly(ctx context.Context, handler http.Handler, request *http.Request) *earlyResponse {
-	early := &earlyResponse{header: http.Header{}, turn: make(chan struct{}), done: make(chan struct{})}
+// startEarly runs the handler for a request until ctx ends. It calls release when the response is sent or ctx has ended.
+func startEarly(ctx context.Context, handler http.Handler, request *http.Request, release func()) *earlyResponse {
+	early := &earlyResponse{header: http.Header{}, turn: make(chan struct{}), done: make(chan struct{}), release: sync.OnceFunc(release)}
 	early.ctx, early.cancel = context.WithCancel(ctx)
+	context.AfterFunc(ctx, early.release)
 	go early.run(handler, request.WithContext(early.ctx))
 	return early
 }
@@ -108,6 +111,7 @@
 func (early *earlyResponse) deliver(writer http.ResponseWriter, request *http.Request) {
 	stop := context.AfterFunc(request.Context(), early.cancel)
 	defer stop()
+	defer early.release()
 	early.flush(writer)
 	<-early.done
 	if early.aborted {
--- a/entryvm/hosted/hosted.go
+++ b/entryvm/hosted/hosted.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log"
 	"net/http"
@@ -19,6 +20,7 @@
 	"github.com/sirupsen/logrus"
 
 	"oleandervane.example"
+	"oleandervane.example/entry/account"
 	"oleandervane.example/entry/bodymemory"
 	"oleandervane.example/entry/forward"
 	"oleandervane.example/entry/ingress"
@@ -44,8 +46,13 @@
 	backendIdleTimeout = 8 * time.Second
 	// callerIdleTimeout is longer than any idle timeout that configurations set for callers.
 	callerIdleTimeout = 75 * time.Second
-	// headerTimeout bounds the time in which a caller has to send the header of a request.
-	headerTimeout = 10 * time.Second
+	// headerTimeout bounds the time for a request's header, beside the time of the configuration. It applies to a header whose beginning
+	// arrived together with the request before it, and is longer than any time that configurations set.
+	headerTimeout = 30 * time.Second
+	// smallRequestTimeout bounds a request of the directory or the readiness with its response, which take one round trip each.
+	smallRequestTimeout = 8 * time.Second
+	// smallIdleTimeout is how long an idle connection of the directory or the readiness is kept. Configurations allow 15 s.
+	smallIdleTimeout = 20 * time.Second
 	// acceptTime is how long a stopping VM accepts requests: callers cache responses of the directory for 2 s, some for
 	// longer.
 	acceptTime = 3 * time.Second
@@ -55,8 +62,9 @@
 	// stopMargin is the time between the end of the process and the kill by the platform.
 	stopMargin = 400 * time.Millisecond
 	// memoryShare is the share of the memory that is set as the soft memory limit of the Go runtime. Near the limit, garbage
-	// is collected more often, so that a burst does not end the process.
-	memoryShare = 0.8
+	// is collected more often, so that a burst does not end the process. With the pages of the program, 8 MB, resident memory stays below
+	// 0.8 of the memory.
+	memoryShare = 0.72
 	megabyte    = 1 << 20
 	// bodyShare is the share of the memory that request bodies may take. With what else a VM takes, at most 30 MB, it stays below
 	// memoryShare. The largest body that configurations allow, 64 MiB, fits in the least memory of a VM, 136 MB.
@@ -84,6 +92,8 @@
 	roster        *roster.Roster
 	placer        *placement.Placer
 	forwarder     *forward.Forwarder
+	account       *account.Account
+	headerLimits  atomic.Pointer[webserver.HeaderLimits]
 	bodyBudget    *bodymemory.Budget
 	ingress       *ingress.Handler
 	pipeline      *pipeline.Dispatcher
@@ -117,6 +127,8 @@
 	entryVM.changeLog = relay.NewChangeLog(entryVM.roster, entryVM.observedStore)
 	entryVM.replica = newReplica(catalog.New(settings.FailureDomains), entryVM.roster, timerService, entryVM.log, entryVM.publish)
 	entryVM.observer.replica = entryVM.replica
+	entryVM.account = account.New(account.NewLimits(int64(settings.MemoryMegabytes)*megabyte, descriptorLimit()), timerService, entryVM.observer)
+	entryVM.setHeaderLimits(oleandervane.CallerLimits{})
 	entryVM.forwarder = forward.New(forward.Settings{
 		IdleTimeout:            backendIdleTimeout,
 		MaxResponseBytes:       int64(settings.MaxResponseMegabytes) * megabyte,
@@ -126,6 +138,7 @@
 		ConnectTimeout:         connectTimeout,
 		AbortDelay:             forward.DefaultAbortDelay,
 		SuspectObserver:        entryVM.observer,
+		ReserveResponse:        entryVM.account.ReserveResponse,
 		QuarantineRecorder:     quarantineRecords{store: entryVM.observedStore, log: entryVM.log},
 		TrialCoordinator:       newTrialCoordinator(self.ID, entryVM.observedStore, timerService, entryVM.log),
 		RetryBudget: forward.NewRetryBudget(timerService, forward.Allowance{
@@ -141,7 +154,7 @@
 		Prober:       entryVM.forwarder,
 		Observer:     entryVM.observer,
 	})
-	entryVM.bodyBudget = bodymemory.New(timerService, int64(bodyShare*float64(settings.MemoryMegabytes)*megabyte))
+	entryVM.bodyBudget = bodymemory.NewWithAccount(timerService, int64(bodyShare*float64(settings.MemoryMegabytes)*megabyte), entryVM.account)
 	entryVM.ingress = ingress.New(ingress.Dependencies{
 		Self:          self,
 		CallerDialect: dialect.Dialect{},
@@ -151,7 +164,7 @@
 		TimerService:  timerService,
 		Observer:      entryVM.observer,
 	})
-	entryVM.pipeline = pipeline.NewDispatcher(entryVM.ingress, settings.PipelinedRequests)
+	entryVM.pipeline = pipeline.NewDispatcher(limitedHandler{Handler: entryVM.ingress, account: entryVM.account}, settings.PipelinedRequests).WithReserve(entryVM.account.BeginAhead)
 	entryVM.joinFleet(settings)
 	entryVM.addGauges()
 	return entryVM
@@ -173,6 +186,14 @@
 	set := entryVM.observer.set
 	set.NewGauge("oleandervane_requests_in_flight", func() float64 { return float64(entryVM.ingress.InFlight()) })
 	set.NewGauge("oleandervane_requests_begun_early", func() float64 { return float64(entryVM.pipeline.StartedEarly()) })
+	for _, listener := range []account.Listener{account.CallerListener, account.DirectoryListener, account.ReadinessListener} {
+		set.NewGauge(fmt.Sprintf("oleandervane_connections{listener=%q}", listener), func() float64 {
+			return float64(entryVM.account.Usage(listener).Connections)
+		})
+		set.NewGauge(fmt.Sprintf("oleandervane_connection_bytes{listener=%q}", listener), func() float64 {
+			return float64(entryVM.account.Usage(listener).Bytes)
+		})
+	}
 	set.NewGauge("oleandervane_body_bytes", func() float64 { return float64(entryVM.bodyBudget.Used()) })
 	set.NewGauge("oleandervane_log_lines_dropped", func() float64 { return float64(entryVM.logWriter.Dropped()) })
 	set.NewGauge("oleandervane_store_calls", func() float64 { return float64(entryVM.store.Calls().Total()) })
@@ -199,6 +220,7 @@
 	entryVM.recordEnds(registry)
 	entryVM.placer.Update(registry)
 	if registry.Table != nil {
+		entryVM.setHeaderLimits(registry.Table.Limits)
 		entryVM.ingress.Publish(registry.Table)
 	}
 }
@@ -231,9 +253,17 @@
 		return eris.Wrap(err, "listening for callers")
 	}
 	entryVM.callerListener.Store(callerListener)
-	callerServer := webserver.NewOnListener(entryVM.pipeline.WrapListener(callerListener), entryVM.pipeline)
+	callerServer := webserver.NewGuarded(
+		entryVM.guardListener(entryVM.pipeline.WrapListener(callerListener), account.CallerListener), entryVM.pipeline, pipeline.ConnContext)
 	callerServer.IdleTimeout, callerServer.ReadHeaderTimeout = callerIdleTimeout, headerTimeout
-	callerServer.ConnContext = pipeline.ConnContext
+	directoryServer, err := entryVM.smallServer(settings.DirectoryAddress, account.DirectoryListener, discovery.DirectoryHandler(entryVM))
+	if err != nil {
+		return err
+	}
+	readinessServer, err := entryVM.smallServer(settings.ReadinessAddress, account.ReadinessListener, discovery.ReadinessHandler(entryVM.unready))
+	if err != nil {
+		return err
+	}
 	setLibraryLogs.Do(func() {
 		klog.SetLogger(webserver.Logger(entryVM.log))
 		log.SetFlags(0)
@@ -244,8 +274,8 @@
 		kratos.Name("oleandervane-hosted"),
 		kratos.Server(
 			callerServer,
-			entryVM.server(settings.DirectoryAddress, discovery.DirectoryHandler(entryVM)),
-			entryVM.server(settings.ReadinessAddress, discovery.ReadinessHandler(entryVM.unready)),
+			directoryServer,
+			readinessServer,
 			entryVM.server(settings.OperationsAddress, entryVM.operationsHandler()),
 			entryVM.server(settings.PeerAddress, entryVM.peerHandler()),
 		),
--- a/entryvm/hosted/observer.go
+++ b/entryvm/hosted/observer.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"oleandervane.example"
+	"oleandervane.example/entry/account"
 	"oleandervane.example/entry/forward"
 	"oleandervane.example/entry/ingress"
 	"oleandervane.example/entry/placement"
@@ -26,8 +28,8 @@
 	replica *replica
 	// storeFailed is called when the VM's entry in the store could not be written or renewed. It may be nil.
 	storeFailed func()
-	// invalidHeadersLoggedAt is in Unix nanoseconds.
-	invalidHeadersLoggedAt atomic.Int64
+	// invalidHeadersLoggedAt and callersLoggedAt are in Unix nanoseconds, callersNotLogged counts decisions since the latter.
+	invalidHeadersLoggedAt, callersLoggedAt, callersNotLogged atomic.Int64
 }
 
 // invalidHeaderLogPeriod is the least time between two log lines about invalid headers.
@@ -137,6 +139,34 @@
 	observer.log.WithFields(logrus.Fields{"server": id, "headers": names}).Warn("response of a backend server has headers whose values make no sense; they are ignored")
 }
 
+// callerLogPeriod is the least time between two log lines about callers that were refused or closed.
+const callerLogPeriod = time.Second
+
+// Refused counts a connection or request of a caller for which there is no room. It logs one decision in callerLogPeriod.
+func (observer *observer) Refused(listener account.Listener, address netip.Addr, cause account.Cause) {
+	observer.set.GetOrCreateCounter(fmt.Sprintf("oleandervane_callers_refused_total{listener=%q,cause=%q}", listener, cause)).Inc()
+	observer.logCaller(logrus.Fields{"listener": listener.String(), "caller": address, "cause": cause}, "caller is refused because the VM has no room for what it sends")
+}
+
+// Closed counts a connection that was closed in favour of others. It logs one decision in callerLogPeriod.
+func (observer *observer) Closed(closed account.Closed, cause account.Cause) {
+	observer.set.GetOrCreateCounter(fmt.Sprintf("oleandervane_callers_closed_total{listener=%q,cause=%q}", closed.Listener, cause)).Inc()
+	observer.logCaller(logrus.Fields{
+		"listener": closed.Listener.String(), "caller": closed.Address, "cause": cause, "bytes": closed.Bytes, "waited_ms": closed.Stalled.Milliseconds(),
+	}, "connection of a caller is closed because others need its room")
+}
+
+func (observer *observer) logCaller(fields logrus.Fields, message string) {
+	now := observer.replica.timerService.Now().UnixNano()
+	last := observer.callersLoggedAt.Load()
+	if now-last < int64(callerLogPeriod) || !observer.callersLoggedAt.CompareAndSwap(last, now) {
+		observer.callersNotLogged.Add(1)
+		return
+	}
+	fields["not_logged"] = observer.callersNotLogged.Swap(0)
+	observer.log.WithFields(fields).Warn(message)
+}
+
 // RequestSuspected logs that a request may have crashed a backend server. What other VMs report is counted and logged only
 // at debug level, because they log it themselves.
 func (observer *observer) RequestSuspected(fingerprint [16]byte, run uint32, source oleandervane.SuspectSource) {
--- a/standin/flood/flood_test.go
+++ b/standin/flood/flood_test.go
@@ -10,6 +10,25 @@
 	"gotest.tools/v3/assert"
 )
 
+// build returns the path of the program under test.
+func build(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "oleandervane-hosted")
+	output, err := exec.Command("go", "build", "-o", program, "oleandervane.example/cmd/oleandervane-hosted").CombinedOutput()
+	assert.NilError(t, err, "build oleandervane-hosted: %s", output)
+	return program
+}
+
+func start(t *testing.T, options Options) *VM {
+	t.Helper()
+	vm, err := Start(t.Context(), options)
+	if vm != nil {
+		t.Cleanup(vm.Close)
+	}
+	assert.NilError(t, err)
+	return vm
+}
+
 // Guards against a VM that ends, hangs, or exceeds its memory or descriptors because of what untrusted callers send. Each flood has a
 // VM of its own. Makefile runs this package apart from the others.
 func TestFloods(t *testing.T) {
@@ -21,16 +40,10 @@
 		Floods          []Flood `toml:"flood"`
 	}
 	assert.NilError(t, toml.Unmarshal(text, &table))
-	program := filepath.Join(t.TempDir(), "oleandervane-hosted")
-	output, err := exec.Command("go", "build", "-o", program, "oleandervane.example/cmd/oleandervane-hosted").CombinedOutput()
-	assert.NilError(t, err, "build oleandervane-hosted: %s", output)
+	program := build(t)
 	for _, flood := range table.Floods {
 		t.Run(flood.Name, func(t *testing.T) {
-			vm, err := Start(t.Context(), Options{Program: program, Folder: t.TempDir(), MemoryMegabytes: table.MemoryMegabytes, Descriptors: table.Descriptors})
-			if vm != nil {
-				t.Cleanup(vm.Close)
-			}
-			assert.NilError(t, err)
+			vm := start(t, Options{Program: program, Folder: t.TempDir(), MemoryMegabytes: table.MemoryMegabytes, Descriptors: table.Descriptors})
 			observation := flood.Run(t.Context(), vm)
 			assert.Assert(t, vm.Alive(), "the process ended: %v", vm.exitError)
 			peak, err := vm.PeakKilobytes()
@@ -45,3 +58,22 @@
 		})
 	}
 }
+
+// Guards against limits for untrusted callers that a caller within the limits of the configuration reaches in calm conditions. The
+// memory and descriptors are the least of all installations.
+func TestRequestsAtEachLimitAreServed(t *testing.T) {
+	text, err := os.ReadFile("testdata/limits.toml")
+	assert.NilError(t, err)
+	var table struct {
+		MemoryMegabytes int       `toml:"memory_megabytes"`
+		Descriptors     int       `toml:"descriptors"`
+		Cases           []AtLimit `toml:"case"`
+	}
+	assert.NilError(t, toml.Unmarshal(text, &table))
+	vm := start(t, Options{Program: build(t), Folder: t.TempDir(), MemoryMegabytes: table.MemoryMegabytes, Descriptors: table.Descriptors})
+	for _, atLimit := range table.Cases {
+		t.Run(atLimit.Name, func(t *testing.T) {
+			assert.NilError(t, atLimit.Run(t.Context(), vm))
+		})
+	}
+}
