Give buffered responses a part of the memory of their own

Cause: buffered beginnings of responses to callers that read nothing took the memory that requests need.

--- a/entry/account/account.go
+++ b/entry/account/account.go
@@ -48,7 +48,7 @@
 	searchPause = 50 * time.Millisecond
 	// maxVictimShare bounds the connections that one search closes. Closing several makes searches rare in a flood.
 	maxVictimShare = 1.0 / 32
-	// ordinaryShare is the part of the memory that optional and unusual needs leave for ordinary requests.
+	// ordinaryShare is the part of the memory up to which large headers are accepted. The rest is left for ordinary requests.
 	ordinaryShare = 0.8
 	// aheadShare is the part of the limits up to which requests are started ahead of their turn.
 	aheadShare = 0.5
@@ -78,9 +78,9 @@
 
 	mutex sync.Mutex
 	pools [listenerCount]pool
-	// bodyBytes are the bytes of request bodies, requests the requests that are served.
-	bodyBytes int64
-	requests  int
+	// bodyBytes are the bytes of request bodies, responseBytes those of buffered responses, requests the requests that are served.
+	bodyBytes, responseBytes int64
+	requests                 int
 }
 
 // pool is what the connections of a listener take.
@@ -252,11 +252,15 @@
 func (account *Account) ReserveResponse(bytes int64) (release func()) {
 	account.mutex.Lock()
 	defer account.mutex.Unlock()
-	if !account.fits(CallerListener, bytes, ordinaryShare) {
+	if account.responseBytes+bytes > account.limits.ResponseBytes {
 		return nil
 	}
-	account.pools[CallerListener].bytes += bytes
-	return func() { account.release(CallerListener, bytes) }
+	account.responseBytes += bytes
+	return func() {
+		account.mutex.Lock()
+		defer account.mutex.Unlock()
+		account.responseBytes -= bytes
+	}
 }
 
 // ChargeBody accounts for bytes of a request body and reports whether there is room for them.
--- a/entry/account/account_test.go
+++ b/entry/account/account_test.go
@@ -110,7 +110,7 @@
 	for account.ReserveResponse(256<<10) != nil {
 		reserved++
 	}
-	assert.Assert(t, reserved < int(limits.TotalBytes>>18))
+	assert.Assert(t, reserved < int(limits.ResponseBytes>>17))
 	assert.Assert(t, account.BeginAhead() == nil)
 	assert.Assert(t, account.Open(CallerListener, netip.Addr{}, func() {}) != nil)
 	end := account.BeginRequest()
