Read status lines of responses strictly

Cause: net/http takes any version, several spaces and any three digits, so that 600, 999, HTTP/9.9, HTTP/2.0, HTTP/1.2, two spaces and +20 were passed on by the forwarder as answered. Change: package statusline checks the bytes of each response, also behind interim ones: HTTP/1.0 or HTTP/1.1, one space, three digits from 200 to 599; 101 and more than five interim responses are invalid. A response that is invalid, or comes before its request, ends as response_invalid: its connection is closed, the server counts as broken, and the request is not evidence of a crash.

--- a/entry/forward/attempt.go
+++ b/entry/forward/attempt.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -13,6 +14,7 @@
 	"time"
 
 	"oleandervane.example"
+	"oleandervane.example/statusline"
 )
 
 const (
@@ -207,6 +209,10 @@
 	if refusal := attempt.connection.gate.refused(); refusal != nil {
 		err = refusal
 	}
+	if outcome == oleandervane.Unknown && attempt.connection.gate.invalid.Load() && !errors.Is(err, statusline.ErrInvalid) {
+		// net/http reports some errors of a connection by their text only.
+		err = fmt.Errorf("%w: %w", statusline.ErrInvalid, err)
+	}
 	return attempt.fail(outcome, err)
 }
 
@@ -232,6 +238,8 @@
 		return ReasonSilent, oleandervane.AttemptTimedOut
 	case errors.Is(err, ErrTooLong):
 		return ReasonTooLong, oleandervane.AttemptBroken
+	case errors.Is(err, statusline.ErrInvalid):
+		return ReasonInvalid, oleandervane.AttemptBroken
 	case errors.Is(err, ErrMismatch):
 		return ReasonMismatch, oleandervane.AttemptBroken
 	case errors.As(err, &refusal):
--- a/entry/forward/gate.go
+++ b/entry/forward/gate.go
@@ -4,6 +4,8 @@
 	"errors"
 	"net"
 	"sync/atomic"
+
+	"oleandervane.example/statusline"
 )
 
 // The states of a gate.
@@ -29,6 +31,11 @@
 	state       atomic.Int32
 	beforeWrite atomic.Pointer[func() error]
 	refusal     atomic.Pointer[error]
+	// begins is set when the first byte of a request is about to be written. Only Read uses checker. invalid is set when the response
+	// has an invalid status line or came before the request.
+	begins  atomic.Bool
+	checker statusline.Checker
+	invalid atomic.Bool
 	// encrypted says that Conn encrypts: it may have sent a part of a record when it reports that nothing was written.
 	encrypted bool
 }
@@ -76,6 +83,7 @@
 		gate.state.CompareAndSwap(gateChecking, gateSealed)
 		return 0, err
 	}
+	gate.begins.Store(true)
 	if !gate.state.CompareAndSwap(gateChecking, gateWritten) {
 		return 0, errSealed
 	}
@@ -87,12 +95,23 @@
 	return count, err
 }
 
-// Read fails when bytes arrive while no request has been written, such as the delayed rest of an earlier response.
+// Read fails when bytes arrive while no request has been written, such as the delayed rest of an earlier response, and at a response
+// with an invalid status line.
 func (gate *gate) Read(buffer []byte) (int, error) {
 	count, err := gate.Conn.Read(buffer)
 	if count > 0 && gate.state.Load() != gateWritten {
+		gate.invalid.Store(true)
 		return 0, errUnsolicited
 	}
+	if count > 0 {
+		if gate.begins.CompareAndSwap(true, false) {
+			gate.checker.Begin()
+		}
+		if err := gate.checker.Check(buffer[:count]); err != nil {
+			gate.invalid.Store(true)
+			return 0, err
+		}
+	}
 	return count, err
 }
 
--- a/entry/forward/request.go
+++ b/entry/forward/request.go
@@ -58,6 +58,7 @@
 	ReasonSilent          Reason = "connection_silent"
 	ReasonTruncated       Reason = "response_truncated"
 	ReasonTooLong         Reason = "response_too_long"
+	ReasonInvalid         Reason = "response_invalid"
 	ReasonMismatch        Reason = "response_of_another_request"
 	ReasonNoOutcome       Reason = "no_outcome_stated"
 )
--- a/fleet/relay/transport.go
+++ b/fleet/relay/transport.go
@@ -13,6 +13,7 @@
 	"oleandervane.example/fleet/peer"
 	"oleandervane.example/fleet/peer/peerconnect"
 	"oleandervane.example/socket"
+	"oleandervane.example/statusline"
 )
 
 const (
@@ -62,7 +63,7 @@
 	transport := &http.Transport{
 		DialContext: socket.NewDialer().DialContext, IdleConnTimeout: clientIdleTimeout, MaxIdleConnsPerHost: 1,
 	}
-	return &Client{httpClient: &http.Client{Transport: transport}, clients: map[netip.AddrPort]peerconnect.RelayServiceClient{}}
+	return &Client{httpClient: &http.Client{Transport: statusline.NewTransport(transport)}, clients: map[netip.AddrPort]peerconnect.RelayServiceClient{}}
 }
 
 // Close closes idle connections.
