Spread the times at which refused callers return

Cause: a connection or header that was refused had a fixed Retry-After, so that callers who were refused together returned together. Change: 0.3 to 0.8 s at random.

--- a/entryvm/webserver/guardlistener.go
+++ b/entryvm/webserver/guardlistener.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -39,11 +41,20 @@
 	maxDroppedBytes = 64 << 10
 )
 
+const largeHeaderResponse = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// minRetryAfter and maxRetryAfter bound when refused callers should return. Slow connections are closed for others from 0.25 s on.
 const (
-	busyResponse        = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	largeHeaderResponse = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	minRetryAfter = 0.3
+	maxRetryAfter = 0.8
 )
 
+// busyResponse refuses a request. The times are spread, so that callers who are refused together do not return together.
+func busyResponse() string {
+	return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nRetry-After: %.2f\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+		minRetryAfter+(maxRetryAfter-minRetryAfter)*rand.Float64())
+}
+
 // HeaderLimits are the limits of a request's header.
 type HeaderLimits struct {
 	Bytes   int64
@@ -101,7 +112,7 @@
 		_ = conn.Close()
 		return
 	}
-	writeRefusal(conn, busyResponse)
+	writeRefusal(conn, busyResponse())
 	time.AfterFunc(refusalLinger, func() {
 		_ = conn.Close()
 		<-guardListener.lingered
@@ -186,7 +197,7 @@
 		guardedConn.account.RefuseHeader()
 		return guardedConn.refuse(largeHeaderResponse)
 	case !fits:
-		return guardedConn.refuse(busyResponse)
+		return guardedConn.refuse(busyResponse())
 	}
 	return len(read), err
 }
