--- a/registry.go
+++ b/registry.go
@@ -17,7 +17,8 @@
 // RegistryReader reads the entries of operators and backend servers in the store.
 type RegistryReader interface {
 	// Apply returns the registry after the changes. Entries that cannot be read are reported in the error, which
-	// joins one error for each; a configuration that cannot be read leaves the previous one in force.
+	// joins one error for each; a configuration that cannot be read leaves the previous one in force, an entry of it that cannot be
+	// read loses only itself.
 	Apply(registry Registry, changes []StoreChange) (Registry, error)
 }
 
--- a/routing.go
+++ b/routing.go
@@ -103,4 +103,7 @@
 	// also when no organisation could be read.
 	Organisations []Organisation
 	RequiresKeys  bool
+	// Faults describe the entries that are not in force, or not as they are written, up to a bound; FaultCount is the number of all.
+	Faults     []string
+	FaultCount int
 }
