Read keys of organisations, replace their headers, and keep requests in their regions

Cause: callers of an installation with organisations identify themselves by keys, and backend servers are told the organisation's name. No part read or wrote these headers, and placement knew the regions of routes only. Placement uses no server outside the regions of the route or of the organisation for any attempt. RateAdmission.UsePerSecond is for the log line of a refusal.

--- a/dialect.go
+++ b/dialect.go
@@ -80,4 +80,6 @@
 // CallerDialect reads the metadata of callers' requests.
 type CallerDialect interface {
 	ReadRequest(request *http.Request) RequestMetadata
+	// SetChallenge adds to the header of a response that its request needs a key.
+	SetChallenge(header http.Header)
 }
--- a/entry/forward/header.go
+++ b/entry/forward/header.go
@@ -42,6 +42,9 @@
 		ID:            attempt.id,
 		TimeLeft:      attempt.timeLeft(),
 		BackendServer: oleandervane.BackendServerID(attempt.target.ID),
+
+		ReplacesOrganisation: attempt.request.ReplacesOrganisation,
+		Organisation:         attempt.request.Organisation,
 	})
 	return header
 }
--- a/entry/forward/request.go
+++ b/entry/forward/request.go
@@ -26,6 +26,9 @@
 	RawQuery string
 	Header   http.Header
 	Body     []byte
+	// ReplacesOrganisation and Organisation are those of oleandervane.Attempt.
+	ReplacesOrganisation bool
+	Organisation         oleandervane.OrganisationName
 	// Deadline is by the clock of the timer service.
 	Deadline time.Time
 	// BeforeWrite, if set, is called immediately before the first byte of an attempt is written. When it fails, nothing
--- a/entry/ingress/ingress_test.go
+++ b/entry/ingress/ingress_test.go
@@ -38,6 +38,8 @@
 
 type headerDialect struct{}
 
+func (headerDialect) SetChallenge(http.Header) {}
+
 func (headerDialect) ReadRequest(request *http.Request) oleandervane.RequestMetadata {
 	return oleandervane.RequestMetadata{RequestID: "1", Object: request.Header.Get("Object")}
 }
--- a/entry/placement/placer.go
+++ b/entry/placement/placer.go
@@ -188,6 +188,21 @@
 	// Home is the region of the caller.
 	Home   oleandervane.Region
 	Urgent bool
+	// Organisation is the organisation of the caller; nil if it has none. Its regions apply besides those of the route.
+	Organisation *oleandervane.Organisation
+}
+
+// allows reports whether a region may run the request.
+func (request Request) allows(region oleandervane.Region) bool {
+	return request.Route.Allows(region) && request.Organisation.Allows(region)
+}
+
+// leavingKey identifies the servers of the request among those for which it is tracked whether all leave.
+func (request Request) leavingKey() string {
+	if request.Organisation == nil || len(request.Organisation.AllowedRegions) == 0 {
+		return request.Route.Name
+	}
+	return request.Route.Name + "\x00" + string(request.Organisation.Name)
 }
 
 // Chooser returns a chooser for the attempts of one request.
@@ -310,7 +325,7 @@
 	scale := placer.peerScale()
 	candidates = make([]Candidate, 0, len(servers))
 	for i, server := range servers {
-		if server.Leaving || view.registry.Evacuated[server.FailureDomain] || !request.Route.Allows(server.Region) {
+		if server.Leaving || view.registry.Evacuated[server.FailureDomain] || !request.allows(server.Region) {
 			continue
 		}
 		candidate := server.candidate(object, scale, now)
@@ -319,7 +334,7 @@
 	}
 	staying := slices.DeleteFunc(slices.Clone(candidates), func(candidate Candidate) bool { return candidate.Leaving })
 	allLeave := len(staying) == 0 && len(candidates) > 0
-	if !placer.allLeaving.exceeded(request.Route.Name, allLeave, now) {
+	if !placer.allLeaving.exceeded(request.leavingKey(), allLeave, now) {
 		leaving = len(candidates) - len(staying)
 		candidates = staying
 	}
--- a/entry/placement/placer_test.go
+++ b/entry/placement/placer_test.go
@@ -316,3 +316,41 @@
 		assert.Assert(t, before-after >= 0 && before-after < 0.05, "from %v to %v", before, after)
 	}
 }
+
+// Guards against a server outside the regions of the route or of the organisation that gets an attempt of a request, also when the
+// others are excluded or have no capacity.
+func TestServersOutsideTheRegionsGetNothing(t *testing.T) {
+	placer := fleet(timer.NewManual(time.Unix(1000, 0)), 1)[0]
+	var servers []oleandervane.RegisteredServer
+	for _, region := range []oleandervane.Region{"a", "b", "c"} {
+		for number := range 2 {
+			server := registered(oleandervane.BackendServerID(fmt.Sprintf("%s-%d", region, number)), "d")
+			server.Region = region
+			servers = append(servers, server)
+		}
+	}
+	placer.Update(registryOf(servers...))
+	for _, testCase := range []struct{ route, organisation, want []oleandervane.Region }{
+		{nil, nil, []oleandervane.Region{"a", "b", "c"}},
+		{[]oleandervane.Region{"a", "b"}, nil, []oleandervane.Region{"a", "b"}},
+		{nil, []oleandervane.Region{"b"}, []oleandervane.Region{"b"}},
+		{[]oleandervane.Region{"a", "b"}, []oleandervane.Region{"b", "c"}, []oleandervane.Region{"b"}},
+		{[]oleandervane.Region{"a"}, []oleandervane.Region{"c"}, nil},
+	} {
+		for number := range 50 {
+			request := requestFor(fmt.Sprint(number))
+			request.Route.AllowedRegions = testCase.route
+			request.Organisation = &oleandervane.Organisation{Name: "o", AllowedRegions: testCase.organisation}
+			chooser := placer.Chooser(request)
+			var excluded []string
+			for reservation, err := chooser.Choose(nil); err == nil; reservation, err = chooser.Choose(excluded) {
+				target := reservation.Target()
+				region := oleandervane.Region(target.ID[:1])
+				assert.Assert(t, slices.Contains(testCase.want, region), "%v: %s", testCase, target.ID)
+				excluded = append(excluded, target.ID)
+				reservation.Release(oleandervane.AttemptShed)
+			}
+			assert.Assert(t, len(excluded) > 0 == (len(testCase.want) > 0), "%v", testCase)
+		}
+	}
+}
--- a/organisation.go
+++ b/organisation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"slices"
 	"time"
 )
 
@@ -29,6 +30,11 @@
 	RateLimit      RateLimit
 }
 
+// Allows reports whether a region may run requests of the organisation. A nil organisation allows all.
+func (organisation *Organisation) Allows(region Region) bool {
+	return organisation == nil || len(organisation.AllowedRegions) == 0 || slices.Contains(organisation.AllowedRegions, region)
+}
+
 // RateLimit bounds the requests of an organisation at all VMs together. The zero value sets no limit. It is immutable.
 type RateLimit struct {
 	PerSecond float64
@@ -51,6 +57,8 @@
 	Admitted bool
 	// RetryAfter is when there will be room for a request that is not admitted.
 	RetryAfter time.Duration
+	// UsePerSecond is the use of the organisation that the decision is based on, for logs; zero if it is not known.
+	UsePerSecond float64
 	// Cancel gives back the room of an admitted request that has not run. It may be nil, and is called at most once.
 	Cancel func()
 }
