Require keys of organisations and check them again before the first byte

Cause: requests ran without a key, and a key that is removed must stop working within the time for a configuration, also for requests that wait for their body, are pipelined, or are tried again. Change: ingress refuses a request without a known key with 401 before it reads the body or starts work. The check before the first byte of each attempt looks the key up again if the configuration has changed: a removed key gets 401, a key of another organisation 503, and a request that may have run keeps its 502. Ranks are ordered by organisation, then by route. The limiter of organisations is asked before the body is read, its refusal is a 429 whose Retry-After is only ever lengthened, and it gets the room of a request back that has not run. A refusal does not wait for a body; the connection is kept if a body of up to 64 KB arrives within 0.5 s. With strict_revocation, requests that need a key get 503 while the VM has had no news of the store for revocation_limit. Invalid entries of the store are counted, logged in one line of at most ten, and shown at /status of the operations address. Without the check before the first byte TestRemovedKeyStopsWorking and TestRemovedKeyEndsFurtherAttempts fail.

--- a/entry/ingress/body.go
+++ b/entry/ingress/body.go
@@ -15,6 +15,9 @@
 	// is reset, and a caller that still sends may not see the response.
 	maxDrainBytes = 1 << 20
 	drainTime     = 500 * time.Millisecond
+	// maxKeptBodyBytes is the size up to which a body that is not used is read to its end, so that its connection can be kept. It is
+	// small beside what a caller sends while a refusal travels.
+	maxKeptBodyBytes = 64 << 10
 )
 
 // readBody reads the body within the memory for bodies. It returns the reason why it cannot.
@@ -89,8 +92,34 @@
 	call.drainBody(controller)
 }
 
-// drainBody gives the caller time to see the response before the connection is closed.
-func (call *call) drainBody(controller *http.ResponseController) {
+// refuseUnread refuses a request whose body has not been read, without waiting for the body. The connection stays open if a small body
+// arrives soon.
+func (call *call) refuseUnread(refusal *refusal) {
+	length := call.request.ContentLength
+	if call.request.Body == nil || length == 0 || call.request.Header.Get("Expect") != "" {
+		// The server closes the connection itself after a response to a request that expects a response before its body.
+		call.refuseAs(refusal)
+		return
+	}
+	controller := http.NewResponseController(call.writer)
+	// Otherwise the server reads the rest of a body before it sends the response.
+	_ = controller.EnableFullDuplex()
+	small := length > 0 && length <= maxKeptBodyBytes
+	if !small {
+		call.writer.Header().Set("Connection", "close")
+	}
+	call.refuseAs(refusal)
+	_ = controller.Flush()
+	whole := call.drainBody(controller)
+	if small && whole {
+		_ = controller.SetReadDeadline(time.Time{})
+		return
+	}
+	call.aborted = small
+}
+
+// drainBody gives the caller time to see the response before the connection is closed. It reports whether the body has ended.
+func (call *call) drainBody(controller *http.ResponseController) (whole bool) {
 	drained := make(chan struct{})
 	defer call.handler.dependencies.TimerService.After(drainTime, func(time.Time) { close(drained) })()
 	_ = controller.SetReadDeadline(time.Now().Add(drainTime))
@@ -99,6 +128,7 @@
 	if err == nil && call.request.Close {
 		<-drained
 	}
+	return errors.Is(err, io.EOF)
 }
 
 // bodyRetryAfter returns when there will be memory for the body. Another VM may have room for one that never fits here.
--- a/entry/ingress/ingress.go
+++ b/entry/ingress/ingress.go
@@ -69,6 +69,10 @@
 	BodyBudget   *bodymemory.Budget
 	TimerService oleandervane.TimerService
 	Observer     Observer
+	// Limiter admits the requests of organisations that have a rate limit; nil admits all.
+	Limiter oleandervane.OrganisationLimiter
+	// KeysOutdated reports whether the keys that this VM knows are too old to be relied on; nil means that they never are.
+	KeysOutdated func() bool
 }
 
 // Observer is notified of the end of each request.
@@ -98,6 +102,10 @@
 	Status           int
 	Duration         time.Duration
 	Err              error
+	// Organisation is the organisation of the caller; nil if it has none.
+	Organisation *oleandervane.Organisation
+	// UsePerSecond is the use of the organisation, if its rate limit refused the request and the limiter knows it.
+	UsePerSecond float64
 }
 
 // Handler is an http.Handler for callers.
@@ -198,6 +206,16 @@
 		return
 	}
 	call.completion.Route = matched
+	if refusal := call.identify(index, matched); refusal != nil {
+		call.refuseUnread(refusal)
+		return
+	}
+	cancel, refusal := call.admit()
+	if refusal != nil {
+		call.refuseUnread(refusal)
+		return
+	}
+	defer cancel()
 	call.deadline = call.startedAt.Add(call.timeLimit(matched))
 	limit := cmp.Or(max(index.Limits().BodyBytes, 0), defaultMaxBodyBytes)
 	body, reason := call.readBody(limit)
@@ -252,11 +270,13 @@
 		Route:   matched,
 		Object:  call.object(serviceName),
 		Home:    dependencies.Self.Region,
-		Urgent:  index.Urgent(matched, serviceName),
+		Urgent:  index.Urgent(matched, call.completion.Organisation, serviceName),
+
+		Organisation: call.completion.Organisation,
 	})
 	ctx, cancel := call.context(matched)
 	defer cancel()
-	result := dependencies.Forwarder.Forward(ctx, call.forwardRequest(matched, serviceName, body), chooser)
+	result := dependencies.Forwarder.Forward(ctx, call.forwardRequest(index, matched, serviceName, body), chooser)
 	call.releaseBody()
 	call.completion.Outcome, call.completion.Reason, call.completion.Err = result.Outcome, result.Reason, result.Err
 	call.completion.Target, call.completion.Attempts, call.completion.AttemptSummaries = result.Target, result.Attempts, result.AttemptSummaries
@@ -267,6 +287,8 @@
 		call.fail(reasonUnprovenRefusal)
 	case result.Outcome == oleandervane.Answered:
 		call.sendResponse(result.Response)
+	case result.Outcome == oleandervane.NotRun && asRefusal(result.Err) != nil:
+		call.refuseAs(asRefusal(result.Err))
 	case result.Outcome == oleandervane.NotRun:
 		call.refuse(http.StatusServiceUnavailable, result.Reason, retryAfter(result.Reason, chooser.Decision()))
 	default:
@@ -308,7 +330,7 @@
 	}
 }
 
-func (call *call) forwardRequest(matched oleandervane.Route, serviceName oleandervane.ServiceName, body []byte) forward.Request {
+func (call *call) forwardRequest(index *route.Index, matched oleandervane.Route, serviceName oleandervane.ServiceName, body []byte) forward.Request {
 	return forward.Request{
 		ID:      call.completion.Metadata.RequestID,
 		Caller:  call.caller(),
@@ -328,6 +350,10 @@
 		MaxAttempts:   matched.MaxAttempts,
 		Abandoned:     func() bool { return call.request.Context().Err() != nil },
 		RetryFailures: true,
+
+		BeforeWrite:          func() error { return call.checkKey(index) },
+		ReplacesOrganisation: index.RequiresKeys(),
+		Organisation:         call.organisationName(),
 	}
 }
 
--- a/entry/route/route.go
+++ b/entry/route/route.go
@@ -2,6 +2,7 @@
 package route
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -16,20 +17,51 @@
 	table *oleandervane.RouteTable
 	// hosts has the routes of each host, longest prefix first.
 	hosts map[string][]oleandervane.Route
-	// topRanks has the rank of the most urgent routes of each service; a lower rank is more urgent.
-	topRanks map[oleandervane.ServiceName]int
+	// topRanks has the most urgent rank of the requests of each service.
+	topRanks map[oleandervane.ServiceName]Rank
+	// organisations has the organisation of each key.
+	organisations map[oleandervane.KeyDigest]*oleandervane.Organisation
+}
+
+// Rank orders requests: by the rank of the organisation, then by that of the route. Without a rank of the organisation, that of the
+// route takes its place. A lower rank is more urgent.
+type Rank struct {
+	Organisation int
+	Route        int
+}
+
+// RankOf returns the rank of a request. The organisation may be nil.
+func RankOf(route oleandervane.Route, organisation *oleandervane.Organisation) Rank {
+	if organisation != nil && organisation.Ranked {
+		return Rank{Organisation: organisation.Rank, Route: route.Rank}
+	}
+	return Rank{Organisation: route.Rank, Route: route.Rank}
+}
+
+// Compare returns a negative number if rank is more urgent than other, and zero if they are equal.
+func (rank Rank) Compare(other Rank) int {
+	return cmp.Or(cmp.Compare(rank.Organisation, other.Organisation), cmp.Compare(rank.Route, other.Route))
 }
 
 // NewIndex returns an index of the table.
 func NewIndex(table *oleandervane.RouteTable) *Index {
-	index := &Index{table: table, hosts: map[string][]oleandervane.Route{}, topRanks: map[oleandervane.ServiceName]int{}}
+	index := &Index{
+		table: table, hosts: map[string][]oleandervane.Route{}, topRanks: map[oleandervane.ServiceName]Rank{},
+		organisations: map[oleandervane.KeyDigest]*oleandervane.Organisation{},
+	}
+	for i := range table.Organisations {
+		for _, key := range table.Organisations[i].Keys {
+			index.organisations[key] = &table.Organisations[i]
+		}
+	}
+	top := topOrganisation(table.Organisations)
 	for _, route := range table.Routes {
 		host := strings.ToLower(route.Host)
 		index.hosts[host] = append(index.hosts[host], route)
 		for _, part := range route.Split {
 			rank, found := index.topRanks[part.Service]
-			if !found || route.Rank < rank {
-				index.topRanks[part.Service] = route.Rank
+			if highest := highestRank(route, table.Organisations, top); !found || highest.Compare(rank) < 0 {
+				index.topRanks[part.Service] = highest
 			}
 		}
 	}
@@ -39,6 +71,42 @@
 	return index
 }
 
+// topOrganisation returns the most urgent one of the organisations that have a rank, or nil.
+func topOrganisation(organisations []oleandervane.Organisation) *oleandervane.Organisation {
+	var top *oleandervane.Organisation
+	for i := range organisations {
+		if organisations[i].Ranked && (top == nil || organisations[i].Rank < top.Rank) {
+			top = &organisations[i]
+		}
+	}
+	return top
+}
+
+// highestRank returns the most urgent rank that a request of the route can have. top is the result of topOrganisation.
+func highestRank(route oleandervane.Route, organisations []oleandervane.Organisation, top *oleandervane.Organisation) Rank {
+	own := RankOf(route, nil)
+	if top == nil {
+		return own
+	}
+	highest := RankOf(route, top)
+	unranked := slices.ContainsFunc(organisations, func(organisation oleandervane.Organisation) bool { return !organisation.Ranked })
+	if (route.Public || unranked) && own.Compare(highest) < 0 {
+		return own
+	}
+	return highest
+}
+
+// RequiresKeys reports whether requests of routes that are not public need a key.
+func (index *Index) RequiresKeys() bool {
+	return index.table.RequiresKeys
+}
+
+// Organisation returns the organisation of a key, or nil. The time that it takes depends on the digest only, of which callers cannot
+// choose a part.
+func (index *Index) Organisation(key oleandervane.KeyDigest) *oleandervane.Organisation {
+	return index.organisations[key]
+}
+
 // Revision returns the revision of the table.
 func (index *Index) Revision() oleandervane.Revision {
 	return index.table.Revision
@@ -62,9 +130,10 @@
 	return oleandervane.Route{}, false
 }
 
-// Urgent reports whether no route of the service has a more urgent rank than the given one.
-func (index *Index) Urgent(route oleandervane.Route, serviceName oleandervane.ServiceName) bool {
-	return route.Rank <= index.topRanks[serviceName]
+// Urgent reports whether no request of the service can have a more urgent rank than one of the route and the organisation, which may be
+// nil.
+func (index *Index) Urgent(route oleandervane.Route, organisation *oleandervane.Organisation, serviceName oleandervane.ServiceName) bool {
+	return RankOf(route, organisation).Compare(index.topRanks[serviceName]) <= 0
 }
 
 // goldenRatio is the step of a sequence in [0, 1). The first n members of the sequence divide [0, 1) nearly evenly, for
--- a/entry/route/route_test.go
+++ b/entry/route/route_test.go
@@ -54,3 +54,33 @@
 func TestSplitWithOneService(t *testing.T) {
 	assert.Equal(t, route.NewSplitter().Choose(oleandervane.Route{Split: toService("a")}), oleandervane.ServiceName("a"))
 }
+
+// Guards against a rank of a route that counts before that of an organisation, and against ranks of organisations that no request of
+// the service can have.
+func TestUrgent(t *testing.T) {
+	first := oleandervane.Route{Name: "first", Host: "a", Prefix: "/1/", Rank: 1, Split: toService("s")}
+	second := oleandervane.Route{Name: "second", Host: "a", Prefix: "/2/", Rank: 2, Split: toService("s")}
+	ranked := func(rank int) *oleandervane.Organisation { return &oleandervane.Organisation{Rank: rank, Ranked: true} }
+	unranked := &oleandervane.Organisation{}
+	routes := []oleandervane.Route{first, second}
+	for _, testCase := range []struct {
+		name          string
+		organisations []oleandervane.Organisation
+		route         oleandervane.Route
+		organisation  *oleandervane.Organisation
+		want          bool
+	}{
+		{"none, first route", nil, first, nil, true},
+		{"none, second route", nil, second, nil, false},
+		{"top", []oleandervane.Organisation{*ranked(0), *ranked(3)}, first, ranked(0), true},
+		{"top on the second route", []oleandervane.Organisation{*ranked(0), *ranked(3)}, second, ranked(0), false},
+		{"low on the first route", []oleandervane.Organisation{*ranked(0), *ranked(3)}, first, ranked(3), false},
+		{"only low ones", []oleandervane.Organisation{*ranked(3)}, first, ranked(3), true},
+		{"without a rank before low ones", []oleandervane.Organisation{*ranked(3), *unranked}, first, unranked, true},
+		{"low behind one without a rank", []oleandervane.Organisation{*ranked(3), *unranked}, first, ranked(3), false},
+		{"without ranks", []oleandervane.Organisation{*unranked}, second, unranked, false},
+	} {
+		index := route.NewIndex(&oleandervane.RouteTable{Routes: routes, Organisations: testCase.organisations})
+		assert.Equal(t, index.Urgent(testCase.route, testCase.organisation, "s"), testCase.want, testCase.name)
+	}
+}
--- a/entryvm/hosted/hosted.go
+++ b/entryvm/hosted/hosted.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"log"
 	"net/http"
@@ -150,6 +151,7 @@
 		BodyBudget:    entryVM.bodyBudget,
 		TimerService:  timerService,
 		Observer:      entryVM.observer,
+		KeysOutdated:  entryVM.keysOutdated,
 	})
 	entryVM.pipeline = pipeline.NewDispatcher(entryVM.ingress, settings.PipelinedRequests)
 	entryVM.joinFleet(settings)
@@ -177,6 +179,8 @@
 	set.NewGauge("oleandervane_log_lines_dropped", func() float64 { return float64(entryVM.logWriter.Dropped()) })
 	set.NewGauge("oleandervane_store_calls", func() float64 { return float64(entryVM.store.Calls().Total()) })
 	set.NewGauge("oleandervane_notices_dropped", func() float64 { return float64(entryVM.noticeSocket.Dropped()) })
+	set.NewGauge("oleandervane_invalid_entries_total", func() float64 { return float64(entryVM.replica.invalidEntries.Load()) })
+	set.NewGauge("oleandervane_configuration_faults", func() float64 { return float64(entryVM.status().FaultCount) })
 	set.NewGauge("oleandervane_beliefs_age_seconds", func() float64 { return entryVM.replica.age().Seconds() })
 }
 
@@ -319,5 +323,11 @@
 		writer.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		entryVM.observer.Write(writer)
 	})
+	mux.HandleFunc("GET /status", func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(writer).Encode(entryVM.status()); err != nil {
+			entryVM.log.WithError(err).Debug("status could not be sent")
+		}
+	})
 	return mux
 }
--- a/entryvm/hosted/replica.go
+++ b/entryvm/hosted/replica.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"errors"
 	"maps"
 	"sync"
 	"sync/atomic"
@@ -22,11 +23,15 @@
 	roster       *roster.Roster
 	timerService oleandervane.TimerService
 	log          *logrus.Entry
+	// invalidEntries counts entries that could not be read.
+	invalidEntries atomic.Uint64
 	// publish is called with each new registry before it replaces the former one.
 	publish  func(oleandervane.Registry)
 	registry atomic.Pointer[oleandervane.Registry]
 	// readAt is when entries or changes were last read from the store.
 	readAt atomic.Pointer[time.Time]
+	// revision is the revision of the store up to which changes are applied.
+	revision atomic.Uint64
 
 	mutex sync.Mutex
 	// versions are the versions of the entries in force, by key.
@@ -101,6 +106,7 @@
 	first := replica.readAt.Load() == nil
 	replica.readAt.Store(&now)
 	replica.applyChanges(replica.deferRemovals(storeChanges.Changes, now))
+	replica.revision.Store(storeChanges.Revision)
 	if first {
 		replica.timerService.After(roster.SettleTime, func(time.Time) { replica.publishSettled() })
 	}
@@ -134,7 +140,7 @@
 	former := replica.registry.Load()
 	registry, err := replica.reader.Apply(*former, changes)
 	if err != nil {
-		replica.log.WithError(err).Warn("entries in the store cannot be read and are ignored")
+		replica.reportInvalid(err)
 	}
 	if err := replica.roster.Apply(changes); err != nil {
 		replica.log.WithError(err).Warn("entries of entry VMs cannot be read and are ignored")
@@ -144,6 +150,20 @@
 	replica.logDifference(*former, registry)
 }
 
+// maxLoggedFaults bounds the invalid entries that one log line describes.
+const maxLoggedFaults = 10
+
+// reportInvalid counts entries that cannot be read, and logs them in one line.
+func (replica *replica) reportInvalid(err error) {
+	faults := []error{err}
+	if joined, isJoined := err.(interface{ Unwrap() []error }); isJoined {
+		faults = joined.Unwrap()
+	}
+	replica.invalidEntries.Add(uint64(len(faults)))
+	replica.log.WithError(errors.Join(faults[:min(len(faults), maxLoggedFaults)]...)).WithField("invalid", len(faults)).
+		Warn("entries in the store cannot be read and are ignored")
+}
+
 // publishSettled publishes the registry in force again once the roster has settled: what depends on the other VMs is decided only
 // then, and there may be no further change. A timer may fire a moment before the roster settles.
 func (replica *replica) publishSettled() {
--- a/entryvm/hosted/settings.go
+++ b/entryvm/hosted/settings.go
@@ -53,6 +53,15 @@
 	LookupLifetime settingsfile.Duration                              `toml:"lookup_lifetime"`
 	FailureDomains map[oleandervane.FailureDomain]oleandervane.Region `toml:"failure_domains"`
 	Retries        Retries                                            `toml:"retries"`
+	Organisations  Organisations                                      `toml:"organisations"`
+}
+
+// Organisations are the settings for organisations, which identify themselves by keys.
+type Organisations struct {
+	// StrictRevocation refuses requests that need a key while the VM has had no news of the store for RevocationLimit: a key may have
+	// been removed meanwhile. Otherwise the VM serves with the keys that it knows.
+	StrictRevocation bool                  `toml:"strict_revocation"`
+	RevocationLimit  settingsfile.Duration `toml:"revocation_limit"`
 }
 
 // Retries bound the attempts beyond the first of each request, for all VMs together.
@@ -79,7 +88,9 @@
 		DrainLimit:           settingsfile.Duration(2 * time.Second),
 		ApplyLimit:           settingsfile.Duration(2 * time.Second),
 		LookupLifetime:       settingsfile.Duration(2 * time.Second),
-		Retries:              Retries{Ratio: 0.1, Window: settingsfile.Duration(10 * time.Second)},
+		// A VM in contact hears of the store each second; a limit of some seconds allows for lost calls.
+		Organisations: Organisations{RevocationLimit: settingsfile.Duration(5 * time.Second)},
+		Retries:       Retries{Ratio: 0.1, Window: settingsfile.Duration(10 * time.Second)},
 	}
 }
 
@@ -116,6 +127,7 @@
 	faults.Check(settings.LookupLifetime > 0, "lookup_lifetime", "must be above 0s")
 	faults.Check(settings.FailureDomains[settings.FailureDomain] == settings.Region, "failure_domains", "must have failure_domain in region")
 	faults.Check(settings.Retries.Ratio >= 0 && settings.Retries.Base >= 0, "retries", "ratio and base must not be negative")
+	faults.Check(settings.Organisations.RevocationLimit > 0, "organisations.revocation_limit", "must be above 0s")
 	faults.Check(settings.Retries.Window > 0, "retries.window", "must be above 0s")
 }
 
--- a/fleet/relay/contact.go
+++ b/fleet/relay/contact.go
@@ -47,6 +47,15 @@
 	return !observedStore.respondedAt.IsZero() && age < contactTimeout && wallAge < contactTimeout
 }
 
+// RespondedWithin reports whether the store responded within the given time. It checks the wall clock as well, as InContact does.
+func (observedStore *ObservedStore) RespondedWithin(limit time.Duration) bool {
+	now := observedStore.timerService.Now()
+	observedStore.mutex.Lock()
+	defer observedStore.mutex.Unlock()
+	age, wallAge := now.Sub(observedStore.respondedAt), now.Round(0).Sub(observedStore.respondedAt.Round(0))
+	return !observedStore.respondedAt.IsZero() && age < limit && wallAge < limit
+}
+
 func (observedStore *ObservedStore) recordResponse(err error) {
 	if err != nil {
 		return
--- a/standin/emulation/vm.go
+++ b/standin/emulation/vm.go
@@ -88,7 +88,7 @@
 	matched, _ := index.Match(emulatedHost, "/"+string(request.kind.Name)+"/")
 	chooser := vm.placer.Chooser(placement.Request{
 		Service: request.kind.Service, Route: matched, Object: request.object, Home: vm.Region,
-		Urgent: index.Urgent(matched, request.kind.Service),
+		Urgent: index.Urgent(matched, nil, request.kind.Service),
 	})
 	routedRequest := &routedRequest{
 		vm: vm, request: request, route: matched, chooser: chooser, decision: chooser.Decision,
