Share the capacity of a service among organisations

Cause: where a service has too little capacity, an organisation that sends many times its usual load took that of the others, because all were refused at the same load. Change: package fairshare, a decision without I/O, counts what each organisation offers and is served at a service, and divides what is served by rank, then in equal shares, with unused shares passed on, and a part for each that nobody is denied. While a service is scarce, placement refuses organisations that have had their share at a lower load, and says organisation_over_its_share.

--- a/entry/ingress/ingress.go
+++ b/entry/ingress/ingress.go
@@ -18,6 +18,7 @@
 
 	"oleandervane.example"
 	"oleandervane.example/entry/bodymemory"
+	"oleandervane.example/entry/fairshare"
 	"oleandervane.example/entry/forward"
 	"oleandervane.example/entry/pipeline"
 	"oleandervane.example/entry/placement"
@@ -272,7 +273,10 @@
 		Home:    dependencies.Self.Region,
 		Urgent:  index.Urgent(matched, call.completion.Organisation, serviceName),
 
-		Organisation: call.completion.Organisation,
+		Organisation:   call.completion.Organisation,
+		SharesCapacity: index.RequiresKeys(),
+		Claimant:       fairshare.Claimant{Organisation: call.organisationName(), Rank: route.RankOf(matched, call.completion.Organisation).Organisation},
+		UrgentRoute:    index.UrgentRoute(matched, serviceName),
 	})
 	ctx, cancel := call.context(matched)
 	defer cancel()
--- a/entry/placement/decide.go
+++ b/entry/placement/decide.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"oleandervane.example"
+	"oleandervane.example/entry/fairshare"
 )
 
 // Candidate is the state of one backend server at one moment, as the VM sees it. It is immutable.
@@ -51,6 +52,10 @@
 type RequestProfile struct {
 	// Urgent says that no kind of request of the service has priority over this one.
 	Urgent bool
+	// Claim is the claim of the organisation; the zero value if the installation has none. UrgentRoute says that no route of the service
+	// has priority over that of the request.
+	Claim       fairshare.Claim
+	UrgentRoute bool
 	// Idempotent requests may be sent to a server that is on probation.
 	Idempotent bool
 	// ResponseTime is the average time from the choice of the server to the response; zero when it is not known.
@@ -81,6 +86,8 @@
 	// PeerCountsKnown says that the load is based on the in-flight counts of VMs, and not on the load that servers
 	// reported.
 	PeerCountsKnown bool
+	// Claim is the claim of the organisation, for logs.
+	Claim fairshare.Claim
 }
 
 // The reasons of decisions.
@@ -91,6 +98,7 @@
 	ReasonNoEligibleServer = "no_sound_server"
 	ReasonNoServer         = "no_server"
 	ReasonBusy             = "all_servers_are_busy"
+	ReasonOverShare        = "organisation_over_its_share"
 	ReasonLimited          = "servers_limit_their_requests"
 	ReasonRefusing         = "servers_refuse_requests"
 	ReasonLeaving          = "all_servers_leave"
@@ -116,18 +124,42 @@
 		// Servers that may not be chosen do not count, so that the failure of many servers does not move requests between regions.
 		preferRegion(profile.Region, candidates, eligible[:min(policy.LocalChoices, len(eligible))])
 	}
-	bound := policy.OrdinaryBound
-	if profile.Urgent {
-		bound = policy.UrgentBound
-	}
+	bound := policy.bound(profile)
 	chosen, reason := policy.fastestChoice(profile.RunTimes, candidates, eligible[:min(policy.WarmChoices, len(eligible))])
-	decision := Decision{Chosen: chosen, Reason: reason, Pressure: candidates[chosen].pressure(), EligibleServers: len(eligible)}
+	decision := Decision{Chosen: chosen, Reason: reason, Pressure: candidates[chosen].pressure(), EligibleServers: len(eligible), Claim: profile.Claim}
 	if decision.Pressure >= bound {
 		decision.Chosen, decision.Reason, decision.RetryAfter = -1, ReasonBusy, retryDelay(profile, candidates, eligible)
+		if profile.Claim.Scarce && !profile.Claim.Entitled {
+			decision.Reason = ReasonOverShare
+		}
 	}
 	return decision
 }
 
+// bound returns the pressure from which the request is refused. If organisations compete for a service, one that has had its share gives
+// way to the others, and one that sends more than its share to those that do not; within an organisation, less urgent routes give way.
+func (policy Policy) bound(profile RequestProfile) float64 {
+	switch {
+	case profile.Claim.Scarce && !profile.UrgentRoute:
+		return policy.claimBound(profile.Claim) - policy.ClaimStep
+	case profile.Claim.Scarce:
+		return policy.claimBound(profile.Claim)
+	case profile.Urgent:
+		return policy.UrgentBound
+	}
+	return policy.OrdinaryBound
+}
+
+func (policy Policy) claimBound(claim fairshare.Claim) float64 {
+	switch {
+	case claim.First:
+		return policy.UrgentBound
+	case claim.Entitled:
+		return policy.UrgentBound - policy.ClaimStep
+	}
+	return policy.OrdinaryBound
+}
+
 // mayAvoid reports whether servers that fail often may be skipped. When many servers fail, the remaining ones would be
 // overloaded by the requests of all, and it is better to try requests on the servers that have affinity for their
 // objects.
--- a/entry/placement/decide_test.go
+++ b/entry/placement/decide_test.go
@@ -8,6 +8,8 @@
 	"gotest.tools/v3/assert"
 
 	"oleandervane.example"
+	"oleandervane.example/entry/fairshare"
+	"oleandervane.example/timer"
 )
 
 // Guards against decisions that ignore affinity, queue requests at a busy server, give the last capacity to less urgent
@@ -124,3 +126,53 @@
 		assert.Equal(t, assigned, coldVMs)
 	}
 }
+
+// Guards against an organisation beyond its share that is served before others, against an urgent route of one that goes before a less
+// urgent route of one with a claim, and against bounds that change where nobody competes.
+func TestClaims(t *testing.T) {
+	first, other := fairshare.Claim{Scarce: true, Entitled: true, First: true}, fairshare.Claim{Scarce: true}
+	entitled := fairshare.Claim{Scarce: true, Entitled: true}
+	for _, testCase := range []struct {
+		name     string
+		profile  RequestProfile
+		pressure float64
+		want     string
+	}{
+		{"within its share", RequestProfile{Claim: first, UrgentRoute: true}, 3.4, ReasonFirstChoice},
+		{"within its share, too much load", RequestProfile{Claim: first, UrgentRoute: true}, 3.6, ReasonBusy},
+		{"within its share, less urgent route", RequestProfile{Claim: first}, 2.9, ReasonFirstChoice},
+		{"within its share, less urgent route, more load", RequestProfile{Claim: first}, 3.1, ReasonBusy},
+		{"sends more", RequestProfile{Claim: entitled, UrgentRoute: true}, 2.9, ReasonFirstChoice},
+		{"sends more, too much load", RequestProfile{Claim: entitled, UrgentRoute: true}, 3.1, ReasonBusy},
+		{"sends more, less urgent route", RequestProfile{Claim: entitled}, 2.4, ReasonFirstChoice},
+		{"over its share, urgent", RequestProfile{Claim: other, UrgentRoute: true, Urgent: true}, 2.6, ReasonOverShare},
+		{"over its share, less load", RequestProfile{Claim: other, UrgentRoute: true}, 2.4, ReasonFirstChoice},
+		{"over its share, less urgent route", RequestProfile{Claim: other}, 2.1, ReasonOverShare},
+		{"enough for all, urgent", RequestProfile{Urgent: true}, 3.4, ReasonFirstChoice},
+		{"enough for all", RequestProfile{UrgentRoute: true}, 2.6, ReasonBusy},
+	} {
+		decision := DefaultPolicy().Decide(testCase.profile, []Candidate{{ID: "s", Slots: 100, Load: 100 * testCase.pressure}})
+		assert.Equal(t, decision.Reason, testCase.want, testCase.name)
+		assert.Equal(t, decision.Chosen >= 0, testCase.want == ReasonFirstChoice, testCase.name)
+	}
+}
+
+// Guards against a request that counts several times in the shares of its organisation, because it needs several attempts.
+func TestRequestCountsOnceInTheShares(t *testing.T) {
+	manual := timer.NewManual(time.Unix(1000, 0))
+	placer := fleet(manual, 1)[0]
+	placer.Update(registryOf(registered("a", "d"), registered("b", "d")))
+	request := requestFor("1")
+	request.SharesCapacity, request.Claimant = true, fairshare.Claimant{Organisation: "o"}
+	chooser := placer.Chooser(request)
+	var excluded []string
+	for range 2 {
+		reservation, err := chooser.Choose(excluded)
+		assert.NilError(t, err)
+		excluded = append(excluded, reservation.Target().ID)
+		reservation.Release(oleandervane.AttemptShed)
+	}
+	claim := placer.ledger.Offer("ledger", request.Claimant, manual.Now())
+	assert.Equal(t, claim.UsePerSecond, placer.ledger.Offer("ledger", request.Claimant, manual.Now()).UsePerSecond)
+	assert.Assert(t, claim.UsePerSecond > 0 && claim.UsePerSecond < 0.3, "%v", claim)
+}
--- a/entry/placement/placer.go
+++ b/entry/placement/placer.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"oleandervane.example"
+	"oleandervane.example/entry/fairshare"
 	"oleandervane.example/entry/forward"
 )
 
@@ -83,6 +84,7 @@
 	runTimes   runTimeTracker
 	returns    returnSchedule
 	allLeaving leavingTimes
+	ledger     *fairshare.Ledger
 	// answeredAt is when a server last answered a request, in Unix nanoseconds.
 	answeredAt atomic.Int64
 
@@ -109,6 +111,7 @@
 	placer := &Placer{
 		settings:      settings,
 		responseTimes: map[string]time.Duration{},
+		ledger:        fairshare.NewLedger(),
 		peers:         peerCounts{sources: map[string]sourceCounts{}},
 		allLeaving:    leavingTimes{since: map[string]time.Time{}},
 		returns:       returnSchedule{last: map[oleandervane.ServiceName]time.Time{}},
@@ -190,6 +193,11 @@
 	Urgent bool
 	// Organisation is the organisation of the caller; nil if it has none. Its regions apply besides those of the route.
 	Organisation *oleandervane.Organisation
+	// SharesCapacity is set in installations with organisations. Claimant then shares the capacity of the service with others if there
+	// is too little. UrgentRoute says that no route of the service has priority over that of the request.
+	SharesCapacity bool
+	Claimant       fairshare.Claimant
+	UrgentRoute    bool
 }
 
 // allows reports whether a region may run the request.
@@ -215,6 +223,9 @@
 	placer   *Placer
 	request  Request
 	decision Decision
+	// claim is that of the first attempt. offered and served say that the request was counted.
+	claim           fairshare.Claim
+	offered, served bool
 }
 
 // Decision returns the last decision.
@@ -228,8 +239,11 @@
 	now := placer.settings.TimerService.Now()
 	servers, candidates, leaving := placer.candidates(request, excluded, now)
 	preferred := placer.rank(request, candidates)
+	chooser.offer(now)
 	chooser.decision = placer.settings.Policy.Decide(RequestProfile{
 		Urgent:       request.Urgent,
+		Claim:        chooser.claim,
+		UrgentRoute:  request.UrgentRoute,
 		Idempotent:   request.Route.Idempotent(),
 		ResponseTime: placer.averageResponseTime(request.Route.Name),
 		RunTimes:     placer.runTimes.get(request.Route.Name, request.Service),
@@ -248,6 +262,7 @@
 		return chooser.Choose(append(slices.Clone(excluded), string(server.ID)))
 	}
 	chooser.decision.Cold = candidate.Cold
+	chooser.serve()
 	server.inFlight.Add(1)
 	server.sent.Add(1)
 	return &reservation{
@@ -256,6 +271,23 @@
 	}, nil
 }
 
+// offer counts the request of the claimant once, and takes its claim.
+func (chooser *Chooser) offer(now time.Time) {
+	if !chooser.request.SharesCapacity || chooser.offered {
+		return
+	}
+	chooser.offered = true
+	chooser.claim = chooser.placer.ledger.Offer(chooser.request.Service, chooser.request.Claimant, now)
+}
+
+// serve counts once that the request is sent.
+func (chooser *Chooser) serve() {
+	if chooser.offered && !chooser.served {
+		chooser.served = true
+		chooser.placer.ledger.Serve(chooser.request.Service, chooser.request.Claimant)
+	}
+}
+
 // rank sorts the candidates for a request, best first, and returns the region whose servers the decision prefers, if any.
 func (placer *Placer) rank(request Request, candidates []Candidate) (preferred oleandervane.Region) {
 	if request.Route.Kind == oleandervane.RouteDownload {
--- a/entry/placement/policy.go
+++ b/entry/placement/policy.go
@@ -10,6 +10,9 @@
 	// choices accept no more requests.
 	UrgentBound   float64
 	OrdinaryBound float64
+	// ClaimStep is by how much the bounds are lower for organisations that send more than their share, and for less urgent routes, while
+	// organisations compete for a service.
+	ClaimStep float64
 	// ColdCost is how many times longer a request takes on a server without affinity for its object.
 	ColdCost float64
 	// Margin is by how much sooner another server must respond to be chosen instead of the first choice, as a multiple
@@ -38,6 +41,9 @@
 	// Less urgent requests are refused at a lower load, so that the remaining capacity goes to the urgent ones.
 	urgentBound   = 3.5
 	ordinaryBound = 2.5
+	// claimStep is half of the distance of the bounds: an organisation that sends more than its share is between one that does not and
+	// one that has had its share. Otherwise the first would compete with the second for the last room.
+	claimStep = 0.5
 	// avoidedShare is limited: if more servers were skipped, the requests of all would overload the remaining ones.
 	avoidedShare = 0.34
 )
@@ -49,6 +55,7 @@
 		LocalChoices:  localChoices,
 		UrgentBound:   urgentBound,
 		OrdinaryBound: ordinaryBound,
+		ClaimStep:     claimStep,
 		ColdCost:      coldCost,
 		Margin:        margin,
 		AvoidedShare:  avoidedShare,
--- a/entry/route/route.go
+++ b/entry/route/route.go
@@ -19,6 +19,8 @@
 	hosts map[string][]oleandervane.Route
 	// topRanks has the most urgent rank of the requests of each service.
 	topRanks map[oleandervane.ServiceName]Rank
+	// topRoutes has the most urgent rank of the routes of each service.
+	topRoutes map[oleandervane.ServiceName]int
 	// organisations has the organisation of each key.
 	organisations map[oleandervane.KeyDigest]*oleandervane.Organisation
 }
@@ -47,7 +49,7 @@
 func NewIndex(table *oleandervane.RouteTable) *Index {
 	index := &Index{
 		table: table, hosts: map[string][]oleandervane.Route{}, topRanks: map[oleandervane.ServiceName]Rank{},
-		organisations: map[oleandervane.KeyDigest]*oleandervane.Organisation{},
+		topRoutes: map[oleandervane.ServiceName]int{}, organisations: map[oleandervane.KeyDigest]*oleandervane.Organisation{},
 	}
 	for i := range table.Organisations {
 		for _, key := range table.Organisations[i].Keys {
@@ -63,6 +65,9 @@
 			if highest := highestRank(route, table.Organisations, top); !found || highest.Compare(rank) < 0 {
 				index.topRanks[part.Service] = highest
 			}
+			if topRoute, found := index.topRoutes[part.Service]; !found || route.Rank < topRoute {
+				index.topRoutes[part.Service] = route.Rank
+			}
 		}
 	}
 	for _, routes := range index.hosts {
@@ -136,6 +141,11 @@
 	return RankOf(route, organisation).Compare(index.topRanks[serviceName]) <= 0
 }
 
+// UrgentRoute reports whether no route of the service has a more urgent rank than the given one.
+func (index *Index) UrgentRoute(route oleandervane.Route, serviceName oleandervane.ServiceName) bool {
+	return route.Rank <= index.topRoutes[serviceName]
+}
+
 // goldenRatio is the step of a sequence in [0, 1). The first n members of the sequence divide [0, 1) nearly evenly, for
 // every n.
 const goldenRatio = 0.6180339887498949
