--- a/entryvm/hosted/hosted.go
+++ b/entryvm/hosted/hosted.go
@@ -108,7 +108,7 @@
 	entryVM.log = newLogger(settings, entryVM.logWriter).WithFields(logrus.Fields{
 		"vm": self.ID, "incarnation": self.Incarnation, "failure_domain": self.FailureDomain,
 	})
-	entryVM.observer = &observer{log: entryVM.log, set: metrics.NewSet()}
+	entryVM.observer = &observer{log: entryVM.log, set: metrics.NewSet(), organisations: newOrganisationCounters()}
 	entryVM.guard = guard{observer: entryVM.observer}
 	timerService = guardedTimers{TimerService: timerService, guard: entryVM.guard}
 	entryVM.timerService = timerService
--- a/entryvm/hosted/observer.go
+++ b/entryvm/hosted/observer.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,8 @@
 type observer struct {
 	log *logrus.Entry
 	set *metrics.Set
+	// organisations counts requests by organisation.
+	organisations *organisationCounters
 	// replica provides the age of the VM's replica of the store.
 	replica *replica
 	// storeFailed is called when the VM's entry in the store could not be written or renewed. It may be nil.
@@ -63,6 +66,7 @@
 		"took_ms":    completion.Duration.Milliseconds(),
 		"store_age":  observer.replica.age().Round(time.Millisecond).String(),
 	}
+	observer.addOrganisation(fields, completion)
 	if completion.Metadata.Object != "" {
 		fields["object"] = completion.Metadata.Object
 	}
@@ -87,6 +91,35 @@
 	observer.log.WithFields(fields).Info("request ended")
 }
 
+// addOrganisation counts a request by its organisation and adds to the log line whose it is, and for a refusal the limit and the share
+// with their use.
+func (observer *observer) addOrganisation(fields logrus.Fields, completion ingress.Completion) {
+	organisation := completion.Organisation
+	if organisation == nil {
+		return
+	}
+	result := string(completion.Outcome)
+	if completion.Status == http.StatusTooManyRequests {
+		result = "over_limit"
+	}
+	observer.organisations.record(organisation.Name, result, observer.replica.timerService.Now())
+	fields["organisation"] = organisation.Name
+	if completion.Outcome != oleandervane.NotRun {
+		return
+	}
+	if organisation.RateLimit.Limited() {
+		fields["limit_per_s"], fields["limit_burst"] = organisation.RateLimit.PerSecond, organisation.RateLimit.Burst
+		fields["limit_use_per_s"] = completion.UsePerSecond
+	}
+	if claim := completion.Decision.Claim; claim.Scarce {
+		fields["share_use_per_s"] = claim.UsePerSecond
+		fields["entitled"] = claim.Entitled
+		if !math.IsInf(claim.SharePerSecond, 0) {
+			fields["share_per_s"] = claim.SharePerSecond
+		}
+	}
+}
+
 // formatAttempts formats attempts as "i-1 after 0s: unknown connection_broken; i-2 after 12ms: answered".
 func formatAttempts(attempts []forward.AttemptSummary) string {
 	parts := make([]string, 0, len(attempts))
@@ -212,5 +245,6 @@
 // Write writes all metrics in the Prometheus text format.
 func (observer *observer) Write(writer io.Writer) {
 	observer.set.WritePrometheus(writer)
+	observer.organisations.write(writer)
 	metrics.WriteProcessMetrics(writer)
 }
