Read the state of a server before a request is sent while machines are slow

Cause: servers that share machines state a fourth load figure, which made the whole header unreadable. One machine in seven is 2.5 times as slow at any moment, and its requests miss their target latency although a second server could run them. Each request that is not idempotent opens a connection. Change: the dialect reads the figure. Where a service states a notable slowness, the state of the chosen server is read on the connection of the request, and another server is chosen if it is better; a second server learns objects while the first one is slow. Services without such figures are served as before. TestRequestsAvoidServersOnSlowMachines fails without the reads.

--- a/dialect.go
+++ b/dialect.go
@@ -40,6 +40,8 @@
 	RateLimit float64
 	// Leaving is set if the backend server states that it leaves.
 	Leaving bool
+	// ServedBy is the id with which a backend server answers a request for its state; empty if the response does not state it.
+	ServedBy BackendServerID
 	// RetryAfter is how long a backend server that refused a request wants none from this VM; zero if the response does not state it.
 	RetryAfter time.Duration
 	// Invalid names the headers that are ignored because their values make no sense.
--- a/entry/forward/attempt.go
+++ b/entry/forward/attempt.go
@@ -124,19 +124,15 @@
 	if err := attempt.beforeWrite(); err != nil {
 		return attempt.fail(oleandervane.NotRun, err)
 	}
-	stopConnectTimeout := attempt.cancelAfter(attempt.connectTimeout(), errConnectTimeout)
-	connection, reused, err := attempt.pool().acquire(attempt.ctx, attempt.target.Address, attempt.needsNewConnection())
-	stopConnectTimeout()
-	if err != nil {
+	if err := attempt.connect(); err != nil {
 		return attempt.fail(oleandervane.NotRun, err)
 	}
-	attempt.connection, attempt.reused = connection, reused
-	connection.gate.arm(attempt.beforeFirstByte)
+	attempt.connection.gate.arm(attempt.beforeFirstByte)
 	stopSilenceTimeout := func() {}
-	if reused && !attempt.forwarder.settings.TrustReusedConnections {
+	if attempt.reused && !attempt.forwarder.settings.TrustReusedConnections {
 		stopSilenceTimeout = attempt.cancelAfter(attempt.silenceTimeout(), ErrSilent)
 	}
-	response, err := connection.roundTrip(attempt.httpRequest())
+	response, err := attempt.connection.roundTrip(attempt.httpRequest())
 	stopSilenceTimeout()
 	if err != nil {
 		return attempt.failConnection(err)
@@ -233,6 +229,8 @@
 		return ReasonMismatch, oleandervane.AttemptBroken
 	case errors.As(err, &refusal):
 		return ReasonRefused, oleandervane.AttemptCancelled
+	case errors.Is(err, errReconsidered):
+		return ReasonReconsidered, oleandervane.AttemptCancelled
 	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded), errors.Is(err, errClosedEarly):
 		return ReasonCancelled, oleandervane.AttemptCancelled
 	case errors.Is(err, errConnectTimeout), outcome == oleandervane.NotRun:
--- a/entry/forward/forwarder.go
+++ b/entry/forward/forwarder.go
@@ -208,7 +208,9 @@
 	// mayHaveRun is set once an attempt ended with an unknown outcome; from then on the outcome of the request is never
 	// NotRun, whatever the outcomes of later attempts.
 	mayHaveRun bool
-	result     Result
+	// reconsidered says that the last attempt ended because another target is better.
+	reconsidered bool
+	result       Result
 	// failure is the error response of a backend server, for the case that the retry gets no response.
 	failure *Result
 }
@@ -230,6 +232,9 @@
 	attempt := retryLoop.forwarder.newAttempt(retryLoop.ctx, retryLoop.request, reservation)
 	attempt.identity = retryLoop.identity
 	attemptOutcome := attempt.run()
+	if retryLoop.reconsidered = attemptOutcome.reason == ReasonReconsidered; retryLoop.reconsidered {
+		return
+	}
 	retryLoop.excluded = append(retryLoop.excluded, attempt.target.ID)
 	retryLoop.summaries = append(retryLoop.summaries, AttemptSummary{
 		Target:    attempt.target.ID,
@@ -254,6 +259,9 @@
 
 // next returns the reservation for a retry, or nil when there is none.
 func (retryLoop *retryLoop) next() Reservation {
+	if retryLoop.reconsidered {
+		return retryLoop.chooseAgain()
+	}
 	if retryLoop.failure == nil && retryLoop.retryPolicy().MayRetryFailure(retryLoop.retryState()) {
 		failure := retryLoop.result
 		retryLoop.failure, retryLoop.mayHaveRun = &failure, true
@@ -275,6 +283,21 @@
 	return reservation
 }
 
+// chooseAgain returns the reservation that replaces one whose target turned out to be worse than another. It is no retry, because
+// nothing was sent.
+func (retryLoop *retryLoop) chooseAgain() Reservation {
+	reservation, err := retryLoop.chooser.Choose(retryLoop.excluded)
+	if err == nil {
+		return reservation
+	}
+	if len(retryLoop.excluded) > 0 {
+		retryLoop.forwarder.budget.ReturnRetry(retryLoop.request.Service)
+		return nil
+	}
+	retryLoop.result = Result{Outcome: oleandervane.NotRun, Reason: ReasonNoBackendServer, Err: err}
+	return nil
+}
+
 func (retryLoop *retryLoop) retryState() RetryState {
 	retryState := RetryState{
 		Outcome:     retryLoop.result.Outcome,
--- a/entry/forward/request.go
+++ b/entry/forward/request.go
@@ -60,6 +60,8 @@
 	ReasonTooLong         Reason = "response_too_long"
 	ReasonMismatch        Reason = "response_of_another_request"
 	ReasonNoOutcome       Reason = "no_outcome_stated"
+	// ReasonReconsidered is the reason of attempts that end before anything was sent, because another target is better.
+	ReasonReconsidered Reason = "reconsidered"
 )
 
 // Errors of a Result or a streamed response.
--- a/entry/placement/decide.go
+++ b/entry/placement/decide.go
@@ -18,6 +18,9 @@
 	Load float64
 	// Slowdown is how many times longer the server takes than other servers.
 	Slowdown float64
+	// Slowness is how many times longer than usual work takes on the machine of the server at this moment; 0 and 1 say that it takes as
+	// long as usual.
+	Slowness float64
 	// OnProbation says that the server failed recently and has not answered a request successfully since.
 	OnProbation bool
 	// Suspended says that the VM sends no requests to the server for now: the server is backing off after a failure,
@@ -78,6 +81,8 @@
 	LimitedServers  int
 	RefusingServers int
 	LeavingServers  int
+	// StateChecks is the number of servers whose state was read before the request was sent, for logs.
+	StateChecks int
 	// PeerCountsKnown says that the load is based on the in-flight counts of VMs, and not on the load that servers
 	// reported.
 	PeerCountsKnown bool
@@ -150,10 +155,14 @@
 	}
 	chosen, reason = choices[0], ReasonFirstChoice
 	least := candidates[chosen].responseTime(1, others)
+	firstSlowed := candidates[chosen].Slowness >= notableSlowness
 	for _, i := range choices[1:] {
 		own := policy.ColdCost
-		if candidates[i].HasAffinity {
+		switch {
+		case candidates[i].HasAffinity:
 			own = 1
+		case firstSlowed:
+			own -= policy.SecondCopyCredit
 		}
 		if estimate := candidates[i].responseTime(own, others); estimate+policy.Margin <= least {
 			chosen, reason, least = i, ReasonLessLoad, estimate
@@ -171,7 +180,7 @@
 // responseTime estimates the time until the response, as a multiple of the run time of the request on a server with
 // affinity for the object. own is the run time of the request itself, others that of each request before it.
 func (candidate Candidate) responseTime(own, others float64) float64 {
-	return (candidate.queuedPerSlot()*others + own) * max(1, candidate.Slowdown)
+	return (candidate.queuedPerSlot()*others + own) * max(1, candidate.Slowdown) * max(1, candidate.Slowness)
 }
 
 func leastPressure(candidates []Candidate, among []int) int {
--- a/entry/placement/placer.go
+++ b/entry/placement/placer.go
@@ -81,8 +81,10 @@
 	peers      peerCounts
 	affinities affinities
 	runTimes   runTimeTracker
-	returns    returnSchedule
-	allLeaving leavingTimes
+	// slowServices are those whose servers state at times that their machines are slow.
+	slowServices slowServices
+	returns      returnSchedule
+	allLeaving   leavingTimes
 	// answeredAt is when a server last answered a request, in Unix nanoseconds.
 	answeredAt atomic.Int64
 
@@ -112,6 +114,7 @@
 		peers:         peerCounts{sources: map[string]sourceCounts{}},
 		allLeaving:    leavingTimes{since: map[string]time.Time{}},
 		returns:       returnSchedule{last: map[oleandervane.ServiceName]time.Time{}},
+		slowServices:  slowServices{slowAt: map[oleandervane.ServiceName]time.Time{}},
 		runTimes:      runTimeTracker{routes: map[string]time.Duration{}, services: map[oleandervane.ServiceName]time.Duration{}},
 	}
 	placer.view.Store(&view{})
@@ -211,15 +214,10 @@
 func (chooser *Chooser) Choose(excluded []string) (forward.Reservation, error) {
 	placer, request := chooser.placer, chooser.request
 	now := placer.settings.TimerService.Now()
-	servers, candidates, leaving := placer.candidates(request, excluded, now)
-	preferred := placer.rank(request, candidates)
-	chooser.decision = placer.settings.Policy.Decide(RequestProfile{
-		Urgent:       request.Urgent,
-		Idempotent:   request.Route.Idempotent(),
-		ResponseTime: placer.averageResponseTime(request.Route.Name),
-		RunTimes:     placer.runTimes.get(request.Route.Name, request.Service),
-		Region:       preferred,
-	}, candidates)
+	stateChecks := chooser.decision.StateChecks
+	servers, candidates, leaving, decision := chooser.decide(excluded, now)
+	chooser.decision = decision
+	chooser.decision.StateChecks = stateChecks
 	chooser.decision.PeerCountsKnown = placer.peerScale() > 0
 	chooser.countUnused(candidates, leaving)
 	if chooser.decision.Chosen < 0 {
@@ -238,9 +236,24 @@
 	return &reservation{
 		placer: placer, server: server, route: request.Route.Name, reservedAt: now,
 		score: candidate.Score, queuedPerSlot: candidate.queuedPerSlot(),
+		chooser: chooser, excluded: excluded, statePath: chooser.statePath(server, candidate, now),
 	}, nil
 }
 
+// decide decides on the request with the state of the servers now.
+func (chooser *Chooser) decide(excluded []string, now time.Time) (servers []*server, candidates []Candidate, leaving int, decision Decision) {
+	placer, request := chooser.placer, chooser.request
+	servers, candidates, leaving = placer.candidates(request, excluded, now)
+	preferred := placer.rank(request, candidates)
+	return servers, candidates, leaving, placer.settings.Policy.Decide(RequestProfile{
+		Urgent:       request.Urgent,
+		Idempotent:   request.Route.Idempotent(),
+		ResponseTime: placer.averageResponseTime(request.Route.Name),
+		RunTimes:     placer.runTimes.get(request.Route.Name, request.Service),
+		Region:       preferred,
+	}, candidates)
+}
+
 // rank sorts the candidates for a request, best first, and returns the region whose servers the decision prefers, if any.
 func (placer *Placer) rank(request Request, candidates []Candidate) (preferred oleandervane.Region) {
 	if request.Route.Kind == oleandervane.RouteDownload {
--- a/entry/placement/policy.go
+++ b/entry/placement/policy.go
@@ -12,6 +12,9 @@
 	OrdinaryBound float64
 	// ColdCost is how many times longer a request takes on a server without affinity for its object.
 	ColdCost float64
+	// SecondCopyCredit is deducted from ColdCost while the machine of the first choice is slow: once the other server knows the object,
+	// later requests can avoid the first choice.
+	SecondCopyCredit float64
 	// Margin is by how much sooner another server must respond to be chosen instead of the first choice, as a multiple
 	// of the run time of the request on a server with affinity.
 	Margin float64
@@ -31,6 +34,8 @@
 	// Affinity saves 0.7 of the work, so a request without it takes 3.3 times as long. coldCost is lower, because a
 	// server that loads the object benefits from it later.
 	coldCost = 2.4
+	// secondCopyCredit makes a server without affinity the choice when the first one takes 2.2 times as long as usual or longer.
+	secondCopyCredit = 0.4
 	// margin keeps requests at the first choice when the other server would respond only slightly sooner.
 	margin = 0.2
 	// Requests above urgentBound and ordinaryBound are refused instead of being sent to servers without affinity for
@@ -45,13 +50,14 @@
 // DefaultPolicy returns the policy that entry VMs use.
 func DefaultPolicy() Policy {
 	return Policy{
-		WarmChoices:   warmChoices,
-		LocalChoices:  localChoices,
-		UrgentBound:   urgentBound,
-		OrdinaryBound: ordinaryBound,
-		ColdCost:      coldCost,
-		Margin:        margin,
-		AvoidedShare:  avoidedShare,
+		WarmChoices:      warmChoices,
+		LocalChoices:     localChoices,
+		UrgentBound:      urgentBound,
+		OrdinaryBound:    ordinaryBound,
+		ColdCost:         coldCost,
+		SecondCopyCredit: secondCopyCredit,
+		Margin:           margin,
+		AvoidedShare:     avoidedShare,
 	}
 }
 
--- a/entry/placement/reservation.go
+++ b/entry/placement/reservation.go
@@ -18,7 +18,12 @@
 	reservedAt time.Time
 	// queuedPerSlot is the number of requests that each slot had to finish first when the server was chosen.
 	queuedPerSlot float64
-	failed        atomic.Bool
+	// chooser made the reservation for a request, without the servers in excluded. statePath is the path at which the state of the
+	// server is read before the request is sent; empty if it is not needed.
+	chooser   *Chooser
+	excluded  []string
+	statePath string
+	failed    atomic.Bool
 	// misdirected says that another server has the address.
 	misdirected  atomic.Bool
 	hasFreeSlots atomic.Bool
@@ -37,6 +42,7 @@
 	reservation.misdirected.Store(metadata.Misdirected)
 	if metadata.LoadKnown {
 		reservation.server.recordReport(metadata.Load, now)
+		reservation.placer.slowServices.record(reservation.server.Service, metadata.Load.Slowness, now)
 		reservation.hasFreeSlots.Store(metadata.Load.Running < metadata.Load.Slots)
 	}
 	if metadata.ColdLeft > 0 {
--- a/entry/placement/server.go
+++ b/entry/placement/server.go
@@ -58,6 +58,11 @@
 	reportedLoad float64
 	averageLoad  float64
 	reportedAt   time.Time
+	// stateAt is when the state of the server was last read; reportedLoad is from it then. slowness is what the server stated at
+	// slownessAt, zero if it states none.
+	stateAt      time.Time
+	slowness     float64
+	slownessAt   time.Time
 	slowdown     float64
 	samples      int
 	failureShare float64
@@ -130,6 +135,9 @@
 // which decays to the average reported load as it ages. The caller must hold the mutex.
 func (server *server) load(scale float64, now time.Time) float64 {
 	own := float64(server.inFlight.Load())
+	if !server.stateAt.IsZero() && now.Sub(server.stateAt) < stateLifetime {
+		return own + server.reportedLoad
+	}
 	if scale > 0 {
 		return own + scale*float64(server.peersInFlight.Load())
 	}
@@ -145,6 +153,9 @@
 	defer server.mutex.Unlock()
 	server.reportedLoad, server.reportedAt = others, now
 	server.averageLoad += (others - server.averageLoad) * averageLoadWeight
+	if load.Slowness > 0 {
+		server.slowness, server.slownessAt = load.Slowness, now
+	}
 }
 
 // extendCold makes the server cold until the given time, unless it is cold for longer already. It reports whether the server was warm.
@@ -241,6 +252,7 @@
 		Slots:       server.Slots,
 		Load:        server.load(scale, now),
 		Slowdown:    1,
+		Slowness:    currentSlowness(server.slowness, now.Sub(server.slownessAt)),
 		OnProbation: server.onProbation,
 		Suspended:   server.suspended(cold, now),
 		Cold:        cold,
--- a/entryvm/hosted/observer.go
+++ b/entryvm/hosted/observer.go
@@ -61,6 +61,7 @@
 		"outcome":    completion.Outcome,
 		"status":     completion.Status,
 		"took_ms":    completion.Duration.Milliseconds(),
+		"checks":     completion.Decision.StateChecks,
 		"store_age":  observer.replica.age().Round(time.Millisecond).String(),
 	}
 	if completion.Metadata.Object != "" {
