Read changes of the store from any VM that is ahead when the store does not answer

A VM that the store refused read changes only from the delegates of its failure domain, and a delegate from nobody, so that a key that was removed while the store refused some VMs stayed valid there. Such a VM now reads them from any VM whose notices show contact and a later revision, and after its lease has ended it asks VMs itself, because the others have dropped it and send it no notices. Every VM keeps a change log; notices of delegates to other domains carry the revision.

--- a/entryvm/hosted/replica.go
+++ b/entryvm/hosted/replica.go
@@ -181,6 +181,12 @@
 	replica.log.Info("this VM watches the store itself")
 }
 
+// CaughtUp logs that changes were read from another VM because the store did not answer this one.
+func (replica *replica) CaughtUp(revision uint64, full bool) {
+	replica.log.WithFields(logrus.Fields{"store_revision": revision, "full": full}).
+		Info("store changes were read from another VM because the store did not answer this one")
+}
+
 // applyDeferredRemovals applies the deferred removals of entries that did not come back.
 func (replica *replica) applyDeferredRemovals() {
 	replica.mutex.Lock()
--- a/fleet/exchange/exchange.go
+++ b/fleet/exchange/exchange.go
@@ -286,7 +286,7 @@
 	notice := &peer.Notice{
 		Vm: own.Vm, Incarnation: own.Incarnation, Sequence: own.Sequence, FailureDomain: string(self.FailureDomain),
 		Vms: uint32(vms), Suspects: own.Suspects, Quarantined: own.Quarantined, Directives: own.Directives,
-		ServerEnds: encodeServerEnds(youngestEnds(ends)), Familiar: pending,
+		ServerEnds: encodeServerEnds(youngestEnds(ends)), Familiar: pending, StoreRevision: own.StoreRevision, StoreFresh: own.StoreFresh,
 	}
 	setSums(notice, sums)
 	return notice
@@ -376,3 +376,44 @@
 	}
 	return received.notice.GetStoreRevision(), true
 }
+
+// Unheard returns the listed VMs that sent no notice for maxAge: the VMs of the own failure domain, and all VMs of other domains that
+// are silent. If the lease of this VM has ended, the others send it no notices.
+func (exchange *Exchange) Unheard(maxAge time.Duration) []oleandervane.EntryVM {
+	now, self := exchange.settings.TimerService.Now(), exchange.settings.Membership.Self()
+	heard := map[string]bool{}
+	exchange.mutex.Lock()
+	for _, received := range exchange.received {
+		if now.Sub(received.at) <= maxAge {
+			heard[source(received.notice)] = true
+		}
+	}
+	exchange.mutex.Unlock()
+	var unheard []oleandervane.EntryVM
+	for _, vm := range exchange.settings.Membership.EntryVMs() {
+		scope := &peer.Notice{Vm: string(vm.ID)}
+		if vm.FailureDomain != self.FailureDomain {
+			scope.FailureDomain = string(vm.FailureDomain)
+		}
+		if vm.ID != self.ID && !heard[source(scope)] {
+			unheard = append(unheard, vm)
+		}
+	}
+	return unheard
+}
+
+// VMsAhead returns the VMs of any failure domain that have applied a later store revision than the given one and were in contact with
+// the store, according to notices that are not older than maxAge. The notices of another domain name its delegates.
+func (exchange *Exchange) VMsAhead(revision uint64, maxAge time.Duration) []oleandervane.VMID {
+	now := exchange.settings.TimerService.Now()
+	exchange.mutex.Lock()
+	defer exchange.mutex.Unlock()
+	var ahead []oleandervane.VMID
+	for _, received := range exchange.received {
+		notice := received.notice
+		if notice.GetStoreFresh() && notice.GetStoreRevision() > revision && now.Sub(received.at) <= maxAge {
+			ahead = append(ahead, oleandervane.VMID(notice.GetVm()))
+		}
+	}
+	return ahead
+}
--- a/fleet/exchange/exchange_test.go
+++ b/fleet/exchange/exchange_test.go
@@ -290,6 +290,30 @@
 	}
 }
 
+// Guards against a VM that does not hear that others, also of other domains, have a later revision.
+func TestVMsAheadAreKnownInAllDomains(t *testing.T) {
+	fleet := newFleet(3, 4)
+	for _, node := range fleet.nodes {
+		node.revision, node.inContact = 7, true
+	}
+	delegate, behind := Delegates(fleet.vms, "d-1")[0], fleet.nodes["vm-2-00"]
+	fleet.nodes[delegate.ID].revision, behind.revision = 8, 6
+	for range 8 {
+		fleet.sendNotices()
+	}
+	assert.DeepEqual(t, behind.exchange.VMsAhead(7, time.Second), []oleandervane.VMID{delegate.ID})
+	assert.Assert(t, len(behind.exchange.VMsAhead(6, time.Second)) >= 3+2)
+	assert.Equal(t, len(behind.exchange.VMsAhead(8, time.Second)), 0)
+	assert.Equal(t, len(behind.exchange.Unheard(time.Second)), 0)
+	fleet.nodes[delegate.ID].inContact, fleet.nodes["vm-2-01"].cut = false, true
+	for range 16 {
+		fleet.sendNotices()
+	}
+	assert.Equal(t, len(behind.exchange.VMsAhead(7, time.Second)), 0)
+	unheard := behind.exchange.Unheard(time.Second)
+	assert.Assert(t, len(unheard) == 1 && unheard[0].ID == "vm-2-01", "%v", unheard)
+}
+
 // Guards against a follower that trusts a VM which has lost contact with the store or sends no more notices.
 func TestStoreRevisionOfAPeer(t *testing.T) {
 	fleet := newFleet(1, 2)
--- a/fleet/registrywatch/watcher.go
+++ b/fleet/registrywatch/watcher.go
@@ -29,6 +29,15 @@
 	maxRetryDelay = time.Second
 	// unavailableAfter is how long calls must have failed before the store counts as unavailable.
 	unavailableAfter = time.Second
+	// behindTimeout is how long a call to the store may stay without a response while notices show that it answered another VM with a
+	// later revision. It is then cancelled, and the changes are read from such a VM. The store responds within milliseconds, or
+	// within a quarter of a second when it is slow, so that calls are not cancelled in the ordinary case.
+	behindTimeout = 300 * time.Millisecond
+	// behindCheckPeriod is the time between two checks whether another VM has a later revision.
+	behindCheckPeriod = 100 * time.Millisecond
+	// askPeriod is the time between two questions of a VM that the store refuses and that the others have dropped. A change is in
+	// force at them up to 0.4 of the change limit after the write; one unanswered question still leaves time for the next one.
+	askPeriod = 500 * time.Millisecond
 	// RemovalDelay is how long, after the store was unavailable, entries that lapsed meanwhile are kept. Servers and VMs that
 	// are alive have written their entries again by then.
 	RemovalDelay = 2200 * time.Millisecond
@@ -46,6 +55,9 @@
 	StoreRecovered(outage time.Duration)
 	// SourceChanged reports whether changes are read from another VM from now on, and not from the store.
 	SourceChanged(relayed bool)
+	// CaughtUp reports that the changes up to a revision were read from another VM because the store did not answer this one. If
+	// full is true, all entries were read.
+	CaughtUp(revision uint64, full bool)
 }
 
 // Relay provides access to the store through another VM, which costs no call to the store.
@@ -55,8 +67,12 @@
 	DelegateStore(revision uint64) (oleandervane.PrefixStore, bool)
 	// IsFollower reports whether this VM should read from another one when it can.
 	IsFollower() bool
-	// NeedsSnapshot reports whether other VMs follow this one and it has no entries for them yet.
-	NeedsSnapshot() bool
+	// IsBehind reports whether a VM that is in contact with the store has applied a later revision than the given one.
+	IsBehind(revision uint64) bool
+	// IsCutOff reports whether other VMs may have dropped this one from their lists, so that it does not hear of later revisions.
+	IsCutOff() bool
+	// ChangesAhead reads the changes after a revision from a VM that is ahead, or all entries if full is true.
+	ChangesAhead(ctx context.Context, after uint64) (storeChanges oleandervane.StoreChanges, full bool, err error)
 }
 
 // NoRelay is the Relay of VMs that all call the store themselves.
@@ -68,8 +84,16 @@
 // IsFollower returns false.
 func (NoRelay) IsFollower() bool { return false }
 
-// NeedsSnapshot returns false.
-func (NoRelay) NeedsSnapshot() bool { return false }
+// IsBehind returns false.
+func (NoRelay) IsBehind(uint64) bool { return false }
+
+// IsCutOff returns false.
+func (NoRelay) IsCutOff() bool { return false }
+
+// ChangesAhead returns no changes.
+func (NoRelay) ChangesAhead(_ context.Context, after uint64) (oleandervane.StoreChanges, bool, error) {
+	return oleandervane.StoreChanges{Revision: after}, false, nil
+}
 
 // Watcher reads all keys of the store and then watches them.
 type Watcher struct {
@@ -95,7 +119,9 @@
 	relayed      bool
 	failingSince time.Time
 	unavailable  bool
-	retryDelay   time.Duration
+	// askedAt is when the VM last asked others for changes.
+	askedAt    time.Time
+	retryDelay time.Duration
 }
 
 // New returns a watcher that starts with Run. A change has to be in force within changeLimit.
@@ -116,7 +142,7 @@
 	for ctx.Err() == nil {
 		store, relayed := watcher.source()
 		wasListed, startedAt := watcher.listed, watcher.timerService.Now()
-		err := watcher.read(ctx, store)
+		err := watcher.read(ctx, store, relayed)
 		switch {
 		case err == nil:
 			watcher.listed = true
@@ -130,6 +156,9 @@
 		case relayed:
 			// Changes from another VM are complete up to their revision, so the store is watched from that revision on.
 			watcher.direct = true
+		case errors.Is(err, errBehind) && watcher.listed:
+			// The next watch continues from the revision that was read. If none was, the store has the changes.
+			watcher.catchUp(ctx)
 		default:
 			// A watch that was interrupted may have missed changes that the next watch would not return either, so
 			// all entries are listed again.
@@ -141,9 +170,6 @@
 
 // source returns the store to read from, and whether it reads through another VM.
 func (watcher *Watcher) source() (store oleandervane.PrefixStore, relayed bool) {
-	if watcher.relay.NeedsSnapshot() {
-		watcher.listed = false
-	}
 	if !watcher.direct {
 		store, relayed = watcher.relay.DelegateStore(watcher.revision)
 	}
@@ -158,12 +184,61 @@
 	return store, true
 }
 
-// read lists the store if it has to; otherwise it watches the store.
-func (watcher *Watcher) read(ctx context.Context, store oleandervane.PrefixStore) error {
+// errBehind is the cause of the end of a call to the store that other VMs have overtaken.
+var errBehind = errors.New("the store does not respond to this VM, and another VM has a later revision or does not report its own")
+
+// read lists the store if it has to; otherwise it watches the store. A call to the store itself fails with errBehind when it has had
+// no response for behindTimeout while another VM has a later revision.
+func (watcher *Watcher) read(ctx context.Context, store oleandervane.PrefixStore, relayed bool) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if !relayed {
+		revision, failing, checks := watcher.revision, !watcher.failingSince.IsZero(), 0
+		defer watcher.timerService.Every(behindCheckPeriod, func(time.Time) {
+			checks++
+			if !watcher.relay.IsBehind(revision) && !(failing && watcher.relay.IsCutOff()) {
+				checks = 0
+			}
+			if checks > int(behindTimeout/behindCheckPeriod) {
+				cancel(errBehind)
+			}
+		})()
+	}
+	read := watcher.list
 	if watcher.listed {
-		return watcher.watch(ctx, store)
+		read = watcher.watch
+	}
+	err := read(ctx, store)
+	if err != nil && errors.Is(context.Cause(ctx), errBehind) {
+		return errBehind
 	}
-	return watcher.list(ctx, store)
+	return err
+}
+
+// catchUp reads the changes after the revision of this VM from another one. What the VM does not learn in this way it learns from the
+// store, so a failure has no consequences.
+func (watcher *Watcher) catchUp(ctx context.Context) {
+	storeChanges, full, err := watcher.relay.ChangesAhead(ctx, watcher.revision)
+	if err != nil || storeChanges.Revision <= watcher.revision {
+		return
+	}
+	watcher.revision, watcher.confirmed = storeChanges.Revision, false
+	if full {
+		// Entries that lapsed while the store was unavailable to all VMs may be missing, as in the first listing after an outage.
+		watcher.recordContact()
+		watcher.sink.Replace(entriesOf(storeChanges.Changes), storeChanges.Revision)
+	} else {
+		watcher.sink.Apply(storeChanges)
+	}
+	watcher.sink.CaughtUp(storeChanges.Revision, full)
+}
+
+func entriesOf(changes []oleandervane.StoreChange) []oleandervane.StoreEntry {
+	entries := make([]oleandervane.StoreEntry, 0, len(changes))
+	for _, change := range changes {
+		entries = append(entries, change.Entry)
+	}
+	return entries
 }
 
 func (watcher *Watcher) list(ctx context.Context, store oleandervane.PrefixStore) error {
@@ -225,10 +300,26 @@
 		watcher.unavailable = true
 		watcher.sink.StoreUnavailable(err)
 	}
-	watcher.pause(ctx, time.Duration(float64(watcher.retryDelay)*(0.75+rand.Float64()/2)))
+	watcher.pauseAfterFailure(ctx, now.Add(time.Duration(float64(watcher.retryDelay)*(0.75+rand.Float64()/2))))
 	watcher.retryDelay = min(2*watcher.retryDelay, maxRetryDelay)
 }
 
+// pauseAfterFailure pauses until the end, and reads changes from other VMs meanwhile.
+func (watcher *Watcher) pauseAfterFailure(ctx context.Context, end time.Time) {
+	for ctx.Err() == nil {
+		now := watcher.timerService.Now()
+		if watcher.relay.IsBehind(watcher.revision) || now.Sub(watcher.askedAt) >= askPeriod && watcher.relay.IsCutOff() {
+			watcher.askedAt = now
+			watcher.catchUp(ctx)
+		}
+		left := end.Sub(watcher.timerService.Now())
+		if left <= 0 {
+			return
+		}
+		watcher.pause(ctx, min(left, behindCheckPeriod))
+	}
+}
+
 // Interrupt cancels the watch in progress. After a watch of the store itself, all keys are listed again; after one through
 // another VM, the store itself is watched instead. Interrupt is called when another call to the store has failed: a watch
 // that was waiting during an outage may never return any change.
--- a/fleet/registrywatch/watcher_test.go
+++ b/fleet/registrywatch/watcher_test.go
@@ -63,6 +63,8 @@
 
 func (sink *sink) SourceChanged(bool) {}
 
+func (sink *sink) CaughtUp(uint64, bool) {}
+
 func (sink *sink) has(key, value string) func(poll.LogT) poll.Result {
 	return func(poll.LogT) poll.Result {
 		sink.mutex.Lock()
--- a/fleet/relay/changelog.go
+++ b/fleet/relay/changelog.go
@@ -21,8 +21,8 @@
 	InContact() bool
 }
 
-// ChangeLog holds a replica of all entries of the store while other VMs follow this one, and which of them changed lately. It keeps
-// no former values: followers need only the newest version of a key.
+// ChangeLog holds a replica of all entries of the store for VMs that read them from this one, and which of them changed lately. It
+// keeps no former values: readers need only the newest version of a key.
 type ChangeLog struct {
 	membership oleandervane.Membership
 	contact    Contact
@@ -46,18 +46,7 @@
 	return rolesOf(changeLog.membership).hasFollowers
 }
 
-// NeedsSnapshot reports whether other VMs follow this one and the log is still empty. It clears the log if no VM follows
-// this one.
-func (changeLog *ChangeLog) NeedsSnapshot() bool {
-	hasFollowers := changeLog.HasFollowers()
-	_, loaded := changeLog.loaded()
-	if loaded && !hasFollowers {
-		changeLog.Clear()
-	}
-	return hasFollowers && !loaded
-}
-
-// StoreRevision returns the revision up to which followers can read, and whether this VM was in contact with the store a
+// StoreRevision returns the revision up to which other VMs can read, and whether this VM was in contact with the store a
 // moment ago.
 func (changeLog *ChangeLog) StoreRevision() (revision uint64, fresh bool) {
 	revision, loaded := changeLog.loaded()
@@ -75,18 +64,31 @@
 	return loggedChangeBytes + len(loggedChange.key)
 }
 
-// Replace sets all entries, if other VMs follow this one.
+// Replace sets all entries. The differences to the former ones are logged as changes, so that VMs that are behind need no full
+// snapshot after each listing of the store.
 func (changeLog *ChangeLog) Replace(entries []oleandervane.StoreEntry, revision uint64) {
-	if !changeLog.HasFollowers() {
-		return
-	}
 	changeLog.mutex.Lock()
 	defer changeLog.mutex.Unlock()
+	former := changeLog.entries
 	changeLog.entries = make(map[string]oleandervane.StoreEntry, len(entries))
 	for _, entry := range entries {
 		changeLog.entries[entry.Key] = entry
 	}
-	changeLog.changes, changeLog.bytes, changeLog.since, changeLog.revision = nil, 0, revision, revision
+	if former == nil || revision <= changeLog.revision {
+		changeLog.changes, changeLog.bytes, changeLog.since, changeLog.revision = nil, 0, revision, revision
+		return
+	}
+	for _, entry := range entries {
+		if former[entry.Key].Version != entry.Version {
+			changeLog.log(loggedChange{key: entry.Key, version: entry.Version, revision: revision})
+		}
+		delete(former, entry.Key)
+	}
+	for key := range former {
+		changeLog.log(loggedChange{key: key, version: revision, revision: revision})
+	}
+	changeLog.revision = revision
+	changeLog.dropSurplus()
 }
 
 // Apply applies changes in order. It does nothing before the first Replace.
@@ -130,7 +132,7 @@
 	}
 }
 
-// Clear drops all entries and changes. Followers get none until the next Replace.
+// Clear drops all entries and changes. Other VMs get none until the next Replace.
 func (changeLog *ChangeLog) Clear() {
 	changeLog.mutex.Lock()
 	defer changeLog.mutex.Unlock()
--- a/fleet/relay/follower.go
+++ b/fleet/relay/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -20,16 +21,26 @@
 	noticeTimeout = 1100 * time.Millisecond
 	// checkPeriod is how often a follower checks whether its delegate has new changes.
 	checkPeriod = 100 * time.Millisecond
-	// callTimeout bounds a call to a delegate, which responds from memory.
+	// callTimeout bounds a call to another VM, which responds from memory.
 	callTimeout = 500 * time.Millisecond
+	// askedVMs is how many VMs are asked at the same time if notices name none that is ahead. The store may refuse a third of them.
+	askedVMs = 2
 )
 
 // ErrNoDelegate is the error of a follower that finds no delegate in contact with the store.
 var ErrNoDelegate = errors.New("no delegate of the failure domain is in contact with the store")
 
-// Notices reports the store revision that another VM of the failure domain has applied. exchange.Exchange implements it.
+// ErrNoVMAhead is the error of a VM that finds no other VM with a later revision in contact with the store.
+var ErrNoVMAhead = errors.New("no VM with a later revision is in contact with the store")
+
+// Notices reports the store revisions that other VMs have applied. exchange.Exchange implements it.
 type Notices interface {
+	// StoreRevision returns the revision of a VM of the own failure domain.
 	StoreRevision(id oleandervane.VMID, maxAge time.Duration) (revision uint64, fresh bool)
+	// VMsAhead returns the VMs of any failure domain that are in contact with the store and have applied a later revision.
+	VMsAhead(revision uint64, maxAge time.Duration) []oleandervane.VMID
+	// Unheard returns the listed VMs of which no notices came, neither their own nor those of their failure domains.
+	Unheard(maxAge time.Duration) []oleandervane.EntryVM
 }
 
 // ChangesClient reads store changes from another VM.
@@ -45,7 +56,7 @@
 	Client       ChangesClient
 }
 
-// Follower reads the store through the delegates of its failure domain.
+// Follower reads the store through the delegates of its failure domain, or through any VM if the store does not answer.
 type Follower struct {
 	settings Settings
 }
@@ -116,6 +127,85 @@
 	return delegate, applied, found
 }
 
+// IsBehind reports whether another VM that is in contact with the store has applied a later revision than the given one.
+func (follower *Follower) IsBehind(revision uint64) bool {
+	return len(follower.settings.Notices.VMsAhead(revision, noticeTimeout)) > 0
+}
+
+// IsCutOff reports whether other VMs may have dropped this one from their lists: some of those that are listed send no notices. A
+// VM that the store refuses is dropped when its lease has ended, after 3 s.
+func (follower *Follower) IsCutOff() bool {
+	return len(follower.settings.Notices.Unheard(noticeTimeout)) > 0
+}
+
+// ChangesAhead reads the changes after a revision from a VM of any failure domain that is in contact with the store and has applied a
+// later revision, or all entries if full is true. If notices name none, it asks some VMs that send none.
+func (follower *Follower) ChangesAhead(ctx context.Context, after uint64) (storeChanges oleandervane.StoreChanges, full bool, err error) {
+	ahead := follower.settings.Notices.VMsAhead(after, noticeTimeout)
+	if len(ahead) == 0 {
+		return follower.ask(ctx, follower.choose(follower.settings.Notices.Unheard(noticeTimeout), askedVMs), after)
+	}
+	vms := slices.Clone(follower.settings.Membership.EntryVMs())
+	vms = slices.DeleteFunc(vms, func(vm oleandervane.EntryVM) bool { return !slices.Contains(ahead, vm.ID) })
+	return follower.ask(ctx, follower.choose(vms, 1), after)
+}
+
+// choose returns some of the VMs. Those of the own failure domain come first, because links between domains cost. Among these the
+// choice is random: many VMs may be behind at the same time, and one link could not serve them all in time.
+func (follower *Follower) choose(vms []oleandervane.EntryVM, count int) []oleandervane.EntryVM {
+	own := follower.settings.Membership.Self().FailureDomain
+	rand.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
+	slices.SortStableFunc(vms, func(a, b oleandervane.EntryVM) int {
+		if (a.FailureDomain == own) == (b.FailureDomain == own) {
+			return 0
+		}
+		if a.FailureDomain == own {
+			return -1
+		}
+		return 1
+	})
+	return vms[:min(count, len(vms))]
+}
+
+// ask reads changes from several VMs at the same time and returns the first that come up to a later revision.
+func (follower *Follower) ask(ctx context.Context, vms []oleandervane.EntryVM, after uint64) (storeChanges oleandervane.StoreChanges, full bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type response struct {
+		storeChanges oleandervane.StoreChanges
+		full         bool
+		err          error
+	}
+	responses := make(chan response, len(vms))
+	for _, vm := range vms {
+		go func() {
+			changes, full, revision, err := follower.read(ctx, vm, after)
+			if err == nil && revision <= after {
+				err = eris.Wrapf(ErrNoVMAhead, "%s is at revision %d, not after %d", vm.ID, revision, after)
+			}
+			responses <- response{oleandervane.StoreChanges{Changes: changes, Revision: revision}, full, err}
+		}()
+	}
+	err = eris.Wrap(ErrNoVMAhead, "reading changes")
+	for range vms {
+		response := <-responses
+		if response.err == nil {
+			return response.storeChanges, response.full, nil
+		}
+		err = response.err
+	}
+	return oleandervane.StoreChanges{}, false, err
+}
+
+// read reads the changes after a revision from a VM, within callTimeout.
+func (follower *Follower) read(ctx context.Context, vm oleandervane.EntryVM, after uint64) (changes []oleandervane.StoreChange, full bool, revision uint64, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer follower.settings.TimerService.After(callTimeout, func(time.Time) { cancel() })()
+	changes, full, revision, err = follower.settings.Client.Changes(ctx, vm, after)
+	return changes, full, revision, eris.Wrapf(err, "reading changes from %s", vm.ID)
+}
+
 // delegateStore is the store as read through a delegate.
 type delegateStore struct {
 	follower *Follower
@@ -188,12 +278,9 @@
 	if !found {
 		return nil, false, 0, eris.Wrap(ErrNoDelegate, "reading changes")
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer follower.settings.TimerService.After(callTimeout, func(time.Time) { cancel() })()
-	changes, full, revision, err = follower.settings.Client.Changes(ctx, delegate, after)
+	changes, full, revision, err = follower.read(ctx, delegate, after)
 	if err != nil {
-		return nil, false, 0, eris.Wrapf(ErrNoDelegate, "reading changes from %s: %v", delegate.ID, err)
+		return nil, false, 0, eris.Wrapf(ErrNoDelegate, "%v", err)
 	}
 	if revision < after || revision == 0 {
 		return nil, false, 0, eris.Wrapf(ErrNoDelegate, "%s is at revision %d, behind %d", delegate.ID, revision, after)
