--- a/entry/forward/request.go
+++ b/entry/forward/request.go
@@ -26,6 +26,9 @@
 	RawQuery string
 	Header   http.Header
 	Body     []byte
+	// ReplacesOrganisation and Organisation are those of oleandervane.Attempt.
+	ReplacesOrganisation bool
+	Organisation         oleandervane.OrganisationName
 	// Deadline is by the clock of the timer service.
 	Deadline time.Time
 	// BeforeWrite, if set, is called immediately before the first byte of an attempt is written. When it fails, nothing
@@ -61,6 +64,8 @@
 	ReasonInvalid         Reason = "response_invalid"
 	ReasonMismatch        Reason = "response_of_another_request"
 	ReasonNoOutcome       Reason = "no_outcome_stated"
+	// ReasonReconsidered is the reason of attempts that end before anything was sent, because another target is better.
+	ReasonReconsidered Reason = "reconsidered"
 )
 
 // Errors of a Result or a streamed response.
--- a/entry/placement/placer.go
+++ b/entry/placement/placer.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"oleandervane.example"
+	"oleandervane.example/entry/fairshare"
 	"oleandervane.example/entry/forward"
 )
 
@@ -81,8 +82,11 @@
 	peers      peerCounts
 	affinities affinities
 	runTimes   runTimeTracker
-	returns    returnSchedule
-	allLeaving leavingTimes
+	// slowServices are those whose servers state at times that their machines are slow.
+	slowServices slowServices
+	returns      returnSchedule
+	allLeaving   leavingTimes
+	ledger       *fairshare.Ledger
 	// answeredAt is when a server last answered a request, in Unix nanoseconds.
 	answeredAt atomic.Int64
 
@@ -109,9 +113,11 @@
 	placer := &Placer{
 		settings:      settings,
 		responseTimes: map[string]time.Duration{},
+		ledger:        fairshare.NewLedger(),
 		peers:         peerCounts{sources: map[string]sourceCounts{}},
 		allLeaving:    leavingTimes{since: map[string]time.Time{}},
 		returns:       returnSchedule{last: map[oleandervane.ServiceName]time.Time{}},
+		slowServices:  slowServices{slowAt: map[oleandervane.ServiceName]time.Time{}},
 		runTimes:      runTimeTracker{routes: map[string]time.Duration{}, services: map[oleandervane.ServiceName]time.Duration{}},
 	}
 	placer.view.Store(&view{})
@@ -188,6 +194,26 @@
 	// Home is the region of the caller.
 	Home   oleandervane.Region
 	Urgent bool
+	// Organisation is the organisation of the caller; nil if it has none. Its regions apply besides those of the route.
+	Organisation *oleandervane.Organisation
+	// SharesCapacity is set in installations with organisations. Claimant then shares the capacity of the service with others if there
+	// is too little. UrgentRoute says that no route of the service has priority over that of the request.
+	SharesCapacity bool
+	Claimant       fairshare.Claimant
+	UrgentRoute    bool
+}
+
+// allows reports whether a region may run the request.
+func (request Request) allows(region oleandervane.Region) bool {
+	return request.Route.Allows(region) && request.Organisation.Allows(region)
+}
+
+// leavingKey identifies the servers of the request among those for which it is tracked whether all leave.
+func (request Request) leavingKey() string {
+	if request.Organisation == nil || len(request.Organisation.AllowedRegions) == 0 {
+		return request.Route.Name
+	}
+	return request.Route.Name + "\x00" + string(request.Organisation.Name)
 }
 
 // Chooser returns a chooser for the attempts of one request.
@@ -200,6 +226,9 @@
 	placer   *Placer
 	request  Request
 	decision Decision
+	// claim is that of the first attempt. offered and served say that the request was counted.
+	claim           fairshare.Claim
+	offered, served bool
 }
 
 // Decision returns the last decision.
@@ -211,15 +240,11 @@
 func (chooser *Chooser) Choose(excluded []string) (forward.Reservation, error) {
 	placer, request := chooser.placer, chooser.request
 	now := placer.settings.TimerService.Now()
-	servers, candidates, leaving := placer.candidates(request, excluded, now)
-	preferred := placer.rank(request, candidates)
-	chooser.decision = placer.settings.Policy.Decide(RequestProfile{
-		Urgent:       request.Urgent,
-		Idempotent:   request.Route.Idempotent(),
-		ResponseTime: placer.averageResponseTime(request.Route.Name),
-		RunTimes:     placer.runTimes.get(request.Route.Name, request.Service),
-		Region:       preferred,
-	}, candidates)
+	chooser.offer(now)
+	stateChecks := chooser.decision.StateChecks
+	servers, candidates, leaving, decision := chooser.decide(excluded, now)
+	chooser.decision = decision
+	chooser.decision.StateChecks = stateChecks
 	chooser.decision.PeerCountsKnown = placer.peerScale() > 0
 	chooser.countUnused(candidates, leaving)
 	if chooser.decision.Chosen < 0 {
@@ -233,14 +258,49 @@
 		return chooser.Choose(append(slices.Clone(excluded), string(server.ID)))
 	}
 	chooser.decision.Cold = candidate.Cold
+	chooser.serve()
 	server.inFlight.Add(1)
 	server.sent.Add(1)
 	return &reservation{
 		placer: placer, server: server, route: request.Route.Name, reservedAt: now,
 		score: candidate.Score, queuedPerSlot: candidate.queuedPerSlot(),
+		chooser: chooser, excluded: excluded, statePath: chooser.statePath(server, candidate, now),
 	}, nil
 }
 
+// offer counts the request of the claimant once, and takes its claim.
+func (chooser *Chooser) offer(now time.Time) {
+	if !chooser.request.SharesCapacity || chooser.offered {
+		return
+	}
+	chooser.offered = true
+	chooser.claim = chooser.placer.ledger.Offer(chooser.request.Service, chooser.request.Claimant, now)
+}
+
+// serve counts once that the request is sent.
+func (chooser *Chooser) serve() {
+	if chooser.offered && !chooser.served {
+		chooser.served = true
+		chooser.placer.ledger.Serve(chooser.request.Service, chooser.request.Claimant)
+	}
+}
+
+// decide decides on the request with the state of the servers now.
+func (chooser *Chooser) decide(excluded []string, now time.Time) (servers []*server, candidates []Candidate, leaving int, decision Decision) {
+	placer, request := chooser.placer, chooser.request
+	servers, candidates, leaving = placer.candidates(request, excluded, now)
+	preferred := placer.rank(request, candidates)
+	return servers, candidates, leaving, placer.settings.Policy.Decide(RequestProfile{
+		Urgent:       request.Urgent,
+		Claim:        chooser.claim,
+		UrgentRoute:  request.UrgentRoute,
+		Idempotent:   request.Route.Idempotent(),
+		ResponseTime: placer.averageResponseTime(request.Route.Name),
+		RunTimes:     placer.runTimes.get(request.Route.Name, request.Service),
+		Region:       preferred,
+	}, candidates)
+}
+
 // rank sorts the candidates for a request, best first, and returns the region whose servers the decision prefers, if any.
 func (placer *Placer) rank(request Request, candidates []Candidate) (preferred oleandervane.Region) {
 	if request.Route.Kind == oleandervane.RouteDownload {
@@ -310,7 +370,7 @@
 	scale := placer.peerScale()
 	candidates = make([]Candidate, 0, len(servers))
 	for i, server := range servers {
-		if server.Leaving || view.registry.Evacuated[server.FailureDomain] || !request.Route.Allows(server.Region) {
+		if server.Leaving || view.registry.Evacuated[server.FailureDomain] || !request.allows(server.Region) {
 			continue
 		}
 		candidate := server.candidate(object, scale, now)
@@ -319,7 +379,7 @@
 	}
 	staying := slices.DeleteFunc(slices.Clone(candidates), func(candidate Candidate) bool { return candidate.Leaving })
 	allLeave := len(staying) == 0 && len(candidates) > 0
-	if !placer.allLeaving.exceeded(request.Route.Name, allLeave, now) {
+	if !placer.allLeaving.exceeded(request.leavingKey(), allLeave, now) {
 		leaving = len(candidates) - len(staying)
 		candidates = staying
 	}
