--- a/entry/account/choose.go
+++ b/entry/account/choose.go
@@ -28,8 +28,8 @@
 }
 
 // Choose returns the numbers of the connections to close first, at most limit. The load pattern that it addresses is a flood of
-// callers that stop half-way or are very slow: the score is the memory of a connection, and a part of that of its address, times the time for which the VM
-// has waited for it. Connections that make progress are never chosen.
+// callers that stop half-way or are very slow. The score is the memory of a connection, and a part of that of its address, times the
+// time for which the VM has waited for it. Connections that make progress are never chosen.
 func Choose(candidates []Candidate, limit int) []int {
 	byAddress := map[netip.Addr]int64{}
 	for _, candidate := range candidates {
