--- /dev/null
+++ b/fleet/ratelimit/client.go
@@ -0,0 +1,369 @@
+package ratelimit
+
+import (
+	"slices"
+	"time"
+
+	"oleandervane.example"
+	"oleandervane.example/fleet/peer"
+)
+
+const (
+	// AnswerTime is the longest time for which a request waits for the owner. A round trip between regions takes 70 ms at most.
+	AnswerTime = 80 * time.Millisecond
+	// repeatDelay is the time after which a query is sent a second time.
+	repeatDelay = 30 * time.Millisecond
+	// aheadTime is the time for whose requests a VM asks ahead. A longer one saves queries and lets more tokens lie idle.
+	aheadTime = 2 * time.Second
+	// loadMemory is the memory of the rate of requests at a VM. With it, one request alone is no reason to ask ahead.
+	loadMemory = 4 * time.Second
+	// maxAhead bounds the tokens that a VM asks ahead.
+	maxAhead = 64
+	// maxWaiters bounds the requests of an organisation that wait at a VM.
+	maxWaiters = 256
+	// firstProbe and lastProbe are the shortest and longest time between two queries to an owner that does not answer. Between
+	// them, requests are decided at once from the own share.
+	firstProbe = 100 * time.Millisecond
+	lastProbe  = 400 * time.Millisecond
+)
+
+// client is the state of an organisation at a VM that has requests of it.
+type client struct {
+	leases  []tokenLease
+	waiters []*waiter
+	load    decayingRate
+	usedAt  time.Time
+	query   query
+	// obtained is the number of tokens that were held after the last answer.
+	obtained int
+	// refusedUntil is the time until which the owner has no tokens; retryAfter is what it told with that.
+	refusedUntil time.Time
+	retryAfter   time.Duration
+	// unlimitedUntil is set after an owner with a newer configuration told that there is no limit.
+	unlimitedUntil time.Time
+	// failing is the time since which the owner has not answered; zero if it answers. probeAt is the time of the next query.
+	failing, probeAt time.Time
+	probePause       time.Duration
+	fallback         fallback
+}
+
+// tokenLease is a number of tokens that are valid until end.
+type tokenLease struct {
+	tokens int
+	end    time.Time
+}
+
+// query is the last query of an organisation.
+type query struct {
+	message  *peer.TokenQuery
+	to       oleandervane.VMID
+	sentAt   time.Time
+	answered bool
+}
+
+// isPending reports whether the answer of a query is awaited.
+func (query *query) isPending(now time.Time) bool {
+	return query.message != nil && !query.answered && now.Sub(query.sentAt) < AnswerTime
+}
+
+// waiter is a request that waits for a token.
+type waiter struct {
+	decided func(admission oleandervane.RateAdmission)
+}
+
+// ownerChanged forgets what the former owner told. Its leases stay valid until they end.
+func (client *client) ownerChanged() {
+	client.refusedUntil, client.probeAt = time.Time{}, time.Time{}
+	client.query.answered = true
+}
+
+// request decides on a request or lets it wait.
+func (limiter *Limiter) request(organisation *organisation, now time.Time, decided func(oleandervane.RateAdmission)) {
+	client := organisation.client
+	client.usedAt = now
+	client.load.add(now, loadMemory, 1)
+	isOwner := organisation.owner.ID == limiter.settings.Membership.Self().ID
+	switch {
+	case now.Before(client.unlimitedUntil):
+		limiter.admit(organisation, now, SourceRemoved, decided)
+	case client.take(now):
+		limiter.admit(organisation, now, SourceLease, decided)
+		if !isOwner && client.isLow(now) && client.mayAsk(now) {
+			limiter.ask(organisation, now)
+		}
+	case isOwner:
+		limiter.decideAsOwner(organisation, now, decided)
+	case now.Before(client.refusedUntil):
+		limiter.refuse(organisation, now, SourceOwner, client.retryAfter, decided)
+	case len(client.waiters) >= maxWaiters || !client.query.isPending(now) && now.Before(client.probeAt):
+		limiter.fallBack(organisation, now, decided)
+	default:
+		limiter.wait(organisation, now, decided)
+	}
+}
+
+// decideAsOwner decides on a request at the owner itself.
+func (limiter *Limiter) decideAsOwner(organisation *organisation, now time.Time, decided func(oleandervane.RateAdmission)) {
+	if !limiter.grants(organisation) {
+		organisation.client.fail(now)
+		limiter.fallBack(organisation, now, decided)
+		return
+	}
+	organisation.client.succeed()
+	owned, taken := organisation.ownership, 0
+	if owned.bucket, taken = owned.bucket.WithTaken(1); taken == 1 {
+		limiter.admit(organisation, now, SourceOwner, decided)
+		return
+	}
+	owned.shortfall.add(now, shortfallMemory, 1)
+	limiter.refuse(organisation, now, SourceOwner, owned.retryAfter(organisation.limit, now), decided)
+}
+
+// take takes a token from a lease.
+func (client *client) take(now time.Time) bool {
+	for i := range client.leases {
+		if client.leases[i].tokens > 0 && now.Before(client.leases[i].end) {
+			client.leases[i].tokens--
+			return true
+		}
+	}
+	return false
+}
+
+// held returns the number of valid tokens.
+func (client *client) held(now time.Time) int {
+	sum := 0
+	for _, lease := range client.leases {
+		if now.Before(lease.end) {
+			sum += lease.tokens
+		}
+	}
+	return sum
+}
+
+// returned removes leases that have ended, and returns the number of their tokens that may be returned.
+func (client *client) returned(now time.Time) int {
+	sum := 0
+	client.leases = slices.DeleteFunc(client.leases, func(lease tokenLease) bool {
+		if now.Before(lease.end) {
+			return lease.tokens == 0
+		}
+		if now.Sub(lease.end) < returnTime {
+			sum += lease.tokens
+		}
+		return true
+	})
+	return sum
+}
+
+// minReturned is the number of tokens of leases that have ended which is worth a datagram of its own.
+const minReturned = 2
+
+// hasReturns reports whether this VM, without requests, has enough tokens to return.
+func (client *client) hasReturns(now time.Time) bool {
+	sum := 0
+	for _, lease := range client.leases {
+		if !now.Before(lease.end) && now.Sub(lease.end) < returnTime {
+			sum += lease.tokens
+		}
+	}
+	return sum >= minReturned
+}
+
+// target returns the number of tokens that this VM should have for the requests that it expects.
+func (client *client) target(now time.Time) float64 {
+	return min(maxAhead, client.load.at(now, loadMemory)*aheadTime.Seconds())
+}
+
+// isLow reports whether less than half of the tokens is left that this VM should have, or had after the last answer.
+func (client *client) isLow(now time.Time) bool {
+	return float64(client.held(now)) < min(client.target(now), float64(client.obtained))/2
+}
+
+func (client *client) mayAsk(now time.Time) bool {
+	return !client.query.isPending(now) && !now.Before(client.refusedUntil) && !now.Before(client.probeAt)
+}
+
+// wait lets a request wait for the answer of the owner.
+func (limiter *Limiter) wait(organisation *organisation, now time.Time, decided func(oleandervane.RateAdmission)) {
+	client := organisation.client
+	waiting := &waiter{decided: decided}
+	client.waiters = append(client.waiters, waiting)
+	limiter.settings.TimerService.After(AnswerTime, func(time.Time) { limiter.expire(organisation, waiting) })
+	if !client.query.isPending(now) {
+		limiter.ask(organisation, now)
+	}
+}
+
+// ask sends a query to the owner.
+func (limiter *Limiter) ask(organisation *organisation, now time.Time) {
+	client := organisation.client
+	limiter.sequence++
+	returned := client.returned(now)
+	held := client.held(now)
+	client.query = query{to: organisation.owner.ID, sentAt: now, message: &peer.TokenQuery{
+		Organisation: organisation.hash,
+		Sequence:     limiter.sequence,
+		Waiting:      uint32(len(client.waiters)),
+		Ahead:        uint32(max(0, int(client.target(now))-held)),
+		Returned:     uint32(returned),
+		Held:         uint32(held),
+		Revision:     uint64(organisation.revision),
+		Rate:         organisation.limit.PerSecond,
+		Burst:        organisation.limit.Burst,
+	}}
+	sequence := limiter.sequence
+	limiter.enqueue(organisation.owner, client.query.message, now)
+	limiter.settings.TimerService.After(repeatDelay, func(time.Time) { limiter.repeat(organisation, sequence) })
+}
+
+// repeat sends a query that has not been answered a second time.
+func (limiter *Limiter) repeat(organisation *organisation, sequence uint64) {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	now := limiter.settings.TimerService.Now()
+	client := organisation.client
+	if client == nil || !client.query.isPending(now) || client.query.message.GetSequence() != sequence {
+		return
+	}
+	limiter.enqueue(organisation.owner, client.query.message, now)
+}
+
+// expire decides on a request that has waited for AnswerTime.
+func (limiter *Limiter) expire(organisation *organisation, waiting *waiter) {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	client := organisation.client
+	if client == nil || !slices.Contains(client.waiters, waiting) {
+		return
+	}
+	now := limiter.settings.TimerService.Now()
+	client.waiters = slices.DeleteFunc(client.waiters, func(other *waiter) bool { return other == waiting })
+	if !client.query.answered && !client.query.isPending(now) {
+		client.fail(now)
+	}
+	limiter.fallBack(organisation, now, waiting.decided)
+}
+
+// fail records that the owner has not answered a query, or does not grant yet.
+func (client *client) fail(now time.Time) {
+	if client.failing.IsZero() {
+		client.failing, client.probePause = now, firstProbe
+	} else if !now.Before(client.probeAt) {
+		client.probePause = min(lastProbe, 2*client.probePause)
+	}
+	if !now.Before(client.probeAt) {
+		client.probeAt = now.Add(client.probePause)
+	}
+}
+
+// succeed records that the owner has answered. The own share then no longer counts.
+func (client *client) succeed() {
+	client.failing, client.probeAt, client.fallback = time.Time{}, time.Time{}, fallback{}
+}
+
+// accept processes an answer.
+func (limiter *Limiter) accept(sender oleandervane.EntryVM, grant *peer.TokenGrant, now time.Time) {
+	organisation, found := limiter.organisations[grant.GetOrganisation()]
+	if !found || organisation.client == nil {
+		limiter.settings.Observer.TokenMessageIgnored("organisation")
+		return
+	}
+	client := organisation.client
+	if client.query.message.GetSequence() != grant.GetSequence() || client.query.to != sender.ID {
+		limiter.settings.Observer.TokenMessageIgnored("sequence")
+		return
+	}
+	if client.query.answered {
+		return
+	}
+	client.query.answered = true
+	if !grant.GetGranted() {
+		client.fail(now)
+		for _, waiting := range client.takeWaiters() {
+			limiter.fallBack(organisation, now, waiting.decided)
+		}
+		return
+	}
+	client.succeed()
+	if grant.GetUnlimited() {
+		client.unlimitedUntil = now.Add(lease)
+		for _, waiting := range client.takeWaiters() {
+			limiter.admit(organisation, now, SourceRemoved, waiting.decided)
+		}
+		return
+	}
+	limiter.distribute(organisation, grant, now)
+}
+
+// distribute gives the tokens of an answer to the requests that wait, and keeps the others.
+func (limiter *Limiter) distribute(organisation *organisation, grant *peer.TokenGrant, now time.Time) {
+	client := organisation.client
+	asked := client.query.message
+	client.leases = append(client.leases, tokenLease{tokens: int(min(grant.GetTokens(), maxAsked)), end: client.query.sentAt.Add(lease)})
+	waiting := client.takeWaiters()
+	for len(waiting) > 0 && client.take(now) {
+		limiter.admit(organisation, now, SourceOwner, waiting[0].decided)
+		waiting = waiting[1:]
+	}
+	client.obtained = client.held(now)
+	if grant.GetTokens() < asked.GetWaiting() {
+		client.refusedUntil = now.Add(min(maxPause, time.Duration(grant.GetPauseMillis())*time.Millisecond))
+		client.retryAfter = min(maxRetry, time.Duration(grant.GetRetryMillis())*time.Millisecond)
+		for _, refused := range waiting {
+			limiter.refuse(organisation, now, SourceOwner, client.retryAfter, refused.decided)
+		}
+		return
+	}
+	client.waiters = waiting
+	if len(waiting) > 0 {
+		limiter.ask(organisation, now)
+	}
+}
+
+func (client *client) takeWaiters() []*waiter {
+	waiters := client.waiters
+	client.waiters = nil
+	return waiters
+}
+
+// release admits the requests of an organisation that wait when its limit is removed.
+func (limiter *Limiter) release(organisation *organisation) {
+	if organisation.client == nil {
+		return
+	}
+	for _, waiting := range organisation.client.takeWaiters() {
+		limiter.admit(organisation, limiter.settings.TimerService.Now(), SourceRemoved, waiting.decided)
+	}
+}
+
+func (limiter *Limiter) admit(organisation *organisation, now time.Time, source Source, decided func(oleandervane.RateAdmission)) {
+	limiter.observe(organisation, now, Decision{Admitted: true, Source: source})
+	end := now.Add(lease)
+	decided(oleandervane.RateAdmission{Admitted: true, Cancel: func() { limiter.giveBack(organisation, source, end) }})
+}
+
+func (limiter *Limiter) refuse(
+	organisation *organisation, now time.Time, source Source, retryAfter time.Duration, decided func(oleandervane.RateAdmission),
+) {
+	retryAfter = limiter.spread(retryAfter)
+	limiter.observe(organisation, now, Decision{Source: source, RetryAfter: retryAfter})
+	decided(oleandervane.RateAdmission{RetryAfter: retryAfter})
+}
+
+func (limiter *Limiter) observe(organisation *organisation, now time.Time, decision Decision) {
+	decision.Load = organisation.client.load.at(now, loadMemory)
+	limiter.settings.Observer.RateDecided(organisation.name, organisation.limit, decision)
+}
+
+// giveBack keeps the token of a request that has not run for another one. A token of the own share is dropped, because it may have
+// been admitted before the owner answered again.
+func (limiter *Limiter) giveBack(organisation *organisation, source Source, end time.Time) {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	now := limiter.settings.TimerService.Now()
+	if organisation.client == nil || source != SourceLease && source != SourceOwner || !now.Before(end) {
+		return
+	}
+	organisation.client.leases = append(organisation.client.leases, tokenLease{tokens: 1, end: end})
+}
--- a/vm.go
+++ b/vm.go
@@ -61,6 +61,14 @@
 	Capacity float64
 }
 
+// CapacityOrOne returns the capacity. A VM whose capacity is not known counts as one that forwards one request per second.
+func (entryVM EntryVM) CapacityOrOne() float64 {
+	if entryVM.Capacity <= 0 {
+		return 1
+	}
+	return entryVM.Capacity
+}
+
 // WithState returns a copy in the given state.
 func (entryVM EntryVM) WithState(vmState VMState) EntryVM {
 	entryVM.State = vmState
