Measure the capacity of the VMs that a VM hears from

Cause: the owner of a rate limit grants in proportion to the VMs that it hears from, and notices count VMs for 1.5 s at the delegate and again at the receiver, so that a VM that is cut off counts for more than 3 s. Change: totals of a failure domain carry the capacity of the VMs heard within 0.7 s; Exchange.HeardCapacity sums them. Measured: in the test with 120 VMs none that is cut off counts after 1.75 s, for 36 single VMs, two domains, and 108 VMs.

--- a/fleet/exchange/exchange.go
+++ b/fleet/exchange/exchange.go
@@ -47,6 +47,12 @@
 	maxServerEnds = 128
 	// maxAffinityMarks bounds the cache affinity marks in a notice, 4 bytes each.
 	maxAffinityMarks = 1024
+	// recentVM is how long a notice of a VM of the own domain counts in the capacity that was heard from, and recentDomain how long
+	// the totals of another domain do. VMs that are cut off use their shares of rate limits after 2 s (fleet/ratelimit), which must be
+	// later than the end of the last notice that has them: at most recentVM, one report (0.5 s) and a few delays. Two notices in a
+	// row may be lost.
+	recentVM     = 700 * time.Millisecond
+	recentDomain = 1100 * time.Millisecond
 	// maxGap is the longest time between two notices that a VM sends or receives, unless it was paused. It is far above the delays of a
 	// busy machine, and below the differences between two VMs that a quarantine tolerates.
 	maxGap = 2 * time.Second
@@ -272,6 +278,7 @@
 	addServerEnds(ends, own, 0)
 	vms := 1
 	now := exchange.settings.TimerService.Now()
+	capacity := exchange.heardLocally(now)
 	exchange.mutex.Lock()
 	for _, received := range exchange.received {
 		if received.notice.FailureDomain == "" && now.Sub(received.at) < noticeLifetime {
@@ -286,12 +293,18 @@
 	notice := &peer.Notice{
 		Vm: own.Vm, Incarnation: own.Incarnation, Sequence: own.Sequence, FailureDomain: string(self.FailureDomain),
 		Vms: uint32(vms), Suspects: own.Suspects, Quarantined: own.Quarantined, Directives: own.Directives,
-		ServerEnds: encodeServerEnds(youngestEnds(ends)), Familiar: pending,
+		ServerEnds: encodeServerEnds(youngestEnds(ends)), Familiar: pending, RecentCapacity: uint32(capacity),
 	}
 	setSums(notice, sums)
 	return notice
 }
 
+// SendTokens sends a message about the rate limits of organisations to a VM, beside the notices.
+func (exchange *Exchange) SendTokens(to oleandervane.EntryVM, message *peer.TokenMessage) {
+	self := exchange.settings.Membership.Self()
+	exchange.settings.Sender.Send([]oleandervane.EntryVM{to}, &peer.Notice{Vm: string(self.ID), Incarnation: uint64(self.Incarnation), Tokens: message})
+}
+
 // Receive processes a notice. It ignores notices from unknown VMs, from an earlier incarnation, older than the last one, or
 // for a failure domain that is not the sender's. Of notices that were queued while this VM was paused, only ends of servers count.
 func (exchange *Exchange) Receive(notice *peer.Notice) {
@@ -376,3 +389,47 @@
 	}
 	return received.notice.GetStoreRevision(), true
 }
+
+// heardLocally returns the capacity of the VMs of the own failure domain that were heard from a moment ago, this one included.
+func (exchange *Exchange) heardLocally(now time.Time) float64 {
+	self := exchange.settings.Membership.Self()
+	capacity := self.CapacityOrOne()
+	local := vmsIn(exchange.settings.Membership.EntryVMs(), self.FailureDomain)
+	exchange.mutex.Lock()
+	defer exchange.mutex.Unlock()
+	for _, vm := range local {
+		received, found := exchange.received[string(vm.ID)+"\x00"]
+		if found && vm.ID != self.ID && now.Sub(received.at) < recentVM && received.notice.GetIncarnation() == uint64(vm.Incarnation) {
+			capacity += vm.CapacityOrOne()
+		}
+	}
+	return capacity
+}
+
+// HeardCapacity returns the capacity of the VMs that this one heard from a moment ago, itself included. Those of other failure domains
+// are as their delegates heard from them; of two that differ, the lower figure counts.
+func (exchange *Exchange) HeardCapacity() float64 {
+	now := exchange.settings.TimerService.Now()
+	capacity := exchange.heardLocally(now)
+	exchange.mutex.Lock()
+	defer exchange.mutex.Unlock()
+	if now.Before(exchange.queuedUntil) {
+		return exchange.settings.Membership.Self().CapacityOrOne()
+	}
+	domains := map[string]float64{}
+	for _, received := range exchange.received {
+		domain := received.notice.GetFailureDomain()
+		if domain == "" || domain == string(exchange.settings.Membership.Self().FailureDomain) || now.Sub(received.at) >= recentDomain {
+			continue
+		}
+		reported := float64(received.notice.GetRecentCapacity())
+		if known, found := domains[domain]; found {
+			reported = min(known, reported)
+		}
+		domains[domain] = reported
+	}
+	for _, reported := range domains {
+		capacity += reported
+	}
+	return capacity
+}
--- a/fleet/exchange/exchange_test.go
+++ b/fleet/exchange/exchange_test.go
@@ -374,3 +374,40 @@
 		})
 	}
 }
+
+// Guards against VMs that are cut off, use their shares of rate limits from 2 s on, and still count at the owners of the limits.
+func TestHeardCapacityDuringACut(t *testing.T) {
+	for name, isCut := range map[string]func(vm int) bool{
+		"single VMs":  func(vm int) bool { return vm%10 < 3 },
+		"two domains": func(vm int) bool { return vm < 40 },
+		"most VMs":    func(vm int) bool { return vm%10 != 3 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			fleet := newFleet(6, 20)
+			for range 16 {
+				fleet.sendNotices()
+			}
+			connected := 0.0
+			for number, vm := range fleet.vms {
+				assert.Equal(t, fleet.nodes[vm.ID].exchange.HeardCapacity(), 120.0)
+				fleet.nodes[vm.ID].cut = isCut(number)
+				if !isCut(number) {
+					connected++
+				}
+			}
+			for passed := time.Duration(0); passed <= 1750*time.Millisecond; passed += DefaultPeriod {
+				fleet.sendNotices()
+			}
+			for number, vm := range fleet.vms {
+				heard, want := fleet.nodes[vm.ID].exchange.HeardCapacity(), connected
+				if isCut(number) {
+					want = 1
+				}
+				assert.Assert(t, heard <= want, "%s: %v, connected %v", vm.ID, heard, want)
+			}
+			fleet.sendNotices()
+			// Domains whose delegates are all cut off count as unheard until their lists change.
+			t.Logf("%v of %v", fleet.nodes["vm-2-03"].exchange.HeardCapacity(), connected)
+		})
+	}
+}
