Join rate limits into the hosted entry VM

Cause: the limiter needs the list of VMs, notices and the configuration. The request path does not call the limiter yet.

--- a/entryvm/hosted/fleet.go
+++ b/entryvm/hosted/fleet.go
@@ -3,11 +3,13 @@
 import (
 	"net/http"
 	"net/netip"
+	"time"
 
 	"oleandervane.example"
 	"oleandervane.example/entry/forward"
 	"oleandervane.example/fleet/exchange"
 	"oleandervane.example/fleet/peer"
+	"oleandervane.example/fleet/ratelimit"
 	"oleandervane.example/fleet/registrywatch"
 	"oleandervane.example/fleet/relay"
 )
@@ -26,6 +28,17 @@
 		Store:        entryVM.changeLog,
 		Sender:       entryVM.noticeSocket,
 	})
+	entryVM.rateLimiter = ratelimit.New(ratelimit.Settings{
+		TimerService:  entryVM.timerService,
+		Membership:    entryVM.roster,
+		Settled:       entryVM.roster.Settled,
+		HeardCapacity: entryVM.notices.HeardCapacity,
+		Sender:        entryVM.notices,
+		Observer:      entryVM.observer,
+		Window:        time.Duration(settings.RateLimits.Window),
+		Overage:       settings.RateLimits.Overage,
+		Slack:         settings.RateLimits.Slack,
+	})
 	entryVM.relayClient = relay.NewClient()
 	follower := relay.NewFollower(relay.Settings{
 		TimerService: entryVM.timerService,
@@ -92,21 +105,31 @@
 	}
 	go func() {
 		receive := func(notice *peer.Notice) {
-			entryVM.guard.run("notice", func() { entryVM.notices.Receive(notice) })
+			entryVM.guard.run("notice", func() { entryVM.receive(notice) })
 		}
 		if err := entryVM.noticeSocket.Receive(receive); err != nil {
 			entryVM.log.WithError(err).Error("notices of other VMs are no longer received; loads are known only from reports of servers")
 		}
 	}()
-	cancel := entryVM.notices.Run()
+	cancelNotices, cancelLimiter := entryVM.notices.Run(), entryVM.rateLimiter.Run()
 	return func() {
-		cancel()
+		cancelNotices()
+		cancelLimiter()
 		if err := entryVM.noticeSocket.Close(); err != nil {
 			entryVM.log.WithError(err).Warn("notice socket could not be closed")
 		}
 	}, nil
 }
 
+// receive processes a datagram of another VM: a notice, or a message about rate limits.
+func (entryVM *EntryVM) receive(notice *peer.Notice) {
+	if tokens := notice.GetTokens(); tokens != nil {
+		entryVM.rateLimiter.Receive(oleandervane.VMID(notice.GetVm()), oleandervane.Incarnation(notice.GetIncarnation()), tokens)
+		return
+	}
+	entryVM.notices.Receive(notice)
+}
+
 func (entryVM *EntryVM) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	path, handler := relay.NewHandler(entryVM.changeLog)
--- a/entryvm/hosted/hosted.go
+++ b/entryvm/hosted/hosted.go
@@ -27,6 +27,7 @@
 	"oleandervane.example/entryvm/incarnation"
 	"oleandervane.example/entryvm/webserver"
 	"oleandervane.example/fleet/exchange"
+	"oleandervane.example/fleet/ratelimit"
 	"oleandervane.example/fleet/registrywatch"
 	"oleandervane.example/fleet/relay"
 	"oleandervane.example/fleet/roster"
@@ -93,6 +94,7 @@
 	notices       *exchange.Exchange
 	noticeSocket  *exchange.Socket
 	changeLog     *relay.ChangeLog
+	rateLimiter   *ratelimit.Limiter
 	relayClient   *relay.Client
 	// callerListener accepts the connections of callers; nil before Run.
 	callerListener atomic.Pointer[webserver.DrainListener]
@@ -141,6 +143,7 @@
 		Prober:       entryVM.forwarder,
 		Observer:     entryVM.observer,
 	})
+	entryVM.joinFleet(settings)
 	entryVM.bodyBudget = bodymemory.New(timerService, int64(bodyShare*float64(settings.MemoryMegabytes)*megabyte))
 	entryVM.ingress = ingress.New(ingress.Dependencies{
 		Self:          self,
@@ -152,7 +155,6 @@
 		Observer:      entryVM.observer,
 	})
 	entryVM.pipeline = pipeline.NewDispatcher(entryVM.ingress, settings.PipelinedRequests)
-	entryVM.joinFleet(settings)
 	entryVM.addGauges()
 	return entryVM
 }
@@ -199,6 +201,7 @@
 	entryVM.recordEnds(registry)
 	entryVM.placer.Update(registry)
 	if registry.Table != nil {
+		entryVM.rateLimiter.Update(registry.Table)
 		entryVM.ingress.Publish(registry.Table)
 	}
 }
--- a/entryvm/hosted/observer.go
+++ b/entryvm/hosted/observer.go
@@ -16,6 +16,7 @@
 	"oleandervane.example/entry/forward"
 	"oleandervane.example/entry/ingress"
 	"oleandervane.example/entry/placement"
+	"oleandervane.example/fleet/ratelimit"
 )
 
 // observer writes a log line and updates metrics for each decision.
@@ -28,11 +29,16 @@
 	storeFailed func()
 	// invalidHeadersLoggedAt is in Unix nanoseconds.
 	invalidHeadersLoggedAt atomic.Int64
+	// rateRefusalsLoggedAt is in Unix nanoseconds; rateRefusals counts the refusals since then.
+	rateRefusalsLoggedAt, rateRefusals atomic.Int64
 }
 
 // invalidHeaderLogPeriod is the least time between two log lines about invalid headers.
 const invalidHeaderLogPeriod = 10 * time.Second
 
+// rateRefusalLogPeriod is the least time between two log lines about requests beyond rate limits.
+const rateRefusalLogPeriod = time.Second
+
 // maxLoggedQuery bounds the bytes of a query in a log line.
 const maxLoggedQuery = 256
 
@@ -137,6 +143,31 @@
 	observer.log.WithFields(logrus.Fields{"server": id, "headers": names}).Warn("response of a backend server has headers whose values make no sense; they are ignored")
 }
 
+// RateDecided counts decisions on requests of organisations with a rate limit. It logs one refusal in rateRefusalLogPeriod.
+func (observer *observer) RateDecided(organisation oleandervane.OrganisationName, limit oleandervane.RateLimit, decision ratelimit.Decision) {
+	observer.set.GetOrCreateCounter(fmt.Sprintf("oleandervane_rate_limit_decisions_total{admitted=\"%t\",source=%q}", decision.Admitted, decision.Source)).Inc()
+	if decision.Admitted {
+		return
+	}
+	refusals := observer.rateRefusals.Add(1)
+	now := observer.replica.timerService.Now().UnixNano()
+	last := observer.rateRefusalsLoggedAt.Load()
+	if now-last < int64(rateRefusalLogPeriod) || !observer.rateRefusalsLoggedAt.CompareAndSwap(last, now) {
+		return
+	}
+	observer.rateRefusals.Add(-refusals)
+	observer.log.WithFields(logrus.Fields{
+		"organisation": organisation, "limit_per_second": limit.PerSecond, "burst": limit.Burst, "source": decision.Source,
+		"requests_per_second_here": math.Round(decision.Load*100) / 100, "retry_after": decision.RetryAfter.Round(time.Millisecond).String(),
+		"refusals_since_last_line": refusals,
+	}).Info("request is refused because of the rate limit of its organisation")
+}
+
+// TokenMessageIgnored counts messages about rate limits that are invalid or outdated.
+func (observer *observer) TokenMessageIgnored(reason string) {
+	observer.set.GetOrCreateCounter(fmt.Sprintf("oleandervane_rate_limit_messages_ignored_total{reason=%q}", reason)).Inc()
+}
+
 // RequestSuspected logs that a request may have crashed a backend server. What other VMs report is counted and logged only
 // at debug level, because they log it themselves.
 func (observer *observer) RequestSuspected(fingerprint [16]byte, run uint32, source oleandervane.SuspectSource) {
--- a/entryvm/hosted/settings.go
+++ b/entryvm/hosted/settings.go
@@ -53,6 +53,7 @@
 	LookupLifetime settingsfile.Duration                              `toml:"lookup_lifetime"`
 	FailureDomains map[oleandervane.FailureDomain]oleandervane.Region `toml:"failure_domains"`
 	Retries        Retries                                            `toml:"retries"`
+	RateLimits     RateLimits                                         `toml:"rate_limits"`
 }
 
 // Retries bound the attempts beyond the first of each request, for all VMs together.
@@ -64,6 +65,14 @@
 	Window settingsfile.Duration `toml:"window"`
 }
 
+// RateLimits bound the error of the rate limits of organisations: in each window, all VMs together admit at most 1 + Overage times what
+// a limit allows, and Slack requests.
+type RateLimits struct {
+	Window  settingsfile.Duration `toml:"window"`
+	Overage float64               `toml:"overage"`
+	Slack   float64               `toml:"slack"`
+}
+
 // DefaultSettings returns the values of the settings that a file omits.
 func DefaultSettings() Settings {
 	return Settings{
@@ -80,6 +89,7 @@
 		ApplyLimit:           settingsfile.Duration(2 * time.Second),
 		LookupLifetime:       settingsfile.Duration(2 * time.Second),
 		Retries:              Retries{Ratio: 0.1, Window: settingsfile.Duration(10 * time.Second)},
+		RateLimits:           RateLimits{Window: settingsfile.Duration(5 * time.Second), Overage: 0.1, Slack: 20},
 	}
 }
 
@@ -117,6 +127,8 @@
 	faults.Check(settings.FailureDomains[settings.FailureDomain] == settings.Region, "failure_domains", "must have failure_domain in region")
 	faults.Check(settings.Retries.Ratio >= 0 && settings.Retries.Base >= 0, "retries", "ratio and base must not be negative")
 	faults.Check(settings.Retries.Window > 0, "retries.window", "must be above 0s")
+	faults.Check(settings.RateLimits.Window > 0, "rate_limits.window", "must be above 0s")
+	faults.Check(settings.RateLimits.Overage >= 0 && settings.RateLimits.Slack >= 0, "rate_limits", "overage and slack must not be negative")
 }
 
 func (settings Settings) addresses() map[string]netip.AddrPort {
