--- a/entryvm/hosted/settings.go
+++ b/entryvm/hosted/settings.go
@@ -53,9 +53,18 @@
 	LookupLifetime settingsfile.Duration                              `toml:"lookup_lifetime"`
 	FailureDomains map[oleandervane.FailureDomain]oleandervane.Region `toml:"failure_domains"`
 	Retries        Retries                                            `toml:"retries"`
+	Organisations  Organisations                                      `toml:"organisations"`
 	RateLimits     RateLimits                                         `toml:"rate_limits"`
 }
 
+// Organisations are the settings for organisations, which identify themselves by keys.
+type Organisations struct {
+	// StrictRevocation refuses requests that need a key while the VM has had no news of the store for RevocationLimit: a key may have
+	// been removed meanwhile. Otherwise the VM serves with the keys that it knows.
+	StrictRevocation bool                  `toml:"strict_revocation"`
+	RevocationLimit  settingsfile.Duration `toml:"revocation_limit"`
+}
+
 // Retries bound the attempts beyond the first of each request, for all VMs together.
 type Retries struct {
 	// Ratio is the share of the requests of a window that may be retried.
@@ -88,8 +97,10 @@
 		DrainLimit:           settingsfile.Duration(2 * time.Second),
 		ApplyLimit:           settingsfile.Duration(2 * time.Second),
 		LookupLifetime:       settingsfile.Duration(2 * time.Second),
-		Retries:              Retries{Ratio: 0.1, Window: settingsfile.Duration(10 * time.Second)},
 		RateLimits:           RateLimits{Window: settingsfile.Duration(5 * time.Second), Overage: 0.1, Slack: 20},
+		// A VM in contact hears of the store each second; a limit of some seconds allows for lost calls.
+		Organisations: Organisations{RevocationLimit: settingsfile.Duration(5 * time.Second)},
+		Retries:       Retries{Ratio: 0.1, Window: settingsfile.Duration(10 * time.Second)},
 	}
 }
 
@@ -126,6 +137,7 @@
 	faults.Check(settings.LookupLifetime > 0, "lookup_lifetime", "must be above 0s")
 	faults.Check(settings.FailureDomains[settings.FailureDomain] == settings.Region, "failure_domains", "must have failure_domain in region")
 	faults.Check(settings.Retries.Ratio >= 0 && settings.Retries.Base >= 0, "retries", "ratio and base must not be negative")
+	faults.Check(settings.Organisations.RevocationLimit > 0, "organisations.revocation_limit", "must be above 0s")
 	faults.Check(settings.Retries.Window > 0, "retries.window", "must be above 0s")
 	faults.Check(settings.RateLimits.Window > 0, "rate_limits.window", "must be above 0s")
 	faults.Check(settings.RateLimits.Overage >= 0 && settings.RateLimits.Slack >= 0, "rate_limits", "overage and slack must not be negative")
--- a/fleet/ratelimit/client.go
+++ b/fleet/ratelimit/client.go
@@ -348,7 +348,7 @@
 ) {
 	retryAfter = limiter.spread(retryAfter)
 	limiter.observe(organisation, now, Decision{Source: source, RetryAfter: retryAfter})
-	decided(oleandervane.RateAdmission{RetryAfter: retryAfter})
+	decided(oleandervane.RateAdmission{RetryAfter: retryAfter, UsePerSecond: organisation.client.load.at(now, loadMemory)})
 }
 
 func (limiter *Limiter) observe(organisation *organisation, now time.Time, decision Decision) {
--- a/fleet/ratelimit/limiter.go
+++ b/fleet/ratelimit/limiter.go
@@ -85,8 +85,9 @@
 type Limiter struct {
 	settings Settings
 
-	mutex         sync.Mutex
-	revision      oleandervane.Revision
+	mutex sync.Mutex
+	// table is the route table of the last update; nil before.
+	table         *oleandervane.RouteTable
 	organisations map[uint64]*organisation
 	// vms are the listed VMs at the last look, hashes those of their ids in the same order.
 	vms    []oleandervane.EntryVM
@@ -130,8 +131,11 @@
 func (limiter *Limiter) Update(table *oleandervane.RouteTable) {
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
+	if table == limiter.table {
+		return
+	}
+	limiter.table = table
 	now := limiter.settings.TimerService.Now()
-	limiter.revision = table.Revision
 	limits := make(map[uint64]oleandervane.Organisation, len(table.Organisations))
 	for _, configured := range table.Organisations {
 		if configured.RateLimit.Limited() && len(limits) < MaxOrganisations {
--- a/fleet/ratelimit/owner.go
+++ b/fleet/ratelimit/owner.go
@@ -106,7 +106,7 @@
 	case !isValid(queried):
 		limiter.settings.Observer.TokenMessageIgnored("limit")
 		return answer
-	case !found && revision <= limiter.revision:
+	case !found && limiter.table != nil && revision <= limiter.table.Revision:
 		answer.Granted, answer.Unlimited = true, true
 		return answer
 	case !found:
