Let a deputy grant while the owner of a rate limit does not

Cause: the limits of an owner that died admitted only fixed shares, nothing for a small organisation, until the list had changed and the next owner had waited: 6 s. A VM that joined refused all requests of the limits that it took over for 2 s. Change: the second VM by rank grants once the owner has not answered or granted for the time after which VMs use their shares; a former owner grants until the new one does.

--- a/entryvm/hosted/hosted.go
+++ b/entryvm/hosted/hosted.go
@@ -184,6 +184,7 @@
 	set.NewGauge("oleandervane_notices_dropped", func() float64 { return float64(entryVM.noticeSocket.Dropped()) })
 	set.NewGauge("oleandervane_invalid_entries_total", func() float64 { return float64(entryVM.replica.invalidEntries.Load()) })
 	set.NewGauge("oleandervane_configuration_faults", func() float64 { return float64(entryVM.status().FaultCount) })
+	set.NewGauge("oleandervane_rate_limit_datagrams", func() float64 { return float64(entryVM.rateLimiter.Sent()) })
 	set.NewGauge("oleandervane_beliefs_age_seconds", func() float64 { return entryVM.replica.age().Seconds() })
 }
 
--- a/fleet/ratelimit/batch.go
+++ b/fleet/ratelimit/batch.go
@@ -62,7 +62,7 @@
 			limiter.settings.Observer.TokenMessageIgnored("rate")
 			continue
 		}
-		limiter.settings.Sender.SendTokens(outbox.owners[id], &peer.TokenMessage{Queries: outbox.queries[id]})
+		limiter.send(outbox.owners[id], &peer.TokenMessage{Queries: outbox.queries[id]})
 	}
 	clear(outbox.queries)
 	clear(outbox.owners)
--- a/fleet/ratelimit/limiter.go
+++ b/fleet/ratelimit/limiter.go
@@ -6,6 +6,7 @@
 	"math"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -84,6 +85,7 @@
 // Limiter is an oleandervane.OrganisationLimiter. All methods are safe for concurrent use.
 type Limiter struct {
 	settings Settings
+	sent     atomic.Uint64
 
 	mutex sync.Mutex
 	// table is the route table of the last update; nil before.
@@ -102,6 +104,8 @@
 	decisions uint64
 	sequence  uint64
 	outbox    outbox
+	// roundTrips are the usual times between a query and its answer.
+	roundTrips map[oleandervane.Region]time.Duration
 }
 
 // organisation is what is known of an organisation with a limit.
@@ -110,16 +114,19 @@
 	hash     uint64
 	limit    oleandervane.RateLimit
 	revision oleandervane.Revision
-	// owner is the first VM by rendezvous hash; grantsFrom is when this VM, as the owner, may grant.
-	owner      oleandervane.EntryVM
-	grantsFrom time.Time
-	client     *client
-	ownership  *ownership
+	// owner and deputy are the first two VMs by rendezvous hash; the deputy is empty if there is only one. grantsFrom is when this VM,
+	// as the owner or deputy, may grant.
+	owner, deputy oleandervane.EntryVM
+	grantsFrom    time.Time
+	// askedAt is when this VM, as the deputy, was last asked, and probedFrom the time since which it asks the owner for that reason.
+	askedAt, probedFrom time.Time
+	client              *client
+	ownership           *ownership
 }
 
 // New returns a limiter without limits.
 func New(settings Settings) *Limiter {
-	return &Limiter{settings: settings, organisations: map[uint64]*organisation{}}
+	return &Limiter{settings: settings, organisations: map[uint64]*organisation{}, roundTrips: map[oleandervane.Region]time.Duration{}}
 }
 
 // Run measures the coverage until the returned function is called. Nothing is sent without limits.
@@ -154,7 +161,7 @@
 		if !found {
 			known = &organisation{name: configured.Name, hash: hash}
 			limiter.organisations[hash] = known
-			limiter.setOwner(known)
+			limiter.setOwner(known, now)
 		}
 		if known.revision <= table.Revision {
 			limiter.setLimit(known, configured.RateLimit, table.Revision)
@@ -185,16 +192,20 @@
 	if passed <= maxTickGap {
 		limiter.credit += passed.Seconds() * min(1, heard/limiter.fleetCapacity())
 	}
-	var returning []*organisation
+	var asking []*organisation
 	for _, known := range limiter.organisations {
 		limiter.startOwnership(known, now)
+		if limiter.isProbing(known, now) {
+			asking = append(asking, known)
+			continue
+		}
 		known.evict(now)
 		if known.client != nil && known.client.hasReturns(now) && known.client.mayAsk(now) {
-			returning = append(returning, known)
+			asking = append(asking, known)
 		}
 	}
-	slices.SortFunc(returning, func(a, b *organisation) int { return cmp.Compare(a.hash, b.hash) })
-	for _, known := range returning {
+	slices.SortFunc(asking, func(a, b *organisation) int { return cmp.Compare(a.hash, b.hash) })
+	for _, known := range asking {
 		limiter.ask(known, now)
 	}
 }
@@ -223,30 +234,62 @@
 	}
 	limiter.largest = max(limiter.largest, limiter.capacity)
 	for _, known := range limiter.organisations {
-		limiter.setOwner(known)
+		limiter.setOwner(known, now)
 	}
 }
 
-// setOwner sets the owner of an organisation from the list of VMs. While the list does not change, a VM owns the limits of new
-// organisations at once.
-func (limiter *Limiter) setOwner(organisation *organisation) {
-	former := organisation.owner
-	organisation.owner = limiter.settings.Membership.Self()
+// setOwner sets the owner and the deputy of an organisation from the list of VMs. While the list does not change, a VM owns the limits
+// of new organisations at once. A VM that grants and is now the other of the two continues: a former deputy as the owner, and a former
+// owner until the new one grants.
+func (limiter *Limiter) setOwner(organisation *organisation, now time.Time) {
+	formerOwner, formerDeputy := organisation.owner, organisation.deputy
+	self := limiter.settings.Membership.Self().ID
+	organisation.owner, organisation.deputy = limiter.settings.Membership.Self(), oleandervane.EntryVM{}
 	if order := limiter.order(organisation.hash); len(order) > 0 {
 		organisation.owner = limiter.vms[order[0]]
+		if len(order) > 1 {
+			organisation.deputy = limiter.vms[order[1]]
+		}
 	}
-	if organisation.owner.ID == former.ID && organisation.owner.Incarnation == former.Incarnation {
+	if isSame(organisation.owner, formerOwner) && isSame(organisation.deputy, formerDeputy) {
 		return
 	}
-	if organisation.owner.ID == limiter.settings.Membership.Self().ID {
+	isCandidate := organisation.owner.ID == self || organisation.deputy.ID == self
+	wasCandidate := formerOwner.ID == self || formerDeputy.ID == self
+	if !isCandidate {
+		organisation.ownership = nil
+	}
+	if isCandidate && (!wasCandidate || organisation.owner.ID == self && formerOwner.ID != self && organisation.ownership == nil) {
 		organisation.grantsFrom = limiter.listedAt.Add(quietTime)
 	}
-	organisation.ownership = nil
-	if client := organisation.client; client != nil {
+	if organisation.deputy.ID == self && organisation.ownership != nil && organisation.askedAt.IsZero() {
+		organisation.askedAt, organisation.probedFrom = now, now
+	}
+	if client := organisation.client; client != nil && !isSame(organisation.owner, formerOwner) {
 		client.ownerChanged()
 	}
 }
 
+func isSame(a, b oleandervane.EntryVM) bool {
+	return a.ID == b.ID && a.Incarnation == b.Incarnation
+}
+
+// Owner returns the owner of the limit of an organisation and its deputy, as this VM sees them; empty ids without a limit or VM.
+func (limiter *Limiter) Owner(name oleandervane.OrganisationName) (owner, deputy oleandervane.VMID) {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	known, found := limiter.organisations[hashOf(name)]
+	if !found {
+		return "", ""
+	}
+	return known.owner.ID, known.deputy.ID
+}
+
+// decides reports whether this VM decides for an organisation, as its owner or as a deputy that grants.
+func (limiter *Limiter) decides(organisation *organisation) bool {
+	return organisation.ownership != nil
+}
+
 // order returns the indexes of the listed VMs, that with the largest weight first.
 func (limiter *Limiter) order(hash uint64) []int {
 	order := make([]int, len(limiter.hashes))
@@ -347,13 +390,23 @@
 		answer.Grants = append(answer.Grants, limiter.answer(sender, query, now))
 	}
 	if len(answer.Grants) > 0 {
-		limiter.settings.Sender.SendTokens(sender, answer)
+		limiter.send(sender, answer)
 	}
 	for _, grant := range message.GetGrants()[:min(len(message.GetGrants()), maxBatch)] {
 		limiter.accept(sender, grant, now)
 	}
 }
 
+func (limiter *Limiter) send(to oleandervane.EntryVM, message *peer.TokenMessage) {
+	limiter.sent.Add(1)
+	limiter.settings.Sender.SendTokens(to, message)
+}
+
+// Sent returns the number of messages that this VM has sent.
+func (limiter *Limiter) Sent() uint64 {
+	return limiter.sent.Load()
+}
+
 func (limiter *Limiter) find(id oleandervane.VMID) (oleandervane.EntryVM, bool) {
 	vms := limiter.settings.Membership.EntryVMs()
 	i := slices.IndexFunc(vms, func(vm oleandervane.EntryVM) bool { return vm.ID == id })
--- a/fleet/ratelimit/owner.go
+++ b/fleet/ratelimit/owner.go
@@ -78,10 +78,61 @@
 func (limiter *Limiter) startOwnership(organisation *organisation, now time.Time) {
 	isOwner := organisation.owner.ID == limiter.settings.Membership.Self().ID
 	if isOwner && organisation.ownership == nil && !now.Before(organisation.grantsFrom) && limiter.settings.Settled() {
-		organisation.ownership = &ownership{
-			bucket: NewBucket(limiter.ownedLimit(organisation.limit)), credit: limiter.credit, holders: map[oleandervane.VMID]holder{},
+		organisation.ownership = limiter.newOwnership(organisation)
+	}
+}
+
+func (limiter *Limiter) newOwnership(organisation *organisation) *ownership {
+	return &ownership{
+		bucket: NewBucket(limiter.ownedLimit(organisation.limit)), credit: limiter.credit, holders: map[oleandervane.VMID]holder{},
+	}
+}
+
+// deputyTime is the time for which a deputy that is no longer asked goes on asking the owner.
+const deputyTime = 5 * time.Second
+
+// asked records that this VM is asked for tokens as the deputy of an organisation.
+func (limiter *Limiter) asked(organisation *organisation, now time.Time) {
+	if organisation.deputy.ID != limiter.settings.Membership.Self().ID {
+		return
+	}
+	if organisation.askedAt.IsZero() {
+		organisation.probedFrom = now
+	}
+	organisation.askedAt = now
+}
+
+// deputise makes this VM, the deputy of an organisation, grant if the owner has not answered or granted for the delay after which VMs
+// use their shares. The owner has then lost the VMs of this side of a partition, or has ended, or does not own the limit for long
+// enough.
+func (limiter *Limiter) deputise(organisation *organisation, now time.Time) {
+	failing, delay := organisation.client.failing, limiter.shareDelay(organisation.limit)
+	if organisation.ownership == nil && !failing.IsZero() && now.Sub(failing) >= delay && now.Sub(organisation.probedFrom) >= delay &&
+		!now.Before(organisation.grantsFrom) && limiter.settings.Settled() {
+		organisation.ownership = limiter.newOwnership(organisation)
+	}
+}
+
+// isProbing reports whether this VM, as a deputy, should ask the owner now whether it grants. A deputy that is no longer asked stops.
+func (limiter *Limiter) isProbing(organisation *organisation, now time.Time) bool {
+	if organisation.askedAt.IsZero() {
+		return false
+	}
+	isDeputy := organisation.deputy.ID == limiter.settings.Membership.Self().ID
+	if !isDeputy || now.Sub(organisation.askedAt) > deputyTime {
+		organisation.askedAt = time.Time{}
+		if isDeputy {
+			organisation.ownership = nil
 		}
+		return false
+	}
+	if organisation.client == nil {
+		organisation.client = &client{}
 	}
+	organisation.client.usedAt = now
+	organisation.client.checkQuery(now)
+	limiter.deputise(organisation, now)
+	return !organisation.client.query.isPending(now)
 }
 
 // grants reports whether this VM is the owner of an organisation and grants tokens, and fills the bucket.
@@ -115,6 +166,7 @@
 	case revision > organisation.revision:
 		limiter.setLimit(organisation, queried, revision)
 	}
+	limiter.asked(organisation, now)
 	if !limiter.grants(organisation) {
 		return answer
 	}
--- a/standin/limitfleet/fleet.go
+++ b/standin/limitfleet/fleet.go
@@ -110,6 +110,7 @@
 		domain := index % settings.Domains
 		node := &Node{fleet: fleet, index: index, region: domain % settings.Regions, lastHeard: make([]time.Time, settings.VMs), vm: oleandervane.EntryVM{
 			ID: oleandervane.VMID(fmt.Sprintf("vm-%03d", index)), FailureDomain: oleandervane.FailureDomain(fmt.Sprintf("d-%d", domain)),
+			Region: oleandervane.Region(fmt.Sprintf("r-%d", domain%settings.Regions)),
 			// Processor shares are between 0.112 and 0.8.
 			Capacity: []float64{75, 150, 300, 533}[index*7%4],
 		}}
