Take broken idle connections for a sign that the run of a server has ended

Cause: a server that is away for less than 0.2 s refuses nobody if no request arrives meanwhile. All VMs took it for warm until they read the entry of its new run, up to a second later. Nobody watched idle connections. Change: the gate of a connection notices the end of an idle connection in the read that net/http already waits in, so that it costs no timer and no goroutine. An end before the time of Keep-Alive, or two breaks within 50 ms, suspends the server at this VM until the health path shows whether it is cold. The two VMs that may send to a cold server check at once; the others wait 0.2 s for notices and check only then, or at once if a third of the service is suspected. A found end goes into the notices. A server that goes on is used again after the check, and a single dropped connection is no suspicion for the next 2 s. After a break under a request, idle connections are closed 50 ms later instead of at once, so that it is seen whether they broke too. The servers of the soak answer health checks.

--- a/dialect.go
+++ b/dialect.go
@@ -42,6 +42,8 @@
 	Leaving bool
 	// RetryAfter is how long a backend server that refused a request wants none from this VM; zero if the response does not state it.
 	RetryAfter time.Duration
+	// KeepAlive is how long the backend server keeps an idle connection; zero if the response does not state it.
+	KeepAlive time.Duration
 	// Invalid names the headers that are ignored because their values make no sense.
 	Invalid []string
 }
--- a/entry/forward/attempt.go
+++ b/entry/forward/attempt.go
@@ -212,8 +212,12 @@
 		err = cause
 	}
 	reason, attemptResult := classifyError(outcome, err)
-	if reason == ReasonSilent || reason == ReasonBroken {
+	switch reason {
+	case ReasonSilent:
 		attempt.pool().invalidate(attempt.target.Address)
+	case ReasonBroken:
+		attempt.pool().invalidateBroken(attempt.target.Address)
+		attempt.observeBreak()
 	}
 	attempt.recordEvidence(outcome, reason, err)
 	attempt.end(attemptResult)
@@ -256,6 +260,13 @@
 	}
 }
 
+// observeBreak reports that the connection to a backend server broke under the request.
+func (attempt *attempt) observeBreak() {
+	if observer := attempt.forwarder.settings.BreakObserver; observer != nil && !attempt.target.Relay {
+		observer.ObserveBreak(attempt.target.Address, false)
+	}
+}
+
 // recordEnd records that the run of the target has ended, because its address refuses connections.
 func (attempt *attempt) recordEnd() {
 	attempt.forwarder.quarantine.RecordEnd(attempt.target)
@@ -280,6 +291,7 @@
 		attempt.pool().invalidate(attempt.target.Address)
 		return attempt.failConnection(ErrMismatch)
 	}
+	attempt.connection.keepAlive = metadata.KeepAlive
 	attempt.echoed, attempt.status = len(metadata.EchoedIDs) > 0, response.StatusCode
 	if responseObserver, observes := attempt.reservation.(ResponseObserver); observes {
 		responseObserver.ObserveResponse(metadata)
--- a/entry/forward/forwarder.go
+++ b/entry/forward/forwarder.go
@@ -50,6 +50,8 @@
 	AbortDelay time.Duration
 	// SuspectObserver is notified of requests that may crash backend servers; nil notifies nobody.
 	SuspectObserver oleandervane.SuspectObserver
+	// BreakObserver is notified of connections that backend servers broke; nil notifies nobody.
+	BreakObserver oleandervane.BreakObserver
 	// TrialCoordinator decides which VM tries a request after its quarantine; nil selects each VM.
 	TrialCoordinator oleandervane.TrialCoordinator
 	// QuarantineRecorder keeps quarantines for VMs that start later; nil keeps none.
@@ -111,6 +113,7 @@
 func New(settings Settings, timerService oleandervane.TimerService) *Forwarder {
 	settings = settings.withDefaults()
 	pool := newPool(timerService, settings.IdleTimeout, settings.MaxIdle, nil)
+	pool.breakObserver = settings.BreakObserver
 	relayPool := pool
 	if settings.RelayTLS != nil {
 		relayPool = newPool(timerService, settings.IdleTimeout, settings.MaxIdle, settings.RelayTLS)
--- a/entry/forward/gate.go
+++ b/entry/forward/gate.go
@@ -29,6 +29,8 @@
 	state       atomic.Int32
 	beforeWrite atomic.Pointer[func() error]
 	refusal     atomic.Pointer[error]
+	// idleBreak is called when the peer closes or resets the connection while no attempt uses it.
+	idleBreak atomic.Pointer[func()]
 	// encrypted says that Conn encrypts: it may have sent a part of a record when it reports that nothing was written.
 	encrypted bool
 }
@@ -90,6 +92,12 @@
 // Read fails when bytes arrive while no request has been written, such as the delayed rest of an earlier response.
 func (gate *gate) Read(buffer []byte) (int, error) {
 	count, err := gate.Conn.Read(buffer)
+	// Reads of a connection that this VM closed fail with net.ErrClosed.
+	if count == 0 && err != nil && gate.state.Load() == gateIdle && !errors.Is(err, net.ErrClosed) {
+		if idleBreak := gate.idleBreak.Load(); idleBreak != nil {
+			(*idleBreak)()
+		}
+	}
 	if count > 0 && gate.state.Load() != gateWritten {
 		return 0, errUnsolicited
 	}
--- a/entry/forward/harness_test.go
+++ b/entry/forward/harness_test.go
@@ -57,11 +57,13 @@
 
 // scripted returns a server that runs the actions for each request, one request after another.
 func scripted(t testing.TB, id, actions string) *server {
-	return newServer(t, id, func(server *server, conn net.Conn, number int64) {
-		reader := bufio.NewReader(conn)
-		for server.runActions(conn, reader, number, actions) {
-		}
-	})
+	return newServer(t, id, func(server *server, conn net.Conn, number int64) { server.script(conn, number, actions) })
+}
+
+func (server *server) script(conn net.Conn, number int64, actions string) {
+	reader := bufio.NewReader(conn)
+	for server.runActions(conn, reader, number, actions) {
+	}
 }
 
 // runActions runs the actions for one request and reports whether the connection can be used for another one.
--- a/entry/forward/pool.go
+++ b/entry/forward/pool.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"oleandervane.example"
@@ -21,6 +22,10 @@
 	generation uint64
 	gate       *gate
 	idleSince  time.Time
+	// keepAlive is how long the peer said that it keeps an idle connection; zero if it did not say.
+	keepAlive time.Duration
+	// idle is set while the connection is unused. Whoever clears it uses or closes the connection, or has found it broken.
+	idle atomic.Bool
 	// roundTrip and close are those of an http.ClientConn, which never resends a request: it is one connection.
 	roundTrip func(*http.Request) (*http.Response, error)
 	usable    func() bool
@@ -29,6 +34,12 @@
 	body *bytes.Reader
 }
 
+// closeIdle closes a connection that is unused.
+func (connection *connection) closeIdle() {
+	connection.idle.Store(false)
+	connection.close()
+}
+
 // bodyReader returns a reader of the body of a request until the connection is released.
 func (connection *connection) bodyReader(body []byte) *bytes.Reader {
 	connection.body = bytes.NewReader(body)
@@ -49,6 +60,8 @@
 	idleTimeout  time.Duration
 	maxIdle      int
 	open         func(ctx context.Context, address netip.AddrPort) (*connection, error)
+	// breakObserver is notified when a target ends an idle connection before the time that it named; nil notifies nobody.
+	breakObserver oleandervane.BreakObserver
 
 	mutex   sync.Mutex
 	targets map[netip.AddrPort]*targetPool
@@ -59,6 +72,8 @@
 	// generation are not reused.
 	generation uint64
 	idle       []*connection
+	// retired are idle connections that are not used any more and closed after breakWatch.
+	retired []*connection
 }
 
 func newPool(timerService oleandervane.TimerService, idleTimeout time.Duration, maxIdle int, tlsConfig *tls.Config) *pool {
@@ -135,9 +150,33 @@
 		return nil, false, err
 	}
 	connection.generation = generation
+	idleBreak := func() { pool.recordIdleBreak(connection) }
+	connection.gate.idleBreak.Store(&idleBreak)
 	return connection, false, nil
 }
 
+// keepAliveMargin is the time before the end of the time that a target named from which on the end of an idle connection is expected.
+// Targets name whole seconds.
+const keepAliveMargin = time.Second
+
+// recordIdleBreak notifies the observer unless the target had announced that it would end the connection by now.
+func (pool *pool) recordIdleBreak(connection *connection) {
+	if pool.breakObserver == nil || !connection.idle.CompareAndSwap(true, false) {
+		return
+	}
+	if pool.timerService.Now().Sub(connection.idleSince) < pool.idleLimit(connection) {
+		pool.breakObserver.ObserveBreak(connection.address, true)
+	}
+}
+
+// idleLimit returns for how long an idle connection is used again.
+func (pool *pool) idleLimit(connection *connection) time.Duration {
+	if connection.keepAlive == 0 {
+		return pool.idleTimeout
+	}
+	return min(pool.idleTimeout, connection.keepAlive-min(keepAliveMargin, connection.keepAlive/2))
+}
+
 func (pool *pool) generation(address netip.AddrPort) uint64 {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
@@ -163,10 +202,10 @@
 		last := len(target.idle) - 1
 		connection := target.idle[last]
 		target.idle = target.idle[:last]
-		if connection.usable() && now.Sub(connection.idleSince) < pool.idleTimeout {
+		if connection.usable() && now.Sub(connection.idleSince) < pool.idleLimit(connection) && connection.idle.CompareAndSwap(true, false) {
 			return connection
 		}
-		connection.close()
+		connection.closeIdle()
 	}
 	return nil
 }
@@ -179,36 +218,67 @@
 		connection.close()
 		return
 	}
-	connection.gate.markIdle()
 	connection.dropBody()
 	connection.idleSince = pool.timerService.Now()
+	connection.idle.Store(true)
+	connection.gate.markIdle()
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	target := pool.target(connection.address)
 	if connection.generation != target.generation {
-		connection.close()
+		connection.closeIdle()
 		return
 	}
 	target.idle = append(target.idle, connection)
 	if len(target.idle) > pool.maxIdle {
-		target.idle[0].close()
+		target.idle[0].closeIdle()
 		target.idle = target.idle[1:]
 	}
 }
 
+// breakWatch is how long idle connections are observed after another one to the same target broke under a request. When a server
+// ends, its host ends all its connections within milliseconds.
+const breakWatch = 50 * time.Millisecond
+
 // invalidate closes all idle connections to a target, and those in use after their response. Whatever silenced or broke
 // one connection has often silenced those that were open at the same time.
 func (pool *pool) invalidate(address netip.AddrPort) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pool.target(address).retireIdle()
+	pool.target(address).closeRetired()
+}
+
+// invalidateBroken does the same after a connection broke, and closes the idle ones only after it was seen whether they broke too.
+func (pool *pool) invalidateBroken(address netip.AddrPort) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	target := pool.target(address)
-	target.generation++
-	for _, connection := range target.idle {
-		connection.close()
+	target.retireIdle()
+	if len(target.retired) == 0 {
+		return
 	}
+	pool.timerService.After(breakWatch, func(time.Time) {
+		pool.mutex.Lock()
+		defer pool.mutex.Unlock()
+		target.closeRetired()
+	})
+}
+
+// retireIdle prevents the use of the connections that are open.
+func (target *targetPool) retireIdle() {
+	target.generation++
+	target.retired = append(target.retired, target.idle...)
 	target.idle = nil
 }
 
+func (target *targetPool) closeRetired() {
+	for _, connection := range target.retired {
+		connection.closeIdle()
+	}
+	target.retired = nil
+}
+
 // evictIdle closes connections that were idle for the idle timeout.
 func (pool *pool) evictIdle(now time.Time) {
 	pool.mutex.Lock()
@@ -228,7 +298,7 @@
 			remaining = append(remaining, connection)
 			continue
 		}
-		connection.close()
+		connection.closeIdle()
 	}
 	clear(target.idle[len(remaining):])
 	target.idle = remaining
@@ -239,5 +309,6 @@
 	defer pool.mutex.Unlock()
 	for _, target := range pool.targets {
 		target.evictIdle(pool.timerService.Now())
+		target.closeRetired()
 	}
 }
--- a/entry/placement/end.go
+++ b/entry/placement/end.go
@@ -52,6 +52,7 @@
 		return false
 	}
 	server.endedAt = endedAt
+	server.suspicion.active = false
 	// The server is tried as one that has received no request yet.
 	server.sent.Store(0)
 	return true
--- a/entry/placement/end_test.go
+++ b/entry/placement/end_test.go
@@ -92,3 +92,80 @@
 		assert.Equal(t, len(placer.ServerEnds()), told)
 	}
 }
+
+// statedHealth answers health checks and counts them.
+type statedHealth struct {
+	oleandervane.HealthState
+	checks int
+}
+
+func (stated *statedHealth) ProbeHealth(oleandervane.BackendServer, string) oleandervane.HealthState {
+	stated.checks++
+	return stated.HealthState
+}
+
+// Connections of a server break at several VMs. Guards against a run that has ended and gets requests from VMs that were told of it or
+// found it, against a check by each of them, and against a server that stays cold although its run goes on.
+func TestBrokenConnectionsAreChecked(t *testing.T) {
+	accepted := oleandervane.HealthState{Connection: oleandervane.ConnectionAccepted}
+	restarted, warm := accepted, accepted
+	restarted.ColdLeft, warm.Stated = slowStartTime, true
+	for _, testCase := range []struct {
+		name      string
+		health    oleandervane.HealthState
+		idle      bool
+		breaks    int
+		maxChecks int
+		cold      bool
+	}{
+		{"a new run", restarted, true, 1, coldVMs, true},
+		{"the same run", warm, true, 2, 16, false},
+		{"refused", oleandervane.HealthState{Connection: oleandervane.ConnectionRefused}, true, 1, coldVMs, true},
+		{"no answer, several connections", oleandervane.HealthState{}, true, 2, 16, true},
+		{"no answer, one connection", oleandervane.HealthState{}, true, 1, 16, false},
+		{"under a request", restarted, false, 1, 0, false},
+		{"under two requests", restarted, false, 2, coldVMs, true},
+	} {
+		t.Run(testCase.name, func(t *testing.T) {
+			manual, health := timer.NewManual(time.Unix(1000, 0)), &statedHealth{HealthState: testCase.health}
+			placers := fleet(manual, 16)
+			registry := registryOf(registered("a", "kigali-a"), elsewhere("b", 2), elsewhere("c", 3), elsewhere("d", 4))
+			service := registry.Table.Services["ledger"]
+			service.HealthPath = "/healthz"
+			registry.Table.Services["ledger"] = service
+			for _, placer := range placers {
+				placer.settings.HealthProber, placer.settings.Prober = health, portProber(2)
+				placer.Update(registry)
+				placer.answeredAt.Store(manual.Now().UnixNano())
+				for range testCase.breaks {
+					placer.ObserveBreak(registered("a", "").Address, testCase.idle)
+				}
+			}
+			for range 10 {
+				manual.Advance(50 * time.Millisecond)
+				for _, placer := range placers {
+					for _, other := range placers {
+						other.MergeServerEnds(placer.ServerEnds())
+					}
+				}
+			}
+			assert.Check(t, health.checks <= testCase.maxChecks, "%d checks", health.checks)
+			cold := 0
+			for _, placer := range placers {
+				server := placer.view.Load().byAddress[registered("a", "").Address]
+				assert.Check(t, !server.isSuspected())
+				if server.isCold(manual.Now()) {
+					cold++
+				}
+			}
+			assert.Equal(t, cold > 0, testCase.cold, "cold at %d VMs", cold)
+			assert.Check(t, cold == 0 || cold == len(placers), "cold at %d VMs", cold)
+		})
+	}
+}
+
+func elsewhere(id oleandervane.BackendServerID, port uint16) oleandervane.RegisteredServer {
+	server := registered(id, "kigali-a")
+	server.Address = netip.AddrPortFrom(server.Address.Addr(), port)
+	return server
+}
--- a/entry/placement/placer.go
+++ b/entry/placement/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -34,6 +35,8 @@
 	Settled func() bool
 	// Prober checks whether a server that has ended is back; nil leaves that to the requests.
 	Prober oleandervane.ConnectionProber
+	// HealthProber checks servers whose connections broke; nil ignores broken connections.
+	HealthProber oleandervane.HealthProber
 	// Observer is notified of changes in the state of servers; nil notifies nobody.
 	Observer Observer
 	// Policy is DefaultPolicy if it is zero.
@@ -49,6 +52,8 @@
 	DirectiveChanged(id oleandervane.BackendServerID, rateLimit float64, leaving bool)
 	// ColdStarted reports that a server counts as cold for the duration although its entry does not say so.
 	ColdStarted(id oleandervane.BackendServerID, cause ColdCause, duration time.Duration)
+	// ServerChecked reports the check of a server whose connections broke.
+	ServerChecked(id oleandervane.BackendServerID, checkResult CheckResult)
 	// InvalidHeaders reports headers of a server's response that are ignored because their values make no sense.
 	InvalidHeaders(id oleandervane.BackendServerID, names []string)
 	// PeerCoverageChanged reports whether enough other VMs report their requests in flight; covered is how many of the
@@ -68,6 +73,8 @@
 	ColdAfterEnd ColdCause = "connection_refused"
 	// ColdByPeer says that the server refuses the connections of another VM.
 	ColdByPeer ColdCause = "another_vm"
+	// ColdAfterBreak says that a check after connections of the server broke found a new run.
+	ColdAfterBreak ColdCause = "connections_broken"
 )
 
 // Placer tracks the state of the backend servers as this VM sees it and places requests. All methods are safe for
@@ -99,6 +106,8 @@
 	// byHash has the servers by the hash that identifies them in the in-flight counts of VMs, byRun by that of their run.
 	byHash map[uint32]*server
 	byRun  map[uint32]*server
+	// byAddress has the servers by address.
+	byAddress map[netip.AddrPort]*server
 }
 
 // NewPlacer returns a placer without servers.
@@ -139,6 +148,7 @@
 		preferences: map[oleandervane.ServiceName]map[oleandervane.Region]float64{},
 		byHash:      map[uint32]*server{},
 		byRun:       map[uint32]*server{},
+		byAddress:   map[netip.AddrPort]*server{},
 	}
 	for id, registered := range registry.BackendServers {
 		current := updatedServer(known[id], registered, now)
@@ -153,6 +163,7 @@
 		next.services[registered.Service] = append(next.services[registered.Service], current)
 		next.byHash[uint32(current.hash)] = current
 		next.byRun[current.target().RunHash()] = current
+		next.byAddress[current.Address] = current
 	}
 	for serviceName, servers := range next.services {
 		next.preferences[serviceName] = regionPreferences(servers, registry.Evacuated)
--- a/entry/placement/server.go
+++ b/entry/placement/server.go
@@ -75,6 +75,7 @@
 	// VM checks it.
 	endedAt, foundEndAt, backAt time.Time
 	absent, probing             bool
+	suspicion                   suspicion
 	directive                   directive
 	// nextLimitedSend is when this VM may send the next request while the server limits its requests.
 	nextLimitedSend time.Time
@@ -267,7 +268,7 @@
 
 // suspended reports whether the server gets no requests from this VM for now. The caller must hold the mutex.
 func (server *server) suspended(cold bool, now time.Time) bool {
-	if now.Before(server.backoffUntil) || now.Before(server.misdirectedUntil) {
+	if now.Before(server.backoffUntil) || now.Before(server.misdirectedUntil) || server.suspicion.active {
 		return true
 	}
 	return cold && (server.absent || !server.warmUpAssigned() || now.Before(server.nextColdSend))
--- a/entryvm/hosted/hosted.go
+++ b/entryvm/hosted/hosted.go
@@ -126,6 +126,7 @@
 		ConnectTimeout:         connectTimeout,
 		AbortDelay:             forward.DefaultAbortDelay,
 		SuspectObserver:        entryVM.observer,
+		BreakObserver:          breakObserver{entryVM},
 		QuarantineRecorder:     quarantineRecords{store: entryVM.observedStore, log: entryVM.log},
 		TrialCoordinator:       newTrialCoordinator(self.ID, entryVM.observedStore, timerService, entryVM.log),
 		RetryBudget: forward.NewRetryBudget(timerService, forward.Allowance{
@@ -139,6 +140,7 @@
 		Membership:   entryVM.roster,
 		Settled:      entryVM.roster.Settled,
 		Prober:       entryVM.forwarder,
+		HealthProber: entryVM.forwarder,
 		Observer:     entryVM.observer,
 	})
 	entryVM.bodyBudget = bodymemory.New(timerService, int64(bodyShare*float64(settings.MemoryMegabytes)*megabyte))
@@ -157,6 +159,16 @@
 	return entryVM
 }
 
+// breakObserver passes broken connections to the placer, which is created after the forwarder.
+type breakObserver struct {
+	entryVM *EntryVM
+}
+
+// ObserveBreak passes a broken connection on.
+func (breakObserver breakObserver) ObserveBreak(address netip.AddrPort, idle bool) {
+	breakObserver.entryVM.placer.ObserveBreak(address, idle)
+}
+
 func newLogger(settings Settings, output io.Writer) *logrus.Logger {
 	logger := logrus.New()
 	logger.SetOutput(output)
--- a/entryvm/hosted/observer.go
+++ b/entryvm/hosted/observer.go
@@ -124,6 +124,12 @@
 	observer.log.WithFields(logrus.Fields{"server": id, "cause": cause, "cold_for": duration.String()}).Info("backend server counts as cold")
 }
 
+// ServerChecked logs the check of a backend server whose connections broke.
+func (observer *observer) ServerChecked(id oleandervane.BackendServerID, checkResult placement.CheckResult) {
+	observer.set.GetOrCreateCounter(fmt.Sprintf("oleandervane_server_checks_total{result=%q}", checkResult)).Inc()
+	observer.log.WithFields(logrus.Fields{"server": id, "result": checkResult}).Info("backend server was checked because its connections broke")
+}
+
 // InvalidHeaders counts headers of a backend server that are ignored. It logs one in invalidHeaderLogPeriod.
 func (observer *observer) InvalidHeaders(id oleandervane.BackendServerID, names []string) {
 	for _, name := range names {
--- a/entryvm/hosted/return_test.go
+++ b/entryvm/hosted/return_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -23,6 +24,7 @@
 	VMs        int                   `toml:"vms"`
 	Absence    settingsfile.Duration `toml:"absence"`
 	EntryDelay settingsfile.Duration `toml:"entry_delay"`
+	Quiet      bool                  `toml:"quiet"`
 	MinServed  float64               `toml:"min_served"`
 }
 
@@ -103,6 +105,9 @@
 		t.Run(returnCase.Name, func(t *testing.T) {
 			run := newReturnRun(t, returnCase.VMs)
 			run.send(t, time.Second)
+			if returnCase.Quiet {
+				run.requests.Wait()
+			}
 			for _, id := range []string{"i-1", "i-2"} {
 				run.requests.Go(func() {
 					assert.Check(t, run.servers.Return(id, serverstandin.Return{
@@ -110,7 +115,11 @@
 					}))
 				})
 			}
-			run.send(t, time.Duration(returnCase.Absence))
+			if returnCase.Quiet {
+				time.Sleep(time.Duration(returnCase.Absence))
+			} else {
+				run.send(t, time.Duration(returnCase.Absence))
+			}
 			counts := run.send(t, returnColdTime)
 			run.requests.Wait()
 			for _, id := range []string{"i-1", "i-2"} {
@@ -123,6 +132,33 @@
 	}
 }
 
+// Healthy servers close idle connections now and then. Guards against servers that count as cold for it for longer than a check takes,
+// and against checks by each VM for each connection.
+func TestDroppedIdleConnectionsLeaveServersWarm(t *testing.T) {
+	run := newReturnRun(t, 6)
+	run.send(t, time.Second)
+	run.requests.Wait()
+	dropped, before := 0, map[string]int{}
+	for _, id := range []string{"i-1", "i-2"} {
+		before[id] = len(run.servers.Arrivals(id))
+		dropped += run.servers.DropIdle(id)
+	}
+	assert.Assert(t, dropped >= 4, "only %d connections were idle", dropped)
+	time.Sleep(time.Second)
+	counts := run.send(t, time.Second)
+	run.requests.Wait()
+	assert.Equal(t, int(counts.served.Load()), counts.sent)
+	for _, id := range []string{"i-1", "i-2"} {
+		got, checks := len(run.servers.Arrivals(id))-before[id], run.servers.HealthChecks(id)
+		t.Logf("%s got %d requests and %d health checks", id, got, checks)
+		assert.Check(t, float64(got) > returnAllowed, "%s got %d requests in a second and seems to count as cold", id, got)
+		assert.Check(t, checks > 0 && checks <= len(run.fixtures), "%s got %d health checks", id, checks)
+	}
+	for _, fixture := range run.fixtures {
+		assert.Check(t, !strings.Contains(fixture.log.text(), "counts as cold"), "a VM took a server for cold")
+	}
+}
+
 // checkColdRate checks the arrivals at a server from its start until it is no longer cold.
 func checkColdRate(t *testing.T, id string, arrivals []time.Time) {
 	most := 0
--- a/exchange.go
+++ b/exchange.go
@@ -83,6 +83,30 @@
 	ProbeConnection(address netip.AddrPort) ConnectionState
 }
 
+// HealthState is what a health check of a backend server shows. It is immutable.
+type HealthState struct {
+	Connection ConnectionState
+	// Stated is set if the server answered that it is healthy.
+	Stated bool
+	// Misdirected is set if the address belongs to another backend server now.
+	Misdirected bool
+	// ColdLeft is how much longer the server stays cold; zero if it is warm.
+	ColdLeft time.Duration
+}
+
+// HealthProber checks the health of backend servers.
+type HealthProber interface {
+	// ProbeHealth opens a connection to the server and waits for the answer of its health path for a bounded time.
+	ProbeHealth(backendServer BackendServer, path string) HealthState
+}
+
+// BreakObserver is notified of connections that backend servers broke. It must not block.
+type BreakObserver interface {
+	// ObserveBreak reports that a server broke a connection under a request, or one that was idle before the time that the server had
+	// named.
+	ObserveBreak(address netip.AddrPort, idle bool)
+}
+
 // SuspectRequest is a request that broke the connection to a backend server and may do so again. It is immutable.
 type SuspectRequest struct {
 	Fingerprint [16]byte
--- a/standin/serverstandin/servers.go
+++ b/standin/serverstandin/servers.go
@@ -5,10 +5,12 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -20,6 +22,9 @@
 // Deadly is the text in the path of requests under which servers end.
 const Deadly = "deadly"
 
+// healthPath is the path of health checks in the configurations of tests.
+const healthPath = "/healthz"
+
 // lateCrash is the time between the arrival of a request and the end of a server in CrashLate.
 const lateCrash = 150 * time.Millisecond
 
@@ -64,6 +69,11 @@
 	service  oleandervane.ServiceName
 	server   *httptest.Server
 	arrivals []time.Time
+	// coldUntil is the end of the slow start, which responses to health checks state. healthChecks counts these.
+	coldUntil    time.Time
+	healthChecks int
+	// idle has the connections that wait for a request.
+	idle map[net.Conn]bool
 }
 
 // New returns servers that register in the store. Start starts the first ones.
@@ -87,23 +97,36 @@
 
 // Start starts a server of a service and registers it.
 func (servers *Servers) Start(id string, serviceName oleandervane.ServiceName) error {
-	run, err := servers.listen(id, serviceName, "127.0.0.1:0")
+	run, err := servers.listen(id, serviceName, "127.0.0.1:0", 0)
 	if err != nil {
 		return err
 	}
 	return servers.register(id, run, 0)
 }
 
-// listen starts a run of a server at the address.
-func (servers *Servers) listen(id string, serviceName oleandervane.ServiceName, address string) (*run, error) {
+// listen starts a run of a server at the address, which is cold for a time.
+func (servers *Servers) listen(id string, serviceName oleandervane.ServiceName, address string, cold time.Duration) (*run, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("starting server %s: %w", id, err)
 	}
-	run := &run{service: serviceName, server: httptest.NewUnstartedServer(nil)}
+	run := &run{service: serviceName, server: httptest.NewUnstartedServer(nil), coldUntil: time.Now().Add(cold), idle: map[net.Conn]bool{}}
 	run.server.Listener = listener
 	end := sync.OnceFunc(func() { servers.restart(listener, id, serviceName) })
+	run.server.Config.ConnState = func(conn net.Conn, state http.ConnState) {
+		servers.mutex.Lock()
+		defer servers.mutex.Unlock()
+		delete(run.idle, conn)
+		if state == http.StateIdle {
+			run.idle[conn] = true
+		}
+	}
 	run.server.Config.Handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set("Keep-Alive", "timeout=10")
+		if request.URL.Path == healthPath {
+			servers.respondHealth(writer, run)
+			return
+		}
 		servers.mutex.Lock()
 		run.arrivals = append(run.arrivals, time.Now())
 		servers.mutex.Unlock()
@@ -144,7 +167,7 @@
 		return fmt.Errorf("ending server %s: %w", id, err)
 	}
 	time.Sleep(how.Absence)
-	run, err := servers.listen(id, former.service, former.server.Listener.Addr().String())
+	run, err := servers.listen(id, former.service, former.server.Listener.Addr().String(), how.Cold)
 	if err != nil {
 		return err
 	}
@@ -152,6 +175,34 @@
 	return servers.register(id, run, max(0, how.Cold-how.EntryDelay))
 }
 
+// DropIdle closes the idle connections of a server, which goes on to run, and returns how many it closed.
+func (servers *Servers) DropIdle(id string) int {
+	servers.mutex.Lock()
+	idle := slices.Collect(maps.Keys(servers.running[id].idle))
+	servers.mutex.Unlock()
+	for _, conn := range idle {
+		_ = conn.Close()
+	}
+	return len(idle)
+}
+
+// HealthChecks returns the number of health checks that the newest run of a server got.
+func (servers *Servers) HealthChecks(id string) int {
+	servers.mutex.Lock()
+	defer servers.mutex.Unlock()
+	return servers.running[id].healthChecks
+}
+
+func (servers *Servers) respondHealth(writer http.ResponseWriter, run *run) {
+	servers.mutex.Lock()
+	defer servers.mutex.Unlock()
+	run.healthChecks++
+	if left := time.Until(run.coldUntil); left > 0 {
+		writer.Header().Set("X-Slow-Start-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+	}
+	writer.Header().Set("X-Server-Load", "0,0,3")
+}
+
 // Arrivals returns the times at which requests arrived at the newest run of a server.
 func (servers *Servers) Arrivals(id string) []time.Time {
 	servers.mutex.Lock()
--- a/standin/soak/backend.go
+++ b/standin/soak/backend.go
@@ -110,6 +110,8 @@
 }
 
 const (
+	// healthPath is the path of health checks in the configuration of the soak.
+	healthPath   = "/healthz"
 	backendSlots = 8
 	// maxRunTime is the upper bound of the random run time of a request at a backend server.
 	maxRunTime = 40 * time.Millisecond
@@ -134,6 +136,8 @@
 	// crash ends the server and starts it again. born is the start of the current run in Unix milliseconds.
 	crash func(backend *backend)
 	born  atomic.Int64
+	// coldUntil is the end of the slow start of the current run in Unix milliseconds. Responses to health checks state it.
+	coldUntil atomic.Int64
 }
 
 func newBackend(id, domain string, journal *journal) (*backend, error) {
@@ -170,6 +174,10 @@
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if request.URL.Path == healthPath {
+		backend.respondHealth(writer)
+		return
+	}
 	backend.journal.recordArrival(backend.id, requestID, time.Now())
 	if backend.signals.apply(writer.Header()) {
 		backend.refuse(writer)
@@ -207,10 +215,21 @@
 		panic(http.ErrAbortHandler)
 	}
 	writer.Header().Set("X-Response-Signature", "m")
-	writer.Header().Set("X-Server-Load", strconv.Itoa(len(backend.slots))+",0,"+strconv.Itoa(backendSlots))
+	backend.setLoad(writer)
 	_, _ = io.WriteString(writer, bodyOf(requestID))
 }
 
+func (backend *backend) respondHealth(writer http.ResponseWriter) {
+	if left := backend.coldUntil.Load() - time.Now().UnixMilli(); left > 0 {
+		writer.Header().Set("X-Slow-Start-Ms", strconv.FormatInt(left, 10))
+	}
+	backend.setLoad(writer)
+}
+
+func (backend *backend) setLoad(writer http.ResponseWriter) {
+	writer.Header().Set("X-Server-Load", strconv.Itoa(len(backend.slots))+",0,"+strconv.Itoa(backendSlots))
+}
+
 func (backend *backend) refuse(writer http.ResponseWriter) {
 	writer.Header().Set("X-Not-Executed", "1")
 	writer.WriteHeader(http.StatusServiceUnavailable)
--- a/standin/soak/return.go
+++ b/standin/soak/return.go
@@ -41,6 +41,7 @@
 func (soak *Soak) returnServer(backend *backend, serverReturn serverReturn) {
 	time.Sleep(serverReturn.delay)
 	endedAt := time.Now()
+	backend.coldUntil.Store(endedAt.Add(serverReturn.absence + coldDuration).UnixMilli())
 	if err := backend.proxy.restart(serverReturn.absence); err != nil {
 		soak.check.fail("the soak could not start %s again: %v", backend.id, err)
 		return
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -409,6 +409,7 @@
 // startCold registers a drained server as a new, cold process and checks the requests that it gets while it is cold.
 func (soak *Soak) startCold(backend *backend) {
 	restartedAt := time.Now()
+	backend.coldUntil.Store(restartedAt.Add(coldDuration).UnixMilli())
 	soak.write("servers/"+backend.id, backend.coldEntry("ready", coldDuration, restartedAt.UnixMilli()))
 	soak.pending.Go(func() {
 		time.Sleep(coldDuration)
