--- a/dialect.go
+++ b/dialect.go
@@ -40,6 +40,8 @@
 	RateLimit float64
 	// Leaving is set if the backend server states that it leaves.
 	Leaving bool
+	// ServedBy is the id with which a backend server answers a request for its state; empty if the response does not state it.
+	ServedBy BackendServerID
 	// RetryAfter is how long a backend server that refused a request wants none from this VM; zero if the response does not state it.
 	RetryAfter time.Duration
 	// KeepAlive is how long the backend server keeps an idle connection; zero if the response does not state it.
@@ -82,4 +84,6 @@
 // CallerDialect reads the metadata of callers' requests.
 type CallerDialect interface {
 	ReadRequest(request *http.Request) RequestMetadata
+	// SetChallenge adds to the header of a response that its request needs a key.
+	SetChallenge(header http.Header)
 }
