--- a/entry/forward/idlebreak_test.go
+++ b/entry/forward/idlebreak_test.go
@@ -17,7 +17,9 @@
 // recordedBreaks records whether the connections that broke were idle.
 type recordedBreaks chan bool
 
-func (recordedBreaks recordedBreaks) ObserveBreak(_ netip.AddrPort, idle bool) { recordedBreaks <- idle }
+func (recordedBreaks recordedBreaks) ObserveBreak(_ netip.AddrPort, idle bool) {
+	recordedBreaks <- idle
+}
 
 // keepAliveDialect has servers say that they keep idle connections for 10 s.
 type keepAliveDialect struct{ nativeDialect }
