Ask other VMs at the start which servers have ended

Cause: a VM that starts just after a server lists the entry of the server's former run and takes it for warm. The others, which know of the end, send notices to a VM only when they have read its entry. Change: the relay between VMs has a call that returns the ends because of which servers count as cold, whichever VM found them. A VM calls it at three others, once, with the first backend servers that it reads.

--- a/entry/placement/end.go
+++ b/entry/placement/end.go
@@ -143,14 +143,30 @@
 
 // ServerEnds returns the ends that this VM found recently, the newest first.
 func (placer *Placer) ServerEnds() []oleandervane.ServerEnd {
+	now := placer.settings.TimerService.Now()
+	return placer.collectEnds(func(server *server) (at time.Time, found bool) {
+		return server.foundEndAt, now.Sub(server.foundEndAt) < endLifetime
+	})
+}
+
+// KnownServerEnds returns the ends of servers that are cold because of them, whichever VM found them, the newest first.
+func (placer *Placer) KnownServerEnds() []oleandervane.ServerEnd {
+	now := placer.settings.TimerService.Now()
+	return placer.collectEnds(func(server *server) (at time.Time, found bool) {
+		return later(server.endedAt, server.backAt), !server.endedAt.IsZero() && now.Before(server.coldUntil)
+	})
+}
+
+// collectEnds returns the ends that the function finds, the newest first. It calls the function with the mutex of the server held.
+func (placer *Placer) collectEnds(find func(server *server) (at time.Time, found bool)) []oleandervane.ServerEnd {
 	now := placer.settings.TimerService.Now()
 	var serverEnds []oleandervane.ServerEnd
 	for run, server := range placer.view.Load().byRun {
 		server.mutex.Lock()
-		age := now.Sub(server.foundEndAt)
+		at, found := find(server)
 		server.mutex.Unlock()
-		if age < endLifetime {
-			serverEnds = append(serverEnds, oleandervane.ServerEnd{Server: run, Age: age})
+		if found {
+			serverEnds = append(serverEnds, oleandervane.ServerEnd{Server: run, Age: now.Sub(at)})
 		}
 	}
 	slices.SortFunc(serverEnds, func(a, b oleandervane.ServerEnd) int {
--- a/entryvm/hosted/fleet.go
+++ b/entryvm/hosted/fleet.go
@@ -1,8 +1,13 @@
 package hosted
 
 import (
+	"cmp"
+	"context"
 	"net/http"
 	"net/netip"
+	"slices"
+	"sync"
+	"time"
 
 	"oleandervane.example"
 	"oleandervane.example/entry/forward"
@@ -107,9 +112,40 @@
 	}, nil
 }
 
+const (
+	// askedVMs is the number of VMs that a VM asks at its start. One may have died, and one may have just started too.
+	askedVMs = 3
+	// askTimeout bounds a call to another VM, which responds from memory.
+	askTimeout = 500 * time.Millisecond
+)
+
+// askForEnds asks other VMs which servers have ended lately. The others send notices to this VM only when they have read its entry.
+func (entryVM *EntryVM) askForEnds() {
+	others := entryVM.roster.EntryVMs()
+	self, _ := slices.BinarySearchFunc(others, entryVM.roster.Self().ID, func(vm oleandervane.EntryVM, id oleandervane.VMID) int {
+		return cmp.Compare(vm.ID, id)
+	})
+	// Each VM asks those that follow it in the list, so that many that start at once ask different ones.
+	others = slices.DeleteFunc(slices.Concat(others[self:], others[:self]), func(vm oleandervane.EntryVM) bool { return vm.ID == entryVM.roster.Self().ID })
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	for _, vm := range others[:min(len(others), askedVMs)] {
+		calls.Go(func() {
+			serverEnds, err := entryVM.relayClient.ServerEnds(ctx, vm)
+			if err != nil {
+				entryVM.log.WithError(err).WithField("other_vm", vm.ID).Info("another VM did not say which servers have ended")
+				return
+			}
+			entryVM.placer.MergeServerEnds(serverEnds)
+		})
+	}
+	calls.Wait()
+}
+
 func (entryVM *EntryVM) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	path, handler := relay.NewHandler(entryVM.changeLog)
+	path, handler := relay.NewHandler(entryVM.changeLog, entryVM.placer)
 	mux.Handle(path, handler)
 	return mux
 }
--- a/entryvm/hosted/hosted.go
+++ b/entryvm/hosted/hosted.go
@@ -98,6 +98,8 @@
 	// callerListener accepts the connections of callers; nil before Run.
 	callerListener atomic.Pointer[webserver.DrainListener]
 	stopping       atomic.Bool
+	// askedForEnds is set with the first backend servers.
+	askedForEnds atomic.Bool
 }
 
 // New returns an entry VM that logs to output. It opens no connection before Run.
@@ -214,6 +216,9 @@
 func (entryVM *EntryVM) publish(registry oleandervane.Registry) {
 	entryVM.recordEnds(registry)
 	entryVM.placer.Update(registry)
+	if len(registry.BackendServers) > 0 && !entryVM.askedForEnds.Swap(true) {
+		entryVM.timerService.After(0, func(time.Time) { entryVM.askForEnds() })
+	}
 	if registry.Table != nil {
 		entryVM.ingress.Publish(registry.Table)
 	}
--- a/entryvm/hosted/return_test.go
+++ b/entryvm/hosted/return_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"sync"
@@ -132,6 +133,36 @@
 	}
 }
 
+// A server starts again, and then a VM, which lists the entry of the former run. Guards against a VM that hears of the end from nobody
+// because the others have not read its own entry yet; here they never do, because the store refuses what it writes.
+func TestStartingVMAsksForEnds(t *testing.T) {
+	run := newReturnRun(t, 3)
+	run.send(t, time.Second)
+	run.requests.Wait()
+	run.requests.Go(func() {
+		assert.Check(t, run.servers.Return("i-1", serverstandin.Return{Absence: 100 * time.Millisecond, EntryDelay: 4 * time.Second, Cold: 5 * time.Second}))
+	})
+	time.Sleep(300 * time.Millisecond)
+	another, handler := *run.fixtures[0], run.fixtures[0].store.Handler()
+	readOnly := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.Method != http.MethodGet {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		handler.ServeHTTP(writer, request)
+	}))
+	t.Cleanup(readOnly.CloseClientConnections)
+	another.settings.StoreURL = readOnly.URL
+	run.fixtures = []*fixture{startAnother(t, another, "vm-4")}
+	before := len(run.servers.Arrivals("i-1"))
+	counts := run.send(t, time.Second)
+	got := len(run.servers.Arrivals("i-1")) - before
+	run.requests.Wait()
+	t.Logf("i-1 got %d requests, %d of %d were served", got, counts.served.Load(), counts.sent)
+	assert.Check(t, float64(got) <= returnAllowed, "i-1 got %d requests in a second from a VM that had just started", got)
+	assert.Equal(t, int(counts.served.Load()), counts.sent)
+}
+
 // Healthy servers close idle connections now and then. Guards against servers that count as cold for it for longer than a check takes,
 // and against checks by each VM for each connection.
 func TestDroppedIdleConnectionsLeaveServersWarm(t *testing.T) {
--- a/fleet/exchange/exchange.go
+++ b/fleet/exchange/exchange.go
@@ -226,7 +226,7 @@
 	notice.Quarantined = encodeSuspects(part(exchange.settings.Suspects.Quarantined(), sequence))
 	notice.StoreRevision, notice.StoreFresh = exchange.settings.Store.StoreRevision()
 	notice.Directives = encodeDirectives(exchange.settings.Directives.Directives())
-	notice.ServerEnds = encodeServerEnds(exchange.settings.ServerEnds.ServerEnds())
+	notice.ServerEnds = EncodeServerEnds(exchange.settings.ServerEnds.ServerEnds())
 	notice.Familiar = exchange.settings.Affinity.PendingAffinity()
 	exchange.addPendingAffinity(notice.Familiar)
 	return notice
@@ -286,7 +286,7 @@
 	notice := &peer.Notice{
 		Vm: own.Vm, Incarnation: own.Incarnation, Sequence: own.Sequence, FailureDomain: string(self.FailureDomain),
 		Vms: uint32(vms), Suspects: own.Suspects, Quarantined: own.Quarantined, Directives: own.Directives,
-		ServerEnds: encodeServerEnds(youngestEnds(ends)), Familiar: pending, StoreRevision: own.StoreRevision, StoreFresh: own.StoreFresh,
+		ServerEnds: EncodeServerEnds(youngestEnds(ends)), Familiar: pending, StoreRevision: own.StoreRevision, StoreFresh: own.StoreFresh,
 	}
 	setSums(notice, sums)
 	return notice
@@ -301,7 +301,7 @@
 	}
 	if exchange.wasPaused() {
 		// An end names the run that has ended, and is valid however late it is read.
-		exchange.settings.ServerEnds.MergeServerEnds(decodeServerEnds(notice.GetServerEnds()))
+		exchange.settings.ServerEnds.MergeServerEnds(DecodeServerEnds(notice.GetServerEnds()))
 		return
 	}
 	if !exchange.record(notice) {
@@ -309,7 +309,7 @@
 	}
 	exchange.settings.Suspects.Merge(decodeSuspects(notice.GetSuspects()), decodeSuspects(notice.GetQuarantined()))
 	exchange.settings.Directives.MergeDirectives(decodeDirectives(notice.GetDirectives()))
-	exchange.settings.ServerEnds.MergeServerEnds(decodeServerEnds(notice.GetServerEnds()))
+	exchange.settings.ServerEnds.MergeServerEnds(DecodeServerEnds(notice.GetServerEnds()))
 	exchange.settings.InFlight.ReplaceInFlight(source(notice), int(notice.GetVms()), counts(notice))
 	exchange.settings.Affinity.MergeAffinity(notice.GetFamiliar())
 	if notice.GetFailureDomain() == "" {
--- a/fleet/exchange/notice.go
+++ b/fleet/exchange/notice.go
@@ -125,7 +125,8 @@
 	return directives
 }
 
-func encodeServerEnds(serverEnds []oleandervane.ServerEnd) []*peer.ServerEnd {
+// EncodeServerEnds returns the newest ends as parts of a message.
+func EncodeServerEnds(serverEnds []oleandervane.ServerEnd) []*peer.ServerEnd {
 	var encoded []*peer.ServerEnd
 	for _, serverEnd := range serverEnds[:min(len(serverEnds), maxServerEnds)] {
 		encoded = append(encoded, &peer.ServerEnd{Server: serverEnd.Server, AgeMillis: uint32(max(0, serverEnd.Age.Milliseconds()))})
@@ -135,7 +136,7 @@
 
 // addServerEnds adds the ends in a notice that came some time ago to the ages of those that are known.
 func addServerEnds(ages map[uint32]time.Duration, notice *peer.Notice, receivedAgo time.Duration) {
-	for _, serverEnd := range decodeServerEnds(notice.GetServerEnds()) {
+	for _, serverEnd := range DecodeServerEnds(notice.GetServerEnds()) {
 		age := serverEnd.Age + receivedAgo
 		if known, found := ages[serverEnd.Server]; !found || age < known {
 			ages[serverEnd.Server] = age
@@ -155,7 +156,8 @@
 	return serverEnds
 }
 
-func decodeServerEnds(encoded []*peer.ServerEnd) []oleandervane.ServerEnd {
+// DecodeServerEnds returns the ends in a message.
+func DecodeServerEnds(encoded []*peer.ServerEnd) []oleandervane.ServerEnd {
 	var serverEnds []oleandervane.ServerEnd
 	for _, message := range encoded {
 		serverEnds = append(serverEnds, oleandervane.ServerEnd{Server: message.GetServer(), Age: time.Duration(message.GetAgeMillis()) * time.Millisecond})
--- a/fleet/peer/peerconnect/notice.connect.go
+++ b/fleet/peer/peerconnect/notice.connect.go
@@ -35,12 +35,16 @@
 const (
 	// RelayServiceChangesProcedure is the fully-qualified name of the RelayService's Changes RPC.
 	RelayServiceChangesProcedure = "/oleandervane.peer.v1.RelayService/Changes"
+	// RelayServiceServerEndsProcedure is the fully-qualified name of the RelayService's ServerEnds RPC.
+	RelayServiceServerEndsProcedure = "/oleandervane.peer.v1.RelayService/ServerEnds"
 )
 
 // RelayServiceClient is a client for the oleandervane.peer.v1.RelayService service.
 type RelayServiceClient interface {
 	// Changes returns the changes after a revision.
 	Changes(context.Context, *peer.ChangesRequest) (*peer.ChangesResponse, error)
+	// ServerEnds returns the runs of backend servers that have ended lately. A VM that has just started asks for them.
+	ServerEnds(context.Context, *peer.ServerEndsRequest) (*peer.ServerEndsResponse, error)
 }
 
 // NewRelayServiceClient constructs a client for the oleandervane.peer.v1.RelayService service. By
@@ -60,12 +64,19 @@
 			connect.WithSchema(relayServiceMethods.ByName("Changes")),
 			connect.WithClientOptions(opts...),
 		),
+		serverEnds: connect.NewClient[peer.ServerEndsRequest, peer.ServerEndsResponse](
+			httpClient,
+			baseURL+RelayServiceServerEndsProcedure,
+			connect.WithSchema(relayServiceMethods.ByName("ServerEnds")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // relayServiceClient implements RelayServiceClient.
 type relayServiceClient struct {
-	changes *connect.Client[peer.ChangesRequest, peer.ChangesResponse]
+	changes    *connect.Client[peer.ChangesRequest, peer.ChangesResponse]
+	serverEnds *connect.Client[peer.ServerEndsRequest, peer.ServerEndsResponse]
 }
 
 // Changes calls oleandervane.peer.v1.RelayService.Changes.
@@ -77,10 +88,21 @@
 	return nil, err
 }
 
+// ServerEnds calls oleandervane.peer.v1.RelayService.ServerEnds.
+func (c *relayServiceClient) ServerEnds(ctx context.Context, req *peer.ServerEndsRequest) (*peer.ServerEndsResponse, error) {
+	response, err := c.serverEnds.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // RelayServiceHandler is an implementation of the oleandervane.peer.v1.RelayService service.
 type RelayServiceHandler interface {
 	// Changes returns the changes after a revision.
 	Changes(context.Context, *peer.ChangesRequest) (*peer.ChangesResponse, error)
+	// ServerEnds returns the runs of backend servers that have ended lately. A VM that has just started asks for them.
+	ServerEnds(context.Context, *peer.ServerEndsRequest) (*peer.ServerEndsResponse, error)
 }
 
 // NewRelayServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -96,10 +118,18 @@
 		connect.WithSchema(relayServiceMethods.ByName("Changes")),
 		connect.WithHandlerOptions(opts...),
 	)
+	relayServiceServerEndsHandler := connect.NewUnaryHandlerSimple(
+		RelayServiceServerEndsProcedure,
+		svc.ServerEnds,
+		connect.WithSchema(relayServiceMethods.ByName("ServerEnds")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/oleandervane.peer.v1.RelayService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case RelayServiceChangesProcedure:
 			relayServiceChangesHandler.ServeHTTP(w, r)
+		case RelayServiceServerEndsProcedure:
+			relayServiceServerEndsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -112,3 +142,7 @@
 func (UnimplementedRelayServiceHandler) Changes(context.Context, *peer.ChangesRequest) (*peer.ChangesResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("oleandervane.peer.v1.RelayService.Changes is not implemented"))
 }
+
+func (UnimplementedRelayServiceHandler) ServerEnds(context.Context, *peer.ServerEndsRequest) (*peer.ServerEndsResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("oleandervane.peer.v1.RelayService.ServerEnds is not implemented"))
+}
--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -127,7 +127,7 @@
 
 // handlerOf returns the handler of a VM for its followers, which fails while the VM is silent or fails calls.
 func handlerOf(vm *vm) http.Handler {
-	_, handler := relay.NewHandler(vm)
+	_, handler := relay.NewHandler(vm, nil)
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if vm.silent.Load() || vm.callsFail.Load() {
 			http.Error(writer, "the VM does not respond", http.StatusServiceUnavailable)
--- a/fleet/relay/transport.go
+++ b/fleet/relay/transport.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 
 	"oleandervane.example"
+	"oleandervane.example/fleet/exchange"
 	"oleandervane.example/fleet/peer"
 	"oleandervane.example/fleet/peer/peerconnect"
 	"oleandervane.example/socket"
@@ -29,13 +30,24 @@
 	Read(after uint64) (changes []oleandervane.StoreChange, full bool, revision uint64)
 }
 
-// NewHandler returns the path prefix and the HTTP handler that serve changes to followers.
-func NewHandler(reader Reader) (string, http.Handler) {
-	return peerconnect.NewRelayServiceHandler(handler{reader}, connect.WithReadMaxBytes(maxRequestBytes))
+// EndReader reads the ends of backend servers that this VM knows, whoever found them, the newest first. placement.Placer implements it.
+type EndReader interface {
+	KnownServerEnds() []oleandervane.ServerEnd
+}
+
+// NewHandler returns the path prefix and the HTTP handler that serve changes to followers, and ends to VMs that have just started.
+func NewHandler(reader Reader, endReader EndReader) (string, http.Handler) {
+	return peerconnect.NewRelayServiceHandler(handler{reader, endReader}, connect.WithReadMaxBytes(maxRequestBytes))
 }
 
 type handler struct {
-	reader Reader
+	reader    Reader
+	endReader EndReader
+}
+
+// ServerEnds returns the ends that are known.
+func (handler handler) ServerEnds(context.Context, *peer.ServerEndsRequest) (*peer.ServerEndsResponse, error) {
+	return &peer.ServerEndsResponse{ServerEnds: exchange.EncodeServerEnds(handler.endReader.KnownServerEnds())}, nil
 }
 
 // Changes returns the changes after a revision.
@@ -84,6 +96,15 @@
 	return changes, response.GetWhole(), response.GetRevision(), nil
 }
 
+// ServerEnds reads the ends that another VM knows.
+func (client *Client) ServerEnds(ctx context.Context, from oleandervane.EntryVM) ([]oleandervane.ServerEnd, error) {
+	response, err := client.clientFor(from.PeerAddress).ServerEnds(ctx, &peer.ServerEndsRequest{})
+	if err != nil {
+		return nil, err
+	}
+	return exchange.DecodeServerEnds(response.GetServerEnds()), nil
+}
+
 func (client *Client) clientFor(address netip.AddrPort) peerconnect.RelayServiceClient {
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
