--- a/entryvm/hosted/hosted.go
+++ b/entryvm/hosted/hosted.go
@@ -100,6 +100,8 @@
 	// callerListener accepts the connections of callers; nil before Run.
 	callerListener atomic.Pointer[webserver.DrainListener]
 	stopping       atomic.Bool
+	// askedForEnds is set with the first backend servers.
+	askedForEnds atomic.Bool
 }
 
 // New returns an entry VM that logs to output. It opens no connection before Run.
@@ -129,6 +131,7 @@
 		ConnectTimeout:         connectTimeout,
 		AbortDelay:             forward.DefaultAbortDelay,
 		SuspectObserver:        entryVM.observer,
+		BreakObserver:          breakObserver{entryVM},
 		QuarantineRecorder:     quarantineRecords{store: entryVM.observedStore, log: entryVM.log},
 		TrialCoordinator:       newTrialCoordinator(self.ID, entryVM.observedStore, timerService, entryVM.log),
 		RetryBudget: forward.NewRetryBudget(timerService, forward.Allowance{
@@ -142,6 +145,7 @@
 		Membership:   entryVM.roster,
 		Settled:      entryVM.roster.Settled,
 		Prober:       entryVM.forwarder,
+		HealthProber: entryVM.forwarder,
 		Observer:     entryVM.observer,
 	})
 	entryVM.joinFleet(settings)
@@ -162,6 +166,16 @@
 	return entryVM
 }
 
+// breakObserver passes broken connections to the placer, which is created after the forwarder.
+type breakObserver struct {
+	entryVM *EntryVM
+}
+
+// ObserveBreak passes a broken connection on.
+func (breakObserver breakObserver) ObserveBreak(address netip.AddrPort, idle bool) {
+	breakObserver.entryVM.placer.ObserveBreak(address, idle)
+}
+
 func newLogger(settings Settings, output io.Writer) *logrus.Logger {
 	logger := logrus.New()
 	logger.SetOutput(output)
@@ -206,6 +220,9 @@
 func (entryVM *EntryVM) publish(registry oleandervane.Registry) {
 	entryVM.recordEnds(registry)
 	entryVM.placer.Update(registry)
+	if len(registry.BackendServers) > 0 && !entryVM.askedForEnds.Swap(true) {
+		entryVM.timerService.After(0, func(time.Time) { entryVM.askForEnds() })
+	}
 	if registry.Table != nil {
 		entryVM.rateLimiter.Update(registry.Table)
 		entryVM.ingress.Publish(registry.Table)
--- a/entryvm/hosted/return_test.go
+++ b/entryvm/hosted/return_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -23,6 +25,7 @@
 	VMs        int                   `toml:"vms"`
 	Absence    settingsfile.Duration `toml:"absence"`
 	EntryDelay settingsfile.Duration `toml:"entry_delay"`
+	Quiet      bool                  `toml:"quiet"`
 	MinServed  float64               `toml:"min_served"`
 }
 
@@ -103,6 +106,9 @@
 		t.Run(returnCase.Name, func(t *testing.T) {
 			run := newReturnRun(t, returnCase.VMs)
 			run.send(t, time.Second)
+			if returnCase.Quiet {
+				run.requests.Wait()
+			}
 			for _, id := range []string{"i-1", "i-2"} {
 				run.requests.Go(func() {
 					assert.Check(t, run.servers.Return(id, serverstandin.Return{
@@ -110,7 +116,11 @@
 					}))
 				})
 			}
-			run.send(t, time.Duration(returnCase.Absence))
+			if returnCase.Quiet {
+				time.Sleep(time.Duration(returnCase.Absence))
+			} else {
+				run.send(t, time.Duration(returnCase.Absence))
+			}
 			counts := run.send(t, returnColdTime)
 			run.requests.Wait()
 			for _, id := range []string{"i-1", "i-2"} {
@@ -123,6 +133,63 @@
 	}
 }
 
+// A server starts again, and then a VM, which lists the entry of the former run. Guards against a VM that hears of the end from nobody
+// because the others have not read its own entry yet; here they never do, because the store refuses what it writes.
+func TestStartingVMAsksForEnds(t *testing.T) {
+	run := newReturnRun(t, 3)
+	run.send(t, time.Second)
+	run.requests.Wait()
+	run.requests.Go(func() {
+		assert.Check(t, run.servers.Return("i-1", serverstandin.Return{Absence: 100 * time.Millisecond, EntryDelay: 4 * time.Second, Cold: 5 * time.Second}))
+	})
+	time.Sleep(300 * time.Millisecond)
+	another, handler := *run.fixtures[0], run.fixtures[0].store.Handler()
+	readOnly := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.Method != http.MethodGet {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		handler.ServeHTTP(writer, request)
+	}))
+	t.Cleanup(readOnly.CloseClientConnections)
+	another.settings.StoreURL = readOnly.URL
+	run.fixtures = []*fixture{startAnother(t, another, "vm-4")}
+	before := len(run.servers.Arrivals("i-1"))
+	counts := run.send(t, time.Second)
+	got := len(run.servers.Arrivals("i-1")) - before
+	run.requests.Wait()
+	t.Logf("i-1 got %d requests, %d of %d were served", got, counts.served.Load(), counts.sent)
+	assert.Check(t, float64(got) <= returnAllowed, "i-1 got %d requests in a second from a VM that had just started", got)
+	assert.Equal(t, int(counts.served.Load()), counts.sent)
+}
+
+// Healthy servers close idle connections now and then. Guards against servers that count as cold for it for longer than a check takes,
+// and against checks by each VM for each connection.
+func TestDroppedIdleConnectionsLeaveServersWarm(t *testing.T) {
+	run := newReturnRun(t, 6)
+	run.send(t, time.Second)
+	run.requests.Wait()
+	dropped, before := 0, map[string]int{}
+	for _, id := range []string{"i-1", "i-2"} {
+		before[id] = len(run.servers.Arrivals(id))
+		dropped += run.servers.DropIdle(id)
+	}
+	assert.Assert(t, dropped >= 4, "only %d connections were idle", dropped)
+	time.Sleep(time.Second)
+	counts := run.send(t, time.Second)
+	run.requests.Wait()
+	assert.Equal(t, int(counts.served.Load()), counts.sent)
+	for _, id := range []string{"i-1", "i-2"} {
+		got, checks := len(run.servers.Arrivals(id))-before[id], run.servers.HealthChecks(id)
+		t.Logf("%s got %d requests and %d health checks", id, got, checks)
+		assert.Check(t, float64(got) > returnAllowed, "%s got %d requests in a second and seems to count as cold", id, got)
+		assert.Check(t, checks > 0 && checks <= len(run.fixtures), "%s got %d health checks", id, checks)
+	}
+	for _, fixture := range run.fixtures {
+		assert.Check(t, !strings.Contains(fixture.log.text(), "counts as cold"), "a VM took a server for cold")
+	}
+}
+
 // checkColdRate checks the arrivals at a server from its start until it is no longer cold.
 func checkColdRate(t *testing.T, id string, arrivals []time.Time) {
 	most := 0
