--- a/entryvm/hosted/fleet.go
+++ b/entryvm/hosted/fleet.go
@@ -59,7 +59,7 @@
 }
 
 // Replace replaces all entries.
-func (storeSink storeSink) Replace(entries []oleandervane.StoreEntry, revision uint64) {
+func (storeSink storeSink) Replace(entries []oleandervane.StoreEntry, revision oleandervane.StoreRevision) {
 	for _, entry := range entries {
 		restoreQuarantine(storeSink.quarantine, entry)
 	}
@@ -85,6 +85,14 @@
 	storeSink.changeLog.Clear()
 }
 
+// StoreRestored writes the entry of this VM again and lists the store again. A watch that waits may never return a change.
+func (entryVM *EntryVM) StoreRestored(era oleandervane.StoreEra) {
+	entryVM.observer.set.GetOrCreateCounter("oleandervane_store_restores_total").Inc()
+	entryVM.log.WithField("era", era).Warn("the store was restored from a copy; this VM writes its entry and lists the store again")
+	entryVM.roster.Restored()
+	entryVM.watcher.Interrupt()
+}
+
 // startNotices opens the notice socket and starts to send and receive notices.
 func (entryVM *EntryVM) startNotices(address netip.AddrPort) (stop func(), err error) {
 	if err := entryVM.noticeSocket.Open(address); err != nil {
--- a/entryvm/hosted/hosted.go
+++ b/entryvm/hosted/hosted.go
@@ -153,6 +153,7 @@
 	})
 	entryVM.pipeline = pipeline.NewDispatcher(entryVM.ingress, settings.PipelinedRequests)
 	entryVM.joinFleet(settings)
+	entryVM.store.ObserveRestores(entryVM)
 	entryVM.addGauges()
 	return entryVM
 }
@@ -176,6 +177,9 @@
 	set.NewGauge("oleandervane_body_bytes", func() float64 { return float64(entryVM.bodyBudget.Used()) })
 	set.NewGauge("oleandervane_log_lines_dropped", func() float64 { return float64(entryVM.logWriter.Dropped()) })
 	set.NewGauge("oleandervane_store_calls", func() float64 { return float64(entryVM.store.Calls().Total()) })
+	set.NewGauge("oleandervane_store_catch_ups", func() float64 { return float64(entryVM.replica.catchUps.Load()) })
+	set.NewGauge("oleandervane_store_invalid_eras", func() float64 { return float64(entryVM.store.InvalidEras()) })
+	set.NewGauge("oleandervane_store_late_responses", func() float64 { return float64(entryVM.store.LateResponses()) })
 	set.NewGauge("oleandervane_notices_dropped", func() float64 { return float64(entryVM.noticeSocket.Dropped()) })
 	set.NewGauge("oleandervane_beliefs_age_seconds", func() float64 { return entryVM.replica.age().Seconds() })
 }
--- a/entryvm/hosted/observer.go
+++ b/entryvm/hosted/observer.go
@@ -197,7 +197,7 @@
 
 // Registered logs that the VM is registered in the store.
 func (observer *observer) Registered(lease oleandervane.LeaseID) {
-	observer.log.WithField("lease", lease).Info("entry VM is registered in the store")
+	observer.log.WithField("lease", lease.Number).Info("entry VM is registered in the store")
 }
 
 // RegistrationFailed logs that the VM's entry could not be written or renewed.
--- a/entryvm/hosted/replica.go
+++ b/entryvm/hosted/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,9 +29,16 @@
 	// readAt is when entries or changes were last read from the store.
 	readAt atomic.Pointer[time.Time]
 
+	// catchUps counts reads of changes from another VM in place of the store.
+	catchUps atomic.Uint64
+
 	mutex sync.Mutex
 	// versions are the versions of the entries in force, by key.
 	versions map[string]uint64
+	// era is that of the store as it was last read.
+	era oleandervane.StoreEra
+	// formerEntries are entries that were replaced or removed.
+	formerEntries *formerEntries
 	// afterOutage is set from the end of an outage of the store until the entries are listed.
 	afterOutage bool
 	// deferredRemovals are removals that came after an outage of the store and wait until it is known whether their entries
@@ -43,7 +51,7 @@
 func newReplica(reader oleandervane.RegistryReader, roster *roster.Roster, timerService oleandervane.TimerService, log *logrus.Entry, publish func(oleandervane.Registry)) *replica {
 	replica := &replica{
 		reader: reader, roster: roster, timerService: timerService, log: log, publish: publish,
-		versions: map[string]uint64{}, deferredRemovals: map[string]oleandervane.StoreChange{},
+		versions: map[string]uint64{}, formerEntries: newFormerEntries(), deferredRemovals: map[string]oleandervane.StoreChange{},
 	}
 	replica.registry.Store(&oleandervane.Registry{})
 	return replica
@@ -58,23 +66,58 @@
 	return replica.timerService.Now().Sub(*readAt)
 }
 
-// Replace replaces all entries. Keys that are missing have been removed.
-func (replica *replica) Replace(entries []oleandervane.StoreEntry, revision uint64) {
+// Replace replaces all entries. Keys that are missing have been removed. After a restore of the store, removals are deferred, and an entry
+// that was replaced or removed before is ignored: the copy has it, and it is written again if it is still valid.
+func (replica *replica) Replace(entries []oleandervane.StoreEntry, revision oleandervane.StoreRevision) {
 	replica.mutex.Lock()
 	missing := maps.Clone(replica.versions)
+	if replica.beginEra(revision.Era) {
+		replica.afterOutage = false
+	}
 	replica.endDeferralAfterCut(entries)
+	ignored := 0
+	entries = slices.DeleteFunc(slices.Clone(entries), func(entry oleandervane.StoreEntry) bool {
+		former := replica.formerEntries.isFormer(entry, revision.Era)
+		if former {
+			delete(missing, entry.Key)
+			ignored++
+		}
+		return former
+	})
 	replica.mutex.Unlock()
+	if ignored > 0 {
+		replica.log.WithField("entries", ignored).Info("entries of the copy of the store that were replaced or removed before it was restored are ignored")
+	}
 	changes := make([]oleandervane.StoreChange, 0, len(entries))
 	for _, entry := range entries {
 		delete(missing, entry.Key)
 		changes = append(changes, oleandervane.StoreChange{Entry: entry})
 	}
 	for key := range missing {
-		changes = append(changes, oleandervane.StoreChange{Entry: oleandervane.StoreEntry{Key: key, Version: revision}, Removed: true})
+		changes = append(changes, oleandervane.StoreChange{Entry: oleandervane.StoreEntry{Key: key, Version: revision.Number}, Removed: true})
 	}
 	replica.Apply(oleandervane.StoreChanges{Changes: changes, Revision: revision})
 }
 
+// beginEra defers removals if entries of the store are read that was restored since the last ones. It reports whether it was. The caller
+// holds the mutex.
+func (replica *replica) beginEra(era oleandervane.StoreEra) bool {
+	former := replica.era
+	replica.era = era
+	if era == former || replica.readAt.Load() == nil {
+		return false
+	}
+	replica.log.WithFields(logrus.Fields{"era": era, "former_era": former}).Warn("the store was restored from a copy; what is missing in it stays in force for a while")
+	replica.deferRemovalsFor(registrywatch.RemovalDelay)
+	return true
+}
+
+// deferRemovalsFor defers removals from now on. The caller holds the mutex.
+func (replica *replica) deferRemovalsFor(duration time.Duration) {
+	replica.deferUntil = replica.timerService.Now().Add(duration)
+	replica.timerService.After(duration, func(time.Time) { replica.applyDeferredRemovals() })
+}
+
 // endDeferralAfterCut ends the deferral of removals if the first list after an outage shows that only this VM was cut off. The
 // entries of VMs have the shortest leases, so those of other VMs would have lapsed before any entry of a server.
 func (replica *replica) endDeferralAfterCut(entries []oleandervane.StoreEntry) {
@@ -99,6 +142,7 @@
 	defer replica.mutex.Unlock()
 	now := replica.timerService.Now()
 	first := replica.readAt.Load() == nil
+	replica.beginEra(storeChanges.Revision.Era)
 	replica.readAt.Store(&now)
 	replica.applyChanges(replica.deferRemovals(storeChanges.Changes, now))
 	if first {
@@ -124,6 +168,7 @@
 
 // applyChanges applies changes and publishes the new registry.
 func (replica *replica) applyChanges(changes []oleandervane.StoreChange) {
+	replica.formerEntries.record(changes, replica.era, replica.timerService.Now())
 	for _, change := range changes {
 		if change.Removed {
 			delete(replica.versions, change.Entry.Key)
@@ -166,10 +211,9 @@
 func (replica *replica) StoreRecovered(outage time.Duration) {
 	replica.log.WithField("away", outage.String()).Info("store is back")
 	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
 	replica.afterOutage = true
-	replica.deferUntil = replica.timerService.Now().Add(registrywatch.RemovalDelay)
-	replica.mutex.Unlock()
-	replica.timerService.After(registrywatch.RemovalDelay, func(time.Time) { replica.applyDeferredRemovals() })
+	replica.deferRemovalsFor(registrywatch.RemovalDelay)
 }
 
 // SourceChanged logs whether changes are read from another VM or from the store.
@@ -182,8 +226,9 @@
 }
 
 // CaughtUp logs that changes were read from another VM because the store did not answer this one.
-func (replica *replica) CaughtUp(revision uint64, full bool) {
-	replica.log.WithFields(logrus.Fields{"store_revision": revision, "full": full}).
+func (replica *replica) CaughtUp(revision oleandervane.StoreRevision, full bool) {
+	replica.catchUps.Add(1)
+	replica.log.WithFields(logrus.Fields{"store_era": revision.Era, "store_revision": revision.Number, "full": full}).
 		Info("store changes were read from another VM because the store did not answer this one")
 }
 
--- a/entryvm/hosted/replica_test.go
+++ b/entryvm/hosted/replica_test.go
@@ -50,7 +50,7 @@
 	replica.Apply(oleandervane.StoreChanges{Changes: []oleandervane.StoreChange{written("servers/back"), written("servers/gone")}})
 	replica.StoreUnavailable(oleandervane.ErrStoreUnavailable)
 	replica.StoreRecovered(5 * time.Second)
-	replica.Replace(nil, 9)
+	replica.Replace(nil, oleandervane.StoreRevision{Number: 9})
 	assert.Assert(t, replica.hasServer("back") && replica.hasServer("gone"))
 	manual.Advance(time.Second)
 	replica.Apply(oleandervane.StoreChanges{Changes: []oleandervane.StoreChange{written("servers/back")}})
@@ -80,15 +80,15 @@
 		"outage, two lists afterward": {first: []oleandervane.StoreEntry{listed("vms/vm-2", vmEntry, 9)}, second: []oleandervane.StoreEntry{listed("vms/vm-2", vmEntry, 9)}, kept: true},
 	} {
 		replica := newTestReplica(timer.NewManual(time.Unix(1000, 0)))
-		replica.Replace([]oleandervane.StoreEntry{listed("servers/a", serverEntry, 6), listed("servers/b", serverEntry, 7), listed("vms/vm-1", vmEntry, 4), listed("vms/vm-2", vmEntry, 5)}, 7)
+		replica.Replace([]oleandervane.StoreEntry{listed("servers/a", serverEntry, 6), listed("servers/b", serverEntry, 7), listed("vms/vm-1", vmEntry, 4), listed("vms/vm-2", vmEntry, 5)}, oleandervane.StoreRevision{Number: 7})
 		replica.StoreUnavailable(oleandervane.ErrStoreUnavailable)
 		replica.StoreRecovered(12 * time.Second)
-		replica.Replace(testCase.first, 9)
+		replica.Replace(testCase.first, oleandervane.StoreRevision{Number: 9})
 		if testCase.second != nil {
-			replica.Replace(testCase.second, 9)
+			replica.Replace(testCase.second, oleandervane.StoreRevision{Number: 9})
 		}
 		assert.Equal(t, replica.hasServer("a"), testCase.kept, name)
-		replica.Apply(oleandervane.StoreChanges{Changes: []oleandervane.StoreChange{removed("servers/b")}, Revision: 10})
+		replica.Apply(oleandervane.StoreChanges{Changes: []oleandervane.StoreChange{removed("servers/b")}, Revision: oleandervane.StoreRevision{Number: 10}})
 		assert.Equal(t, replica.hasServer("b"), testCase.kept, name)
 	}
 }
@@ -103,15 +103,15 @@
 	replica := newTestReplica(timer.NewManual(time.Unix(1000, 0)))
 	storeSink := storeSink{replica: replica, changeLog: relay.NewChangeLog(replica.roster, contact{})}
 	entries := []oleandervane.StoreEntry{listed("vms/vm-2", vmEntry, 5), listed("vms/vm-4", vmEntry, 6)}
-	storeSink.Replace(entries, 6)
+	storeSink.Replace(entries, oleandervane.StoreRevision{Number: 6})
 	_, fresh := storeSink.changeLog.StoreRevision()
 	assert.Assert(t, fresh)
 	storeSink.StoreUnavailable(oleandervane.ErrStoreUnavailable)
 	_, fresh = storeSink.changeLog.StoreRevision()
 	assert.Assert(t, !fresh)
-	storeSink.Replace(entries, 9)
+	storeSink.Replace(entries, oleandervane.StoreRevision{Number: 9})
 	revision, fresh := storeSink.changeLog.StoreRevision()
-	assert.Assert(t, fresh && revision == 9)
+	assert.Assert(t, fresh && revision.Number == 9)
 }
 
 // Guards against a server that still gets requests after it has left while the store was available.
@@ -120,7 +120,7 @@
 	replica.Apply(oleandervane.StoreChanges{Changes: []oleandervane.StoreChange{written("servers/a"), written("servers/b")}})
 	replica.Apply(oleandervane.StoreChanges{Changes: []oleandervane.StoreChange{removed("servers/a")}})
 	assert.Assert(t, !replica.hasServer("a") && replica.hasServer("b"))
-	replica.Replace(nil, 9)
+	replica.Replace(nil, oleandervane.StoreRevision{Number: 9})
 	assert.Assert(t, !replica.hasServer("b"))
 }
 
--- a/entryvm/hosted/trials.go
+++ b/entryvm/hosted/trials.go
@@ -82,7 +82,7 @@
 
 // end ends a lease that is not needed any more. It does not wait for the store.
 func (trialCoordinator *trialCoordinator) end(lease oleandervane.LeaseID) {
-	if lease == 0 {
+	if lease == (oleandervane.LeaseID{}) {
 		return
 	}
 	go func() {
--- a/exchange.go
+++ b/exchange.go
@@ -146,5 +146,5 @@
 type StoreRevisionSource interface {
 	// StoreRevision returns the revision up to which the VM has applied the store, and whether the VM is in contact with
 	// the store.
-	StoreRevision() (revision uint64, fresh bool)
+	StoreRevision() (revision StoreRevision, fresh bool)
 }
--- a/fleet/exchange/exchange.go
+++ b/fleet/exchange/exchange.go
@@ -224,7 +224,8 @@
 	setCounts(notice, exchange.settings.InFlight.InFlight())
 	notice.Suspects = encodeSuspects(exchange.settings.Suspects.Suspects())
 	notice.Quarantined = encodeSuspects(part(exchange.settings.Suspects.Quarantined(), sequence))
-	notice.StoreRevision, notice.StoreFresh = exchange.settings.Store.StoreRevision()
+	storeRevision, fresh := exchange.settings.Store.StoreRevision()
+	notice.StoreEra, notice.StoreRevision, notice.StoreFresh = uint64(storeRevision.Era), storeRevision.Number, fresh
 	notice.Directives = encodeDirectives(exchange.settings.Directives.Directives())
 	notice.ServerEnds = encodeServerEnds(exchange.settings.ServerEnds.ServerEnds())
 	notice.Familiar = exchange.settings.Affinity.PendingAffinity()
@@ -286,7 +287,7 @@
 	notice := &peer.Notice{
 		Vm: own.Vm, Incarnation: own.Incarnation, Sequence: own.Sequence, FailureDomain: string(self.FailureDomain),
 		Vms: uint32(vms), Suspects: own.Suspects, Quarantined: own.Quarantined, Directives: own.Directives,
-		ServerEnds: encodeServerEnds(youngestEnds(ends)), Familiar: pending, StoreRevision: own.StoreRevision, StoreFresh: own.StoreFresh,
+		ServerEnds: encodeServerEnds(youngestEnds(ends)), Familiar: pending, StoreEra: own.StoreEra, StoreRevision: own.StoreRevision, StoreFresh: own.StoreFresh,
 	}
 	setSums(notice, sums)
 	return notice
@@ -366,15 +367,15 @@
 
 // StoreRevision returns the store revision that a VM of the own failure domain has applied, according to its last notice.
 // The result is fresh if the VM was in contact with the store then and the notice is not older than maxAge.
-func (exchange *Exchange) StoreRevision(id oleandervane.VMID, maxAge time.Duration) (revision uint64, fresh bool) {
+func (exchange *Exchange) StoreRevision(id oleandervane.VMID, maxAge time.Duration) (revision oleandervane.StoreRevision, fresh bool) {
 	now := exchange.settings.TimerService.Now()
 	exchange.mutex.Lock()
 	defer exchange.mutex.Unlock()
 	received, found := exchange.received[string(id)+"\x00"]
 	if !found || now.Sub(received.at) > maxAge || !received.notice.GetStoreFresh() {
-		return 0, false
+		return oleandervane.StoreRevision{}, false
 	}
-	return received.notice.GetStoreRevision(), true
+	return storeRevision(received.notice), true
 }
 
 // Unheard returns the listed VMs that sent no notice for maxAge: the VMs of the own failure domain, and all VMs of other domains that
@@ -404,14 +405,14 @@
 
 // VMsAhead returns the VMs of any failure domain that have applied a later store revision than the given one and were in contact with
 // the store, according to notices that are not older than maxAge. The notices of another domain name its delegates.
-func (exchange *Exchange) VMsAhead(revision uint64, maxAge time.Duration) []oleandervane.VMID {
+func (exchange *Exchange) VMsAhead(revision oleandervane.StoreRevision, maxAge time.Duration) []oleandervane.VMID {
 	now := exchange.settings.TimerService.Now()
 	exchange.mutex.Lock()
 	defer exchange.mutex.Unlock()
 	var ahead []oleandervane.VMID
 	for _, received := range exchange.received {
 		notice := received.notice
-		if notice.GetStoreFresh() && notice.GetStoreRevision() > revision && now.Sub(received.at) <= maxAge {
+		if notice.GetStoreFresh() && storeRevision(notice).Compare(revision) > 0 && now.Sub(received.at) <= maxAge {
 			ahead = append(ahead, oleandervane.VMID(notice.GetVm()))
 		}
 	}
--- a/fleet/exchange/exchange_test.go
+++ b/fleet/exchange/exchange_test.go
@@ -36,13 +36,16 @@
 	receivedMarks         []uint32
 	cut                   bool
 	revision              uint64
+	era                   oleandervane.StoreEra
 	inContact             bool
 }
 
-func (node *node) Self() oleandervane.EntryVM                 { return node.self }
-func (node *node) EntryVMs() []oleandervane.EntryVM           { return node.fleet.vms }
-func (node *node) InFlight() []oleandervane.ServerCount       { return node.inFlight }
-func (node *node) StoreRevision() (uint64, bool)              { return node.revision, node.inContact }
+func (node *node) Self() oleandervane.EntryVM           { return node.self }
+func (node *node) EntryVMs() []oleandervane.EntryVM     { return node.fleet.vms }
+func (node *node) InFlight() []oleandervane.ServerCount { return node.inFlight }
+func (node *node) StoreRevision() (oleandervane.StoreRevision, bool) {
+	return oleandervane.StoreRevision{Era: node.era, Number: node.revision}, node.inContact
+}
 func (node *node) Suspects() []oleandervane.SuspectRequest    { return node.suspects }
 func (node *node) Quarantined() []oleandervane.SuspectRequest { return node.quarantined }
 
@@ -301,15 +304,15 @@
 	for range 8 {
 		fleet.sendNotices()
 	}
-	assert.DeepEqual(t, behind.exchange.VMsAhead(7, time.Second), []oleandervane.VMID{delegate.ID})
-	assert.Assert(t, len(behind.exchange.VMsAhead(6, time.Second)) >= 3+2)
-	assert.Equal(t, len(behind.exchange.VMsAhead(8, time.Second)), 0)
+	assert.DeepEqual(t, behind.exchange.VMsAhead(oleandervane.StoreRevision{Number: 7}, time.Second), []oleandervane.VMID{delegate.ID})
+	assert.Assert(t, len(behind.exchange.VMsAhead(oleandervane.StoreRevision{Number: 6}, time.Second)) >= 3+2)
+	assert.Equal(t, len(behind.exchange.VMsAhead(oleandervane.StoreRevision{Number: 8}, time.Second)), 0)
 	assert.Equal(t, len(behind.exchange.Unheard(time.Second)), 0)
 	fleet.nodes[delegate.ID].inContact, fleet.nodes["vm-2-01"].cut = false, true
 	for range 16 {
 		fleet.sendNotices()
 	}
-	assert.Equal(t, len(behind.exchange.VMsAhead(7, time.Second)), 0)
+	assert.Equal(t, len(behind.exchange.VMsAhead(oleandervane.StoreRevision{Number: 7}, time.Second)), 0)
 	unheard := behind.exchange.Unheard(time.Second)
 	assert.Assert(t, len(unheard) == 1 && unheard[0].ID == "vm-2-01", "%v", unheard)
 }
@@ -321,7 +324,7 @@
 	sender.revision, sender.inContact = 42, true
 	sender.exchange.SendNotices()
 	revision, fresh := receiver.exchange.StoreRevision("vm-0-00", time.Second)
-	assert.Assert(t, fresh && revision == 42)
+	assert.Assert(t, fresh && revision.Number == 42)
 	fleet.manual.Advance(1100 * time.Millisecond)
 	_, fresh = receiver.exchange.StoreRevision("vm-0-00", time.Second)
 	assert.Assert(t, !fresh)
--- a/fleet/exchange/notice.go
+++ b/fleet/exchange/notice.go
@@ -29,6 +29,11 @@
 	return "vm " + notice.GetVm()
 }
 
+// storeRevision returns the store revision in a notice.
+func storeRevision(notice *peer.Notice) oleandervane.StoreRevision {
+	return oleandervane.StoreRevision{Era: oleandervane.StoreEra(notice.GetStoreEra()), Number: notice.GetStoreRevision()}
+}
+
 func setCounts(notice *peer.Notice, counts []oleandervane.ServerCount) {
 	for _, count := range counts {
 		notice.Servers = append(notice.Servers, count.Server)
--- a/fleet/registrywatch/watcher.go
+++ b/fleet/registrywatch/watcher.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"oleandervane.example"
 )
 
@@ -46,7 +48,7 @@
 // Sink receives the entries and changes that the watcher reads. Its methods are called from one goroutine.
 type Sink interface {
 	// Replace replaces all earlier entries.
-	Replace(entries []oleandervane.StoreEntry, revision uint64)
+	Replace(entries []oleandervane.StoreEntry, revision oleandervane.StoreRevision)
 	// Apply applies changes in order.
 	Apply(storeChanges oleandervane.StoreChanges)
 	// StoreUnavailable reports that the store is unavailable, StoreRecovered that it is available again after the
@@ -57,41 +59,43 @@
 	SourceChanged(relayed bool)
 	// CaughtUp reports that the changes up to a revision were read from another VM because the store did not answer this one. If
 	// full is true, all entries were read.
-	CaughtUp(revision uint64, full bool)
+	CaughtUp(revision oleandervane.StoreRevision, full bool)
 }
 
 // Relay provides access to the store through another VM, which costs no call to the store.
 type Relay interface {
 	// DelegateStore returns a store that reads from a VM which has applied the given revision or a later one, or false if this
 	// VM has to call the store itself.
-	DelegateStore(revision uint64) (oleandervane.PrefixStore, bool)
+	DelegateStore(revision oleandervane.StoreRevision) (oleandervane.PrefixStore, bool)
 	// IsFollower reports whether this VM should read from another one when it can.
 	IsFollower() bool
 	// IsBehind reports whether a VM that is in contact with the store has applied a later revision than the given one.
-	IsBehind(revision uint64) bool
+	IsBehind(revision oleandervane.StoreRevision) bool
 	// IsCutOff reports whether other VMs may have dropped this one from their lists, so that it does not hear of later revisions.
 	IsCutOff() bool
 	// ChangesAhead reads the changes after a revision from a VM that is ahead, or all entries if full is true.
-	ChangesAhead(ctx context.Context, after uint64) (storeChanges oleandervane.StoreChanges, full bool, err error)
+	ChangesAhead(ctx context.Context, after oleandervane.StoreRevision) (storeChanges oleandervane.StoreChanges, full bool, err error)
 }
 
 // NoRelay is the Relay of VMs that all call the store themselves.
 type NoRelay struct{}
 
 // DelegateStore returns false.
-func (NoRelay) DelegateStore(uint64) (oleandervane.PrefixStore, bool) { return nil, false }
+func (NoRelay) DelegateStore(oleandervane.StoreRevision) (oleandervane.PrefixStore, bool) {
+	return nil, false
+}
 
 // IsFollower returns false.
 func (NoRelay) IsFollower() bool { return false }
 
 // IsBehind returns false.
-func (NoRelay) IsBehind(uint64) bool { return false }
+func (NoRelay) IsBehind(oleandervane.StoreRevision) bool { return false }
 
 // IsCutOff returns false.
 func (NoRelay) IsCutOff() bool { return false }
 
 // ChangesAhead returns no changes.
-func (NoRelay) ChangesAhead(_ context.Context, after uint64) (oleandervane.StoreChanges, bool, error) {
+func (NoRelay) ChangesAhead(_ context.Context, after oleandervane.StoreRevision) (oleandervane.StoreChanges, bool, error) {
 	return oleandervane.StoreChanges{Revision: after}, false, nil
 }
 
@@ -107,7 +111,7 @@
 	interrupt chan struct{}
 
 	// revision is the revision that has been applied, if listed is set.
-	revision uint64
+	revision oleandervane.StoreRevision
 	listed   bool
 	// confirmed is set if a watch has ended without changes since the last listing or change.
 	confirmed bool
@@ -219,9 +223,10 @@
 // store, so a failure has no consequences.
 func (watcher *Watcher) catchUp(ctx context.Context) {
 	storeChanges, full, err := watcher.relay.ChangesAhead(ctx, watcher.revision)
-	if err != nil || storeChanges.Revision <= watcher.revision {
+	if err != nil || storeChanges.Revision.Compare(watcher.revision) <= 0 {
 		return
 	}
+	full = full || storeChanges.Revision.Era != watcher.revision.Era
 	watcher.revision, watcher.confirmed = storeChanges.Revision, false
 	if full {
 		// Entries that lapsed while the store was unavailable to all VMs may be missing, as in the first listing after an outage.
@@ -242,10 +247,18 @@
 }
 
 func (watcher *Watcher) list(ctx context.Context, store oleandervane.PrefixStore) error {
+	// A listing makes an interruption of the watch before it needless.
+	select {
+	case <-watcher.interrupt:
+	default:
+	}
 	entries, revision, err := store.List(ctx, "")
 	if err != nil {
 		return err
 	}
+	if revision.Era < watcher.revision.Era {
+		return eris.Wrapf(oleandervane.ErrStoreUnavailable, "listed era %d of the store after era %d", revision.Era, watcher.revision.Era)
+	}
 	watcher.recordContact()
 	watcher.confirmed, watcher.revision = false, revision
 	watcher.sink.Replace(entries, revision)
--- a/fleet/registrywatch/watcher_test.go
+++ b/fleet/registrywatch/watcher_test.go
@@ -26,7 +26,7 @@
 	recoveries int
 }
 
-func (sink *sink) Replace(entries []oleandervane.StoreEntry, _ uint64) {
+func (sink *sink) Replace(entries []oleandervane.StoreEntry, _ oleandervane.StoreRevision) {
 	sink.mutex.Lock()
 	defer sink.mutex.Unlock()
 	sink.replaced++
@@ -63,7 +63,7 @@
 
 func (sink *sink) SourceChanged(bool) {}
 
-func (sink *sink) CaughtUp(uint64, bool) {}
+func (sink *sink) CaughtUp(oleandervane.StoreRevision, bool) {}
 
 func (sink *sink) has(key, value string) func(poll.LogT) poll.Result {
 	return func(poll.LogT) poll.Result {
@@ -145,14 +145,14 @@
 	lists, calls atomic.Int64
 }
 
-func (cutStore *cutStore) List(context.Context, string) ([]oleandervane.StoreEntry, uint64, error) {
+func (cutStore *cutStore) List(context.Context, string) ([]oleandervane.StoreEntry, oleandervane.StoreRevision, error) {
 	cutStore.lists.Add(1)
-	return nil, 1, nil
+	return nil, oleandervane.StoreRevision{Number: 1}, nil
 }
 
-func (cutStore *cutStore) WatchPrefix(context.Context, string, uint64, time.Duration) (oleandervane.StoreChanges, error) {
+func (cutStore *cutStore) WatchPrefix(context.Context, string, oleandervane.StoreRevision, time.Duration) (oleandervane.StoreChanges, error) {
 	cutStore.calls.Add(1)
-	return oleandervane.StoreChanges{Revision: 1}, cutStore.err
+	return oleandervane.StoreChanges{Revision: oleandervane.StoreRevision{Number: 1}}, cutStore.err
 }
 
 // Guards against a VM that calls a store which cuts its watches again and again without a pause.
--- a/fleet/relay/behind_test.go
+++ b/fleet/relay/behind_test.go
@@ -70,3 +70,27 @@
 	// 3 s of changes with pauses of 0.1 to 0.8 s between two calls take 7 calls, and a listing one more.
 	assert.Assert(t, calls(domain.vms)-before <= int64(8*len(domain.vms)), "%d calls of %d VMs", calls(domain.vms)-before, len(domain.vms))
 }
+
+// The store is restored and issues its revisions again, so that each VM already has the revision of the next change. Guards against a
+// follower that takes changes of the new era for those after its revision, and against a VM that the store refuses and that keeps the
+// entries of the former era.
+func TestFollowersDoNotMixEras(t *testing.T) {
+	domain := newDomains(t, 2, 4, changeLimit)
+	domain.write(t, "a", "1")
+	domain.waitFor(t, "a", "1")
+	copied := domain.store.Content()
+	domain.write(t, "b", "1")
+	domain.waitFor(t, "b", "1")
+	refused := domain.vms[0]
+	refused.interrupts.Store(true)
+	refused.link.cut.Store(true)
+	for number := range 2 {
+		domain.store.Restore(copied)
+		domain.write(t, "c", fmt.Sprint(number))
+		domain.waitFor(t, "c", fmt.Sprint(number))
+		domain.waitFor(t, "b", "")
+	}
+	refused.link.cut.Store(false)
+	domain.write(t, "d", "1")
+	domain.waitFor(t, "d", "1")
+}
--- a/fleet/relay/changelog.go
+++ b/fleet/relay/changelog.go
@@ -28,12 +28,12 @@
 	contact    Contact
 
 	mutex    sync.Mutex
-	revision uint64
+	revision oleandervane.StoreRevision
 	entries  map[string]oleandervane.StoreEntry
 	// changes are the latest changes in order and bytes is their memory; since is the revision before the first of them.
 	changes []loggedChange
 	bytes   int
-	since   uint64
+	since   oleandervane.StoreRevision
 }
 
 // NewChangeLog returns an empty change log.
@@ -48,7 +48,7 @@
 
 // StoreRevision returns the revision up to which other VMs can read, and whether this VM was in contact with the store a
 // moment ago.
-func (changeLog *ChangeLog) StoreRevision() (revision uint64, fresh bool) {
+func (changeLog *ChangeLog) StoreRevision() (revision oleandervane.StoreRevision, fresh bool) {
 	revision, loaded := changeLog.loaded()
 	return revision, loaded && changeLog.contact.InContact()
 }
@@ -57,7 +57,8 @@
 type loggedChange struct {
 	key string
 	// version is that of the entry, revision that of the log after the change.
-	version, revision uint64
+	version  uint64
+	revision oleandervane.StoreRevision
 }
 
 func (loggedChange loggedChange) bytes() int {
@@ -66,7 +67,7 @@
 
 // Replace sets all entries. The differences to the former ones are logged as changes, so that VMs that are behind need no full
 // snapshot after each listing of the store.
-func (changeLog *ChangeLog) Replace(entries []oleandervane.StoreEntry, revision uint64) {
+func (changeLog *ChangeLog) Replace(entries []oleandervane.StoreEntry, revision oleandervane.StoreRevision) {
 	changeLog.mutex.Lock()
 	defer changeLog.mutex.Unlock()
 	former := changeLog.entries
@@ -74,7 +75,7 @@
 	for _, entry := range entries {
 		changeLog.entries[entry.Key] = entry
 	}
-	if former == nil || revision <= changeLog.revision {
+	if former == nil || revision.Era != changeLog.revision.Era || revision.Number <= changeLog.revision.Number {
 		changeLog.changes, changeLog.bytes, changeLog.since, changeLog.revision = nil, 0, revision, revision
 		return
 	}
@@ -85,16 +86,19 @@
 		delete(former, entry.Key)
 	}
 	for key := range former {
-		changeLog.log(loggedChange{key: key, version: revision, revision: revision})
+		changeLog.log(loggedChange{key: key, version: revision.Number, revision: revision})
 	}
 	changeLog.revision = revision
 	changeLog.dropSurplus()
 }
 
-// Apply applies changes in order. It does nothing before the first Replace.
+// Apply applies changes in order. It does nothing before the first Replace, and clears the log if the changes are of another era.
 func (changeLog *ChangeLog) Apply(storeChanges oleandervane.StoreChanges) {
 	changeLog.mutex.Lock()
 	defer changeLog.mutex.Unlock()
+	if changeLog.entries != nil && storeChanges.Revision.Era != changeLog.revision.Era {
+		changeLog.clear()
+	}
 	if changeLog.entries == nil {
 		return
 	}
@@ -120,7 +124,7 @@
 	dropped := 0
 	for dropped < len(changeLog.changes) {
 		change := changeLog.changes[dropped]
-		if len(changeLog.changes)-dropped <= maxChanges && changeLog.bytes <= maxLogBytes && change.revision > changeLog.since {
+		if len(changeLog.changes)-dropped <= maxChanges && changeLog.bytes <= maxLogBytes && change.revision.Compare(changeLog.since) > 0 {
 			break
 		}
 		changeLog.since = change.revision
@@ -136,21 +140,27 @@
 func (changeLog *ChangeLog) Clear() {
 	changeLog.mutex.Lock()
 	defer changeLog.mutex.Unlock()
-	changeLog.entries, changeLog.changes, changeLog.bytes, changeLog.since, changeLog.revision = nil, nil, 0, 0, 0
+	changeLog.clear()
+}
+
+func (changeLog *ChangeLog) clear() {
+	changeLog.entries, changeLog.changes, changeLog.bytes = nil, nil, 0
+	changeLog.since, changeLog.revision = oleandervane.StoreRevision{}, oleandervane.StoreRevision{}
 }
 
 // loaded returns the revision of the log, and false before the first Replace.
-func (changeLog *ChangeLog) loaded() (revision uint64, isLoaded bool) {
+func (changeLog *ChangeLog) loaded() (revision oleandervane.StoreRevision, isLoaded bool) {
 	changeLog.mutex.Lock()
 	defer changeLog.mutex.Unlock()
 	return changeLog.revision, changeLog.entries != nil
 }
 
-// Read returns the newest change of each key after a revision in order, or all entries if full is true.
-func (changeLog *ChangeLog) Read(after uint64) (changes []oleandervane.StoreChange, full bool, revision uint64) {
+// Read returns the newest change of each key after a revision in order, or all entries if full is true, as they are for a revision of
+// another era.
+func (changeLog *ChangeLog) Read(after oleandervane.StoreRevision) (changes []oleandervane.StoreChange, full bool, revision oleandervane.StoreRevision) {
 	changeLog.mutex.Lock()
 	defer changeLog.mutex.Unlock()
-	if after == 0 || after < changeLog.since || after > changeLog.revision {
+	if after.Number == 0 || after.Compare(changeLog.since) < 0 || after.Compare(changeLog.revision) > 0 {
 		changes = make([]oleandervane.StoreChange, 0, len(changeLog.entries))
 		for _, entry := range changeLog.entries {
 			changes = append(changes, oleandervane.StoreChange{Entry: entry})
@@ -159,7 +169,7 @@
 	}
 	seen := map[string]bool{}
 	for _, change := range slices.Backward(changeLog.changes) {
-		if change.revision <= after {
+		if change.revision.Compare(after) <= 0 {
 			break
 		}
 		if seen[change.key] {
--- a/fleet/relay/contact.go
+++ b/fleet/relay/contact.go
@@ -72,14 +72,14 @@
 }
 
 // List lists entries and records when the store responded.
-func (observedStore *ObservedStore) List(ctx context.Context, prefix string) ([]oleandervane.StoreEntry, uint64, error) {
+func (observedStore *ObservedStore) List(ctx context.Context, prefix string) ([]oleandervane.StoreEntry, oleandervane.StoreRevision, error) {
 	entries, revision, err := observedStore.PrefixStore.List(ctx, prefix)
 	observedStore.recordResponse(err)
 	return entries, revision, err
 }
 
 // WatchPrefix waits for changes and records when the store responded.
-func (observedStore *ObservedStore) WatchPrefix(ctx context.Context, prefix string, after uint64, wait time.Duration) (oleandervane.StoreChanges, error) {
+func (observedStore *ObservedStore) WatchPrefix(ctx context.Context, prefix string, after oleandervane.StoreRevision, wait time.Duration) (oleandervane.StoreChanges, error) {
 	storeChanges, err := observedStore.PrefixStore.WatchPrefix(ctx, prefix, after, wait)
 	observedStore.recordResponse(err)
 	return storeChanges, err
--- a/fleet/relay/follower.go
+++ b/fleet/relay/follower.go
@@ -36,16 +36,16 @@
 // Notices reports the store revisions that other VMs have applied. exchange.Exchange implements it.
 type Notices interface {
 	// StoreRevision returns the revision of a VM of the own failure domain.
-	StoreRevision(id oleandervane.VMID, maxAge time.Duration) (revision uint64, fresh bool)
+	StoreRevision(id oleandervane.VMID, maxAge time.Duration) (revision oleandervane.StoreRevision, fresh bool)
 	// VMsAhead returns the VMs of any failure domain that are in contact with the store and have applied a later revision.
-	VMsAhead(revision uint64, maxAge time.Duration) []oleandervane.VMID
+	VMsAhead(revision oleandervane.StoreRevision, maxAge time.Duration) []oleandervane.VMID
 	// Unheard returns the listed VMs of which no notices came, neither their own nor those of their failure domains.
 	Unheard(maxAge time.Duration) []oleandervane.EntryVM
 }
 
 // ChangesClient reads store changes from another VM.
 type ChangesClient interface {
-	Changes(ctx context.Context, from oleandervane.EntryVM, after uint64) (changes []oleandervane.StoreChange, full bool, revision uint64, err error)
+	Changes(ctx context.Context, from oleandervane.EntryVM, after oleandervane.StoreRevision) (changes []oleandervane.StoreChange, full bool, revision oleandervane.StoreRevision, err error)
 }
 
 // Settings are the dependencies of a Follower.
@@ -104,7 +104,7 @@
 
 // DelegateStore returns a store that reads from a delegate which has applied the given revision or a later one. It returns
 // false if this VM has to watch the store itself.
-func (follower *Follower) DelegateStore(revision uint64) (oleandervane.PrefixStore, bool) {
+func (follower *Follower) DelegateStore(revision oleandervane.StoreRevision) (oleandervane.PrefixStore, bool) {
 	if _, _, found := follower.delegate(revision); !found {
 		return nil, false
 	}
@@ -113,14 +113,14 @@
 
 // delegate returns the delegate in contact with the store that has applied the latest revision, and that revision, if it is
 // not older than the given one.
-func (follower *Follower) delegate(revision uint64) (delegate oleandervane.EntryVM, applied uint64, found bool) {
+func (follower *Follower) delegate(revision oleandervane.StoreRevision) (delegate oleandervane.EntryVM, applied oleandervane.StoreRevision, found bool) {
 	roles := rolesOf(follower.settings.Membership)
 	if roles.isDelegate {
-		return oleandervane.EntryVM{}, 0, false
+		return oleandervane.EntryVM{}, oleandervane.StoreRevision{}, false
 	}
 	applied = revision
 	for _, other := range roles.others {
-		if otherRevision, fresh := follower.settings.Notices.StoreRevision(other.ID, noticeTimeout); fresh && otherRevision >= applied {
+		if otherRevision, fresh := follower.settings.Notices.StoreRevision(other.ID, noticeTimeout); fresh && otherRevision.Compare(applied) >= 0 {
 			delegate, applied, found = other, otherRevision, true
 		}
 	}
@@ -128,7 +128,7 @@
 }
 
 // IsBehind reports whether another VM that is in contact with the store has applied a later revision than the given one.
-func (follower *Follower) IsBehind(revision uint64) bool {
+func (follower *Follower) IsBehind(revision oleandervane.StoreRevision) bool {
 	return len(follower.settings.Notices.VMsAhead(revision, noticeTimeout)) > 0
 }
 
@@ -140,7 +140,7 @@
 
 // ChangesAhead reads the changes after a revision from a VM of any failure domain that is in contact with the store and has applied a
 // later revision, or all entries if full is true. If notices name none, it asks some VMs that send none.
-func (follower *Follower) ChangesAhead(ctx context.Context, after uint64) (storeChanges oleandervane.StoreChanges, full bool, err error) {
+func (follower *Follower) ChangesAhead(ctx context.Context, after oleandervane.StoreRevision) (storeChanges oleandervane.StoreChanges, full bool, err error) {
 	ahead := follower.settings.Notices.VMsAhead(after, noticeTimeout)
 	if len(ahead) == 0 {
 		return follower.ask(ctx, follower.choose(follower.settings.Notices.Unheard(noticeTimeout), askedVMs), after)
@@ -168,7 +168,7 @@
 }
 
 // ask reads changes from several VMs at the same time and returns the first that come up to a later revision.
-func (follower *Follower) ask(ctx context.Context, vms []oleandervane.EntryVM, after uint64) (storeChanges oleandervane.StoreChanges, full bool, err error) {
+func (follower *Follower) ask(ctx context.Context, vms []oleandervane.EntryVM, after oleandervane.StoreRevision) (storeChanges oleandervane.StoreChanges, full bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type response struct {
@@ -180,8 +180,8 @@
 	for _, vm := range vms {
 		go func() {
 			changes, full, revision, err := follower.read(ctx, vm, after)
-			if err == nil && revision <= after {
-				err = eris.Wrapf(ErrNoVMAhead, "%s is at revision %d, not after %d", vm.ID, revision, after)
+			if err == nil && revision.Compare(after) <= 0 {
+				err = eris.Wrapf(ErrNoVMAhead, "%s is at revision %v, not after %v", vm.ID, revision, after)
 			}
 			responses <- response{oleandervane.StoreChanges{Changes: changes, Revision: revision}, full, err}
 		}()
@@ -198,7 +198,7 @@
 }
 
 // read reads the changes after a revision from a VM, within callTimeout.
-func (follower *Follower) read(ctx context.Context, vm oleandervane.EntryVM, after uint64) (changes []oleandervane.StoreChange, full bool, revision uint64, err error) {
+func (follower *Follower) read(ctx context.Context, vm oleandervane.EntryVM, after oleandervane.StoreRevision) (changes []oleandervane.StoreChange, full bool, revision oleandervane.StoreRevision, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer follower.settings.TimerService.After(callTimeout, func(time.Time) { cancel() })()
@@ -212,10 +212,10 @@
 }
 
 // List returns the entries with a prefix from a delegate's replica.
-func (delegateStore delegateStore) List(ctx context.Context, prefix string) ([]oleandervane.StoreEntry, uint64, error) {
-	changes, _, revision, err := delegateStore.read(ctx, 0)
+func (delegateStore delegateStore) List(ctx context.Context, prefix string) ([]oleandervane.StoreEntry, oleandervane.StoreRevision, error) {
+	changes, _, revision, err := delegateStore.read(ctx, oleandervane.StoreRevision{})
 	if err != nil {
-		return nil, 0, err
+		return nil, oleandervane.StoreRevision{}, err
 	}
 	entries := make([]oleandervane.StoreEntry, 0, len(changes))
 	for _, change := range changes {
@@ -227,7 +227,7 @@
 // WatchPrefix waits for new changes at a delegate, at most for wait. It fails with ErrNoDelegate when no delegate is in
 // contact with the store any more, and with oleandervane.ErrHistoryGone when the delegate no longer has all changes after
 // the revision.
-func (delegateStore delegateStore) WatchPrefix(ctx context.Context, prefix string, after uint64, wait time.Duration) (oleandervane.StoreChanges, error) {
+func (delegateStore delegateStore) WatchPrefix(ctx context.Context, prefix string, after oleandervane.StoreRevision, wait time.Duration) (oleandervane.StoreChanges, error) {
 	changed, err := delegateStore.await(ctx, after, wait)
 	if err != nil || !changed {
 		return oleandervane.StoreChanges{Revision: after}, err
@@ -236,7 +236,7 @@
 	if err != nil {
 		return oleandervane.StoreChanges{}, err
 	}
-	if full {
+	if full || revision.Era != after.Era {
 		return oleandervane.StoreChanges{}, eris.Wrap(oleandervane.ErrHistoryGone, "reading changes from a delegate")
 	}
 	changes = slices.DeleteFunc(changes, func(change oleandervane.StoreChange) bool { return !strings.HasPrefix(change.Entry.Key, prefix) })
@@ -244,7 +244,7 @@
 }
 
 // await waits until a delegate has applied a later revision than the given one; it returns false after wait.
-func (delegateStore delegateStore) await(ctx context.Context, after uint64, wait time.Duration) (changed bool, err error) {
+func (delegateStore delegateStore) await(ctx context.Context, after oleandervane.StoreRevision, wait time.Duration) (changed bool, err error) {
 	timerService := delegateStore.follower.settings.TimerService
 	tick := make(chan struct{}, 1)
 	defer timerService.Every(checkPeriod, func(time.Time) {
@@ -258,7 +258,7 @@
 		if !found {
 			return false, eris.Wrap(ErrNoDelegate, "following the store")
 		}
-		if applied > after {
+		if applied.Compare(after) > 0 {
 			return true, nil
 		}
 		if !timerService.Now().Before(end) {
@@ -272,18 +272,18 @@
 	}
 }
 
-func (delegateStore delegateStore) read(ctx context.Context, after uint64) (changes []oleandervane.StoreChange, full bool, revision uint64, err error) {
+func (delegateStore delegateStore) read(ctx context.Context, after oleandervane.StoreRevision) (changes []oleandervane.StoreChange, full bool, revision oleandervane.StoreRevision, err error) {
 	follower := delegateStore.follower
 	delegate, _, found := follower.delegate(after)
 	if !found {
-		return nil, false, 0, eris.Wrap(ErrNoDelegate, "reading changes")
+		return nil, false, oleandervane.StoreRevision{}, eris.Wrap(ErrNoDelegate, "reading changes")
 	}
 	changes, full, revision, err = follower.read(ctx, delegate, after)
 	if err != nil {
-		return nil, false, 0, eris.Wrapf(ErrNoDelegate, "%v", err)
+		return nil, false, oleandervane.StoreRevision{}, eris.Wrapf(ErrNoDelegate, "%v", err)
 	}
-	if revision < after || revision == 0 {
-		return nil, false, 0, eris.Wrapf(ErrNoDelegate, "%s is at revision %d, behind %d", delegate.ID, revision, after)
+	if revision.Compare(after) < 0 || revision.Number == 0 {
+		return nil, false, oleandervane.StoreRevision{}, eris.Wrapf(ErrNoDelegate, "%s is at revision %v, behind %v", delegate.ID, revision, after)
 	}
 	return changes, full, revision, nil
 }
--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -55,18 +55,18 @@
 	refusing atomic.Bool
 }
 
-func (storeLink *storeLink) List(ctx context.Context, prefix string) ([]oleandervane.StoreEntry, uint64, error) {
+func (storeLink *storeLink) List(ctx context.Context, prefix string) ([]oleandervane.StoreEntry, oleandervane.StoreRevision, error) {
 	storeLink.calls.Add(1)
 	if storeLink.cut.Load() {
 		<-ctx.Done()
 	}
 	if storeLink.cut.Load() || storeLink.refusing.Load() {
-		return nil, 0, oleandervane.ErrStoreUnavailable
+		return nil, oleandervane.StoreRevision{}, oleandervane.ErrStoreUnavailable
 	}
 	return storeLink.Store.List(ctx, prefix)
 }
 
-func (storeLink *storeLink) WatchPrefix(ctx context.Context, prefix string, after uint64, wait time.Duration) (oleandervane.StoreChanges, error) {
+func (storeLink *storeLink) WatchPrefix(ctx context.Context, prefix string, after oleandervane.StoreRevision, wait time.Duration) (oleandervane.StoreChanges, error) {
 	storeLink.calls.Add(1)
 	if storeLink.refusing.Load() {
 		return oleandervane.StoreChanges{}, oleandervane.ErrStoreUnavailable
@@ -80,18 +80,18 @@
 	return storeChanges, err
 }
 
-func (vm *vm) InContact() bool                  { return !vm.link.cut.Load() && !vm.link.refusing.Load() }
-func (vm *vm) Self() oleandervane.EntryVM       { return vm.self }
-func (vm *vm) EntryVMs() []oleandervane.EntryVM { return vm.domain.list }
-func (vm *vm) StoreUnavailable(error)           {}
-func (vm *vm) StoreRecovered(time.Duration)     {}
-func (vm *vm) SourceChanged(bool)               {}
-func (vm *vm) CaughtUp(uint64, bool)            { vm.caughtUp.Add(1) }
-func (vm *vm) Read(after uint64) ([]oleandervane.StoreChange, bool, uint64) {
+func (vm *vm) InContact() bool                           { return !vm.link.cut.Load() && !vm.link.refusing.Load() }
+func (vm *vm) Self() oleandervane.EntryVM                { return vm.self }
+func (vm *vm) EntryVMs() []oleandervane.EntryVM          { return vm.domain.list }
+func (vm *vm) StoreUnavailable(error)                    {}
+func (vm *vm) StoreRecovered(time.Duration)              {}
+func (vm *vm) SourceChanged(bool)                        {}
+func (vm *vm) CaughtUp(oleandervane.StoreRevision, bool) { vm.caughtUp.Add(1) }
+func (vm *vm) Read(after oleandervane.StoreRevision) ([]oleandervane.StoreChange, bool, oleandervane.StoreRevision) {
 	return vm.changeLog.Read(after)
 }
 
-func (vm *vm) Replace(entries []oleandervane.StoreEntry, revision uint64) {
+func (vm *vm) Replace(entries []oleandervane.StoreEntry, revision oleandervane.StoreRevision) {
 	vm.changeLog.Replace(entries, revision)
 	vm.mutex.Lock()
 	defer vm.mutex.Unlock()
@@ -147,19 +147,19 @@
 // notices implements relay.Notices for a VM as if each VM had just sent one.
 type notices struct{ receiver *vm }
 
-func (notices notices) StoreRevision(id oleandervane.VMID, _ time.Duration) (uint64, bool) {
+func (notices notices) StoreRevision(id oleandervane.VMID, _ time.Duration) (oleandervane.StoreRevision, bool) {
 	for _, vm := range notices.receiver.domain.vms {
 		if vm.self.ID == id && !vm.silent.Load() && !notices.receiver.unlisted.Load() {
 			return vm.changeLog.StoreRevision()
 		}
 	}
-	return 0, false
+	return oleandervane.StoreRevision{}, false
 }
 
-func (notices notices) VMsAhead(revision uint64, maxAge time.Duration) []oleandervane.VMID {
+func (notices notices) VMsAhead(revision oleandervane.StoreRevision, maxAge time.Duration) []oleandervane.VMID {
 	var ahead []oleandervane.VMID
 	for _, vm := range notices.receiver.domain.vms {
-		if applied, fresh := notices.StoreRevision(vm.self.ID, maxAge); fresh && applied > revision && vm != notices.receiver {
+		if applied, fresh := notices.StoreRevision(vm.self.ID, maxAge); fresh && applied.Compare(revision) > 0 && vm != notices.receiver {
 			ahead = append(ahead, vm.self.ID)
 		}
 	}
@@ -340,7 +340,7 @@
 	for _, self := range domain.list {
 		vm := &vm{self: self, domain: domain, link: &storeLink{}}
 		changeLog := relay.NewChangeLog(vm, vm)
-		changeLog.Replace([]oleandervane.StoreEntry{{Key: "k", Value: []byte("0"), Version: 10}}, 10)
+		changeLog.Replace([]oleandervane.StoreEntry{{Key: "k", Value: []byte("0"), Version: 10}}, oleandervane.StoreRevision{Number: 10})
 		if changeLog.HasFollowers() {
 			return changeLog
 		}
@@ -350,7 +350,7 @@
 }
 
 func applyChange(changeLog *relay.ChangeLog, key, value string, revision uint64) {
-	changeLog.Apply(oleandervane.StoreChanges{Revision: revision, Changes: []oleandervane.StoreChange{{
+	changeLog.Apply(oleandervane.StoreChanges{Revision: oleandervane.StoreRevision{Number: revision}, Changes: []oleandervane.StoreChange{{
 		Entry: oleandervane.StoreEntry{Key: key, Value: []byte(value), Version: revision}, Removed: value == "",
 	}}})
 }
@@ -366,15 +366,15 @@
 		full    bool
 		changes int
 	}{{0, true, 2991}, {10, true, 2991}, {1975, true, 2991}, {1976, false, 1024}, {2999, false, 1}, {3000, false, 0}, {3001, true, 2991}} {
-		changes, full, revision := changeLog.Read(readCase.after)
+		changes, full, revision := changeLog.Read(oleandervane.StoreRevision{Number: readCase.after})
 		assert.Equal(t, full, readCase.full, "%d", readCase.after)
 		assert.Equal(t, len(changes), readCase.changes, "%d", readCase.after)
-		assert.Equal(t, revision, uint64(3000))
+		assert.Equal(t, revision, oleandervane.StoreRevision{Number: 3000})
 	}
 	for revision := uint64(3001); revision <= 6000; revision++ {
 		applyChange(changeLog, strings.Repeat("k", 4096)+fmt.Sprint(revision%2), "v", revision)
 	}
-	_, full, _ := changeLog.Read(5000)
+	_, full, _ := changeLog.Read(oleandervane.StoreRevision{Number: 5000})
 	assert.Assert(t, full, "a thousand keys of 4 KiB are kept")
 }
 
@@ -393,8 +393,8 @@
 	few := heapAfter(11, 60)
 	many := heapAfter(61, 1010)
 	assert.Assert(t, many < 1.1*few, "%.1f MB after 50 changes, %.1f MB after 1000", few/1e6, many/1e6)
-	changes, full, revision := changeLog.Read(10)
-	assert.Equal(t, revision, uint64(1010))
+	changes, full, revision := changeLog.Read(oleandervane.StoreRevision{Number: 10})
+	assert.Equal(t, revision, oleandervane.StoreRevision{Number: 1010})
 	assert.Assert(t, !full && len(changes) == 1 && changes[0].Entry.Version == 1010, "%d changes", len(changes))
 }
 
@@ -416,7 +416,7 @@
 		states[revision] = maps.Clone(current)
 	}
 	for after, state := range states {
-		changes, full, _ := changeLog.Read(after)
+		changes, full, _ := changeLog.Read(oleandervane.StoreRevision{Number: after})
 		if full {
 			state = map[string]string{}
 		}
--- a/fleet/relay/transport.go
+++ b/fleet/relay/transport.go
@@ -26,7 +26,7 @@
 
 // Reader reads the changes after a revision. ChangeLog implements it.
 type Reader interface {
-	Read(after uint64) (changes []oleandervane.StoreChange, full bool, revision uint64)
+	Read(after oleandervane.StoreRevision) (changes []oleandervane.StoreChange, full bool, revision oleandervane.StoreRevision)
 }
 
 // NewHandler returns the path prefix and the HTTP handler that serve changes to followers.
@@ -40,8 +40,8 @@
 
 // Changes returns the changes after a revision.
 func (handler handler) Changes(_ context.Context, request *peer.ChangesRequest) (*peer.ChangesResponse, error) {
-	changes, full, revision := handler.reader.Read(request.GetAfter())
-	response := &peer.ChangesResponse{Revision: revision, Whole: full}
+	changes, full, revision := handler.reader.Read(oleandervane.StoreRevision{Era: oleandervane.StoreEra(request.GetAfterEra()), Number: request.GetAfter()})
+	response := &peer.ChangesResponse{Era: uint64(revision.Era), Revision: revision.Number, Whole: full}
 	for _, change := range changes {
 		response.Items = append(response.Items, &peer.StoreItem{
 			Key: change.Entry.Key, Value: change.Entry.Value, Version: change.Entry.Version, Removed: change.Removed,
@@ -71,17 +71,18 @@
 }
 
 // Changes reads the changes after a revision from another VM.
-func (client *Client) Changes(ctx context.Context, from oleandervane.EntryVM, after uint64) (changes []oleandervane.StoreChange, full bool, revision uint64, err error) {
-	response, err := client.clientFor(from.PeerAddress).Changes(ctx, &peer.ChangesRequest{After: after})
+func (client *Client) Changes(ctx context.Context, from oleandervane.EntryVM, after oleandervane.StoreRevision) (changes []oleandervane.StoreChange, full bool, revision oleandervane.StoreRevision, err error) {
+	response, err := client.clientFor(from.PeerAddress).Changes(ctx, &peer.ChangesRequest{AfterEra: uint64(after.Era), After: after.Number})
 	if err != nil {
-		return nil, false, 0, err
+		return nil, false, oleandervane.StoreRevision{}, err
 	}
 	changes = make([]oleandervane.StoreChange, 0, len(response.GetItems()))
 	for _, item := range response.GetItems() {
 		entry := oleandervane.StoreEntry{Key: item.GetKey(), Value: item.GetValue(), Version: item.GetVersion()}
 		changes = append(changes, oleandervane.StoreChange{Entry: entry, Removed: item.GetRemoved()})
 	}
-	return changes, response.GetWhole(), response.GetRevision(), nil
+	revision = oleandervane.StoreRevision{Era: oleandervane.StoreEra(response.GetEra()), Number: response.GetRevision()}
+	return changes, response.GetWhole(), revision, nil
 }
 
 func (client *Client) clientFor(address netip.AddrPort) peerconnect.RelayServiceClient {
--- a/fleet/roster/roster.go
+++ b/fleet/roster/roster.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"maps"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strings"
@@ -27,6 +28,9 @@
 	// renewPeriod allows for two lost renewals within a lease. fastRenewPeriod detects sooner that the store is unavailable.
 	renewPeriod     = time.Second
 	fastRenewPeriod = renewPeriod / 2
+	// restoreSpread is the time over which the VMs write their entries again after the store was restored. All learn of it at the same
+	// time, and each makes two writes: 300 VMs make 600, and the store takes 1,200 a second.
+	restoreSpread = 500 * time.Millisecond
 	// SettleTime is the time after the first listing in which this VM has read the entries of all VMs that started with it. After a loss
 	// of power of all VMs, the first listing may lack most of them.
 	SettleTime = 2 * time.Second
@@ -69,6 +73,8 @@
 	mutex   sync.Mutex
 	lease   oleandervane.LeaseID
 	leaving bool
+	// restoring is set from a restore of the store until this VM registers again.
+	restoring bool
 	// listedAt is when the first entries were applied; zero before.
 	listedAt time.Time
 }
@@ -135,7 +141,7 @@
 func (roster *Roster) apply(id oleandervane.VMID, change oleandervane.StoreChange) error {
 	if change.Removed {
 		delete(roster.vms, id)
-		if id == roster.self.ID && roster.lease != 0 {
+		if id == roster.self.ID && roster.lease != (oleandervane.LeaseID{}) {
 			signal(roster.registerAgain)
 		}
 		return nil
@@ -170,6 +176,17 @@
 	}
 }
 
+// Restored registers this VM again after the store was restored: its lease may be gone, or its number be that of another lease.
+func (roster *Roster) Restored() {
+	roster.setLease(oleandervane.LeaseID{})
+	roster.setRestoring(true)
+	roster.timerService.After(rand.N(restoreSpread), func(time.Time) {
+		if roster.isRestoring() {
+			signal(roster.registerAgain)
+		}
+	})
+}
+
 // Leave removes this VM's entry, so that other VMs stop listing it.
 func (roster *Roster) Leave(ctx context.Context) error {
 	roster.mutex.Lock()
@@ -177,12 +194,24 @@
 	roster.updateListed()
 	lease := roster.lease
 	roster.mutex.Unlock()
-	if lease == 0 {
+	if lease == (oleandervane.LeaseID{}) {
 		return nil
 	}
 	return eris.Wrap(roster.store.EndLease(ctx, lease), "removing the entry of this VM")
 }
 
+func (roster *Roster) setRestoring(restoring bool) {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	roster.restoring = restoring
+}
+
+func (roster *Roster) isRestoring() bool {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	return roster.restoring
+}
+
 func (roster *Roster) isLeaving() bool {
 	roster.mutex.Lock()
 	defer roster.mutex.Unlock()
@@ -190,6 +219,7 @@
 }
 
 func (roster *Roster) register(ctx context.Context) {
+	roster.setRestoring(false)
 	if roster.isLeaving() {
 		return
 	}
@@ -199,12 +229,13 @@
 	}
 	if err != nil {
 		// A former lease may still be alive without the entry, and its renewals would not show that.
-		roster.setLease(0)
+		roster.setLease(oleandervane.LeaseID{})
 		roster.observer.RegistrationFailed(err)
 		return
 	}
 	roster.mutex.Lock()
-	roster.lease = lease
+	// The responses may have been the first ones of a new era.
+	roster.lease, roster.restoring = lease, false
 	leaving := roster.leaving
 	roster.mutex.Unlock()
 	if leaving {
@@ -243,18 +274,20 @@
 
 func (roster *Roster) renew(ctx context.Context) {
 	roster.mutex.Lock()
-	lease, leaving := roster.lease, roster.leaving
+	lease, leaving, restoring := roster.lease, roster.leaving, roster.restoring
 	roster.mutex.Unlock()
-	if leaving {
+	if leaving || restoring {
 		return
 	}
-	if lease == 0 {
+	if lease == (oleandervane.LeaseID{}) {
 		roster.register(ctx)
 		return
 	}
 	err := roster.store.RenewLease(ctx, lease)
 	if errors.Is(err, oleandervane.ErrLeaseGone) {
-		roster.register(ctx)
+		if !roster.isRestoring() {
+			roster.register(ctx)
+		}
 		return
 	}
 	if err != nil {
--- a/registry.go
+++ b/registry.go
@@ -1,6 +1,7 @@
 package oleandervane
 
 import (
+	"cmp"
 	"context"
 	"time"
 )
@@ -38,23 +39,43 @@
 	Removed bool
 }
 
+// StoreEra counts how often the platform's store was restored from a copy. A store that does not state it has era 0.
+type StoreEra uint64
+
+// StoreRevision is a revision of the platform's store. A store that is restored issues the numbers after its copy again, so that
+// numbers of different eras have nothing to do with each other. It is immutable.
+type StoreRevision struct {
+	Era    StoreEra
+	Number uint64
+}
+
+// Compare orders revisions by what they know of the store: any revision of a later era is later, because the store lost what it had
+// beyond its copy.
+func (storeRevision StoreRevision) Compare(other StoreRevision) int {
+	return cmp.Or(cmp.Compare(storeRevision.Era, other.Era), cmp.Compare(storeRevision.Number, other.Number))
+}
+
 // StoreChanges are the changes after a revision, in order, up to Revision.
 type StoreChanges struct {
 	Changes  []StoreChange
-	Revision uint64
+	Revision StoreRevision
 }
 
 // PrefixStore reads and watches all keys with a prefix.
 type PrefixStore interface {
 	// List returns the entries of all keys with the prefix and the revision from which a watch continues.
-	List(ctx context.Context, prefix string) (entries []StoreEntry, revision uint64, err error)
+	List(ctx context.Context, prefix string) (entries []StoreEntry, revision StoreRevision, err error)
 	// WatchPrefix waits at most wait for changes after a revision. If there are none, it returns none and no error.
-	// It fails with ErrHistoryGone when the store no longer has the changes.
-	WatchPrefix(ctx context.Context, prefix string, after uint64, wait time.Duration) (StoreChanges, error)
+	// It fails with ErrHistoryGone when the store no longer has the changes, or is in another era than the revision.
+	WatchPrefix(ctx context.Context, prefix string, after StoreRevision, wait time.Duration) (StoreChanges, error)
 }
 
-// LeaseID identifies a lease in the store; 0 is none.
-type LeaseID uint64
+// LeaseID identifies a lease in the store; the zero value is none. A restored store issues the numbers after its copy again, for other
+// leases.
+type LeaseID struct {
+	Era    StoreEra
+	Number uint64
+}
 
 // StoreTransaction is written atomically if all keys of Conditions have the given versions (0: absent).
 type StoreTransaction struct {
--- a/standin/emulation/exchange.go
+++ b/standin/emulation/exchange.go
@@ -73,4 +73,6 @@
 // noStore reports no store revision in notices: the world updates VMs from the store itself.
 type noStore struct{}
 
-func (noStore) StoreRevision() (revision uint64, fresh bool) { return 0, false }
+func (noStore) StoreRevision() (revision oleandervane.StoreRevision, fresh bool) {
+	return oleandervane.StoreRevision{}, false
+}
--- a/standin/storestandin/handler.go
+++ b/standin/storestandin/handler.go
@@ -28,7 +28,36 @@
 	mux.HandleFunc("GET /v1/faults", func(writer http.ResponseWriter, _ *http.Request) { writeJSON(writer, store.Faults()) })
 	mux.HandleFunc("PUT /v1/faults", store.serveSetFaults)
 	mux.HandleFunc("POST /v1/lapse_leases", func(http.ResponseWriter, *http.Request) { store.LapseLeases() })
-	return mux
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		mux.ServeHTTP(&eraWriter{ResponseWriter: writer, store: store}, request)
+	})
+}
+
+// eraWriter adds the era to each response, as it is when the response is written.
+type eraWriter struct {
+	http.ResponseWriter
+	store *Store
+}
+
+func (eraWriter *eraWriter) WriteHeader(status int) {
+	// Handlers that return a state set the era of the state.
+	if eraWriter.Header().Get(eraHeader) == "" {
+		setEra(eraWriter, eraWriter.store.Era())
+	}
+	eraWriter.ResponseWriter.WriteHeader(status)
+}
+
+func (eraWriter *eraWriter) Write(body []byte) (int, error) {
+	if eraWriter.Header().Get(eraHeader) == "" {
+		setEra(eraWriter, eraWriter.store.Era())
+	}
+	return eraWriter.ResponseWriter.Write(body)
+}
+
+const eraHeader = "Store-Era"
+
+func setEra(writer http.ResponseWriter, era oleandervane.StoreEra) {
+	writer.Header().Set(eraHeader, strconv.FormatUint(uint64(era), 10))
 }
 
 // item is an entry or a removal on the wire.
@@ -63,6 +92,7 @@
 		writeError(writer, err)
 		return
 	}
+	setEra(writer, revision.Era)
 	items := []item{}
 	more := false
 	for _, storeEntry := range entries {
@@ -79,7 +109,7 @@
 		Items    []item `json:"items"`
 		HasMore  bool   `json:"has_more"`
 		Revision uint64 `json:"current_rev"`
-	}{items, more, revision})
+	}{items, more, revision.Number})
 }
 
 func (store *Store) serveWatch(writer http.ResponseWriter, request *http.Request) {
@@ -94,11 +124,12 @@
 		http.Error(writer, "wait_ms is not a number", http.StatusBadRequest)
 		return
 	}
-	changes, err := store.WatchPrefix(request.Context(), query.Get("prefix"), after, time.Duration(waitMillis)*time.Millisecond)
+	changes, err := store.WatchPrefix(request.Context(), query.Get("prefix"), oleandervane.StoreRevision{Era: store.Era(), Number: after}, time.Duration(waitMillis)*time.Millisecond)
 	if err != nil {
 		writeError(writer, err)
 		return
 	}
+	setEra(writer, changes.Revision.Era)
 	events := []item{}
 	for _, storeChange := range changes.Changes {
 		events = append(events, itemOf(storeChange.Entry, storeChange.Removed))
@@ -106,7 +137,7 @@
 	writeJSON(writer, struct {
 		Events   []item `json:"events"`
 		Revision uint64 `json:"current_rev"`
-	}{events, changes.Revision})
+	}{events, changes.Revision.Number})
 }
 
 func (store *Store) serveTransaction(writer http.ResponseWriter, request *http.Request) {
@@ -116,9 +147,9 @@
 			Revision uint64 `json:"revision"`
 		} `json:"precondition"`
 		Writes []struct {
-			Key   string               `json:"key"`
-			Value []byte               `json:"value"`
-			Lease oleandervane.LeaseID `json:"lease"`
+			Key   string `json:"key"`
+			Value []byte `json:"value"`
+			Lease uint64 `json:"lease"`
 		} `json:"writes"`
 		Removals []string `json:"remove"`
 	}
@@ -130,7 +161,7 @@
 		storeTransaction.Conditions[condition.Key] = condition.Revision
 	}
 	for _, write := range body.Writes {
-		storeTransaction.Writes = append(storeTransaction.Writes, oleandervane.StoreWrite{Key: write.Key, Value: write.Value, Lease: write.Lease})
+		storeTransaction.Writes = append(storeTransaction.Writes, oleandervane.StoreWrite{Key: write.Key, Value: write.Value, Lease: store.leaseOf(write.Lease)})
 	}
 	revision, err := store.Commit(request.Context(), storeTransaction)
 	if err != nil {
@@ -155,30 +186,42 @@
 		return
 	}
 	writeJSON(writer, struct {
-		Lease   oleandervane.LeaseID `json:"lease"`
-		Seconds float64              `json:"ttl_s_time"`
-	}{granted, body.Seconds})
+		Lease   uint64  `json:"lease"`
+		Seconds float64 `json:"ttl_s_time"`
+	}{granted.Number, body.Seconds})
 }
 
 func (store *Store) serveRenew(writer http.ResponseWriter, request *http.Request) {
-	if err := store.RenewLease(request.Context(), leaseOf(request)); err != nil {
+	if err := store.RenewLease(request.Context(), store.leaseIn(request)); err != nil {
 		writeError(writer, err)
+		return
 	}
+	writer.WriteHeader(http.StatusOK)
 }
 
 func (store *Store) serveEnd(writer http.ResponseWriter, request *http.Request) {
-	if err := store.EndLease(request.Context(), leaseOf(request)); err != nil {
+	if err := store.EndLease(request.Context(), store.leaseIn(request)); err != nil {
 		writeError(writer, err)
+		return
+	}
+	writer.WriteHeader(http.StatusOK)
+}
+
+// leaseOf returns the lease with a number, 0 for none.
+func (store *Store) leaseOf(number uint64) oleandervane.LeaseID {
+	if number == 0 {
+		return oleandervane.LeaseID{}
 	}
+	return oleandervane.LeaseID{Era: store.Era(), Number: number}
 }
 
-// leaseOf returns the lease ID in the path, or 0, which is never a lease, if it is not a number.
-func leaseOf(request *http.Request) oleandervane.LeaseID {
+// leaseIn returns the lease whose number is in the path, or none if it is not a number.
+func (store *Store) leaseIn(request *http.Request) oleandervane.LeaseID {
 	number, err := strconv.ParseUint(request.PathValue("lease"), 10, 64)
 	if err != nil {
-		return 0
+		return oleandervane.LeaseID{}
 	}
-	return oleandervane.LeaseID(number)
+	return store.leaseOf(number)
 }
 
 func (store *Store) serveSetFaults(writer http.ResponseWriter, request *http.Request) {
--- a/standin/storestandin/state.go
+++ b/standin/storestandin/state.go
@@ -46,9 +46,9 @@
 	defer store.mutex.Unlock()
 	store.waiting++
 	defer func() { store.waiting-- }()
-	deaf := store.faults.DeafWatches
+	deaf, era := store.faults.DeafWatches, store.era
 	for {
-		if store.faults.Down || store.faults.CutWatches {
+		if store.faults.Down || store.faults.CutWatches || store.era != era {
 			return eris.Wrap(oleandervane.ErrStoreUnavailable, "watch interrupted")
 		}
 		if !store.faults.StallWatches && !deaf {
@@ -85,7 +85,7 @@
 		if len(storeWrite.Value) > storeclient.MaxValueBytes {
 			return oleandervane.ErrValueTooLarge
 		}
-		if _, found := store.leases[storeWrite.Lease]; storeWrite.Lease != 0 && !found {
+		if _, found := store.leases[storeWrite.Lease.Number]; storeWrite.Lease.Number != 0 && (!found || storeWrite.Lease.Era != store.era) {
 			return oleandervane.ErrLeaseGone
 		}
 	}
@@ -101,7 +101,7 @@
 func (store *Store) apply(storeTransaction oleandervane.StoreTransaction) {
 	store.revision++
 	for _, storeWrite := range storeTransaction.Writes {
-		written := entry{value: slices.Clone(storeWrite.Value), revision: store.revision, lease: storeWrite.Lease}
+		written := entry{value: slices.Clone(storeWrite.Value), revision: store.revision, lease: storeWrite.Lease.Number}
 		store.entries[storeWrite.Key] = written
 		store.history = append(store.history, change{key: storeWrite.Key, entry: written})
 	}
@@ -134,7 +134,7 @@
 	}
 }
 
-func (store *Store) endLease(id oleandervane.LeaseID) {
+func (store *Store) endLease(id uint64) {
 	delete(store.leases, id)
 	for _, key := range store.keys("") {
 		if store.entries[key].lease == id {
@@ -145,7 +145,7 @@
 }
 
 func (store *Store) changesAfter(prefix string, after uint64) oleandervane.StoreChanges {
-	changes := oleandervane.StoreChanges{Revision: store.revision}
+	changes := oleandervane.StoreChanges{Revision: store.currentRevision()}
 	for _, recorded := range store.history {
 		if recorded.entry.revision > after && strings.HasPrefix(recorded.key, prefix) {
 			changes.Changes = append(changes.Changes, oleandervane.StoreChange{
--- a/standin/storestandin/store.go
+++ b/standin/storestandin/store.go
@@ -36,17 +36,19 @@
 	CutWatches bool `json:"cut_watches"`
 }
 
-// Content is a snapshot of the entries and the revision of a store stand-in. It is immutable.
+// Content is a copy of the entries, the leases and the revision of a store stand-in. It is immutable.
 type Content struct {
-	entries  map[string]entry
-	revision uint64
+	entries     map[string]entry
+	revision    uint64
+	leases      map[uint64]lease
+	lastLeaseID uint64
 }
 
 // entry is the value of a key, the revision of its last change and the lease that it is bound to, 0 for none.
 type entry struct {
 	value    []byte
 	revision uint64
-	lease    oleandervane.LeaseID
+	lease    uint64
 }
 
 // change is a write or removal of one key in the history.
@@ -73,10 +75,12 @@
 	// history has all changes after the revision droppedUpTo, oldest first.
 	history     []change
 	droppedUpTo uint64
-	leases      map[oleandervane.LeaseID]lease
-	lastLeaseID oleandervane.LeaseID
-	changed     chan struct{}
-	waiting     int
+	leases      map[uint64]lease
+	lastLeaseID uint64
+	// era counts restores.
+	era     oleandervane.StoreEra
+	changed chan struct{}
+	waiting int
 }
 
 // New returns an empty healthy store.
@@ -84,7 +88,7 @@
 	return &Store{
 		timerService: timerService,
 		entries:      map[string]entry{},
-		leases:       map[oleandervane.LeaseID]lease{},
+		leases:       map[uint64]lease{},
 		changed:      make(chan struct{}),
 	}
 }
@@ -147,7 +151,7 @@
 func (store *Store) Content() Content {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
-	return Content{entries: maps.Clone(store.entries), revision: store.revision}
+	return Content{entries: maps.Clone(store.entries), revision: store.revision, leases: maps.Clone(store.leases), lastLeaseID: store.lastLeaseID}
 }
 
 // RollBack restores an earlier snapshot. The revision is reset as well, so later writes reuse revision numbers.
@@ -160,6 +164,34 @@
 	store.wake()
 }
 
+// Restore restores a copy and begins a new era. Everything that was written since the copy is gone, leases as well; revisions and
+// numbers of leases are issued again. Leases in the copy run for their whole duration from now. Watches that wait are interrupted.
+func (store *Store) Restore(content Content) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.entries, store.revision = maps.Clone(content.entries), content.revision
+	store.history, store.droppedUpTo = nil, store.revision
+	store.leases, store.lastLeaseID = maps.Clone(content.leases), content.lastLeaseID
+	for id, current := range store.leases {
+		current.expiresAt = store.timerService.Now().Add(current.duration)
+		store.leases[id] = current
+	}
+	store.era++
+	store.wake()
+}
+
+// Era returns the number of restores.
+func (store *Store) Era() oleandervane.StoreEra {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return store.era
+}
+
+// currentRevision must be called with the mutex locked.
+func (store *Store) currentRevision() oleandervane.StoreRevision {
+	return oleandervane.StoreRevision{Era: store.era, Number: store.revision}
+}
+
 // Get returns the entry of a key. An absent key has version 0 and is no error.
 func (store *Store) Get(ctx context.Context, key string) (oleandervane.StoreEntry, error) {
 	store.callCounter.Get.Add(1)
@@ -173,10 +205,10 @@
 }
 
 // List returns the entries of all keys with the prefix and the store's revision.
-func (store *Store) List(ctx context.Context, prefix string) ([]oleandervane.StoreEntry, uint64, error) {
+func (store *Store) List(ctx context.Context, prefix string) ([]oleandervane.StoreEntry, oleandervane.StoreRevision, error) {
 	store.callCounter.List.Add(1)
 	if err := store.applyCallFaults(ctx); err != nil {
-		return nil, 0, eris.Wrapf(err, "list keys with prefix %q", prefix)
+		return nil, oleandervane.StoreRevision{}, eris.Wrapf(err, "list keys with prefix %q", prefix)
 	}
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
@@ -185,7 +217,7 @@
 	for _, key := range store.keys(prefix) {
 		entries = append(entries, store.entry(key))
 	}
-	return entries, store.revision, nil
+	return entries, store.currentRevision(), nil
 }
 
 // CompareAndSwap writes value if the key has the given version.
@@ -236,38 +268,38 @@
 }
 
 // WatchPrefix waits up to the duration wait for changes of keys with the prefix after a revision.
-func (store *Store) WatchPrefix(ctx context.Context, prefix string, after uint64, wait time.Duration) (oleandervane.StoreChanges, error) {
+func (store *Store) WatchPrefix(ctx context.Context, prefix string, after oleandervane.StoreRevision, wait time.Duration) (oleandervane.StoreChanges, error) {
 	store.callCounter.Watch.Add(1)
 	timed, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if wait > 0 {
 		defer store.timerService.After(wait, func(time.Time) { cancel() })()
 	}
-	var changes oleandervane.StoreChanges
+	changes := oleandervane.StoreChanges{Revision: after}
 	err := store.waitFor(timed, func() (bool, error) {
-		if after < store.droppedUpTo || after > store.revision {
+		if after.Era != store.era || after.Number < store.droppedUpTo || after.Number > store.revision {
 			return false, oleandervane.ErrHistoryGone
 		}
-		changes = store.changesAfter(prefix, after)
+		changes = store.changesAfter(prefix, after.Number)
 		return len(changes.Changes) > 0 || wait <= 0, nil
 	})
 	if errors.Is(err, oleandervane.ErrStoreUnavailable) && timed.Err() != nil && ctx.Err() == nil {
 		return changes, nil
 	}
-	return changes, eris.Wrapf(err, "watch prefix %q after revision %d", prefix, after)
+	return changes, eris.Wrapf(err, "watch prefix %q after revision %v", prefix, after)
 }
 
 // GrantLease creates a lease that expires after the duration unless it is renewed.
 func (store *Store) GrantLease(ctx context.Context, duration time.Duration) (oleandervane.LeaseID, error) {
 	store.callCounter.GrantLease.Add(1)
 	if err := store.applyCallFaults(ctx); err != nil {
-		return 0, eris.Wrap(err, "grant a lease")
+		return oleandervane.LeaseID{}, eris.Wrap(err, "grant a lease")
 	}
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	store.lastLeaseID++
 	store.leases[store.lastLeaseID] = lease{duration: duration, expiresAt: store.timerService.Now().Add(duration)}
-	return store.lastLeaseID, nil
+	return oleandervane.LeaseID{Era: store.era, Number: store.lastLeaseID}, nil
 }
 
 // RenewLease extends a lease by its duration. It fails with ErrLeaseGone when the lease has ended.
@@ -275,26 +307,26 @@
 	store.callCounter.RenewLease.Add(1)
 	return store.updateLease(ctx, id, func(current lease) {
 		current.expiresAt = store.timerService.Now().Add(current.duration)
-		store.leases[id] = current
+		store.leases[id.Number] = current
 	})
 }
 
 // EndLease ends a lease and removes its keys.
 func (store *Store) EndLease(ctx context.Context, id oleandervane.LeaseID) error {
 	store.callCounter.EndLease.Add(1)
-	return store.updateLease(ctx, id, func(lease) { store.endLease(id) })
+	return store.updateLease(ctx, id, func(lease) { store.endLease(id.Number) })
 }
 
 func (store *Store) updateLease(ctx context.Context, id oleandervane.LeaseID, update func(current lease)) error {
 	if err := store.applyCallFaults(ctx); err != nil {
-		return eris.Wrapf(err, "lease %d", id)
+		return eris.Wrapf(err, "lease %v", id)
 	}
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	store.expireLeases()
-	current, found := store.leases[id]
-	if !found {
-		return eris.Wrapf(oleandervane.ErrLeaseGone, "lease %d", id)
+	current, found := store.leases[id.Number]
+	if !found || id.Era != store.era {
+		return eris.Wrapf(oleandervane.ErrLeaseGone, "lease %v", id)
 	}
 	update(current)
 	return nil
