Restore the store from a copy in the soak

Each run of the soak drains a server, evacuates a failure domain and changes the configuration; when these are in force, the store comes back from a copy of before, and after 1 s they are written again. None may be undone meanwhile. The same is one of the random faults. Other checks leave out what was written less than its time limit before a restore, because it may not have been in force.

--- a/cmd/oleandervane-soak/main.go
+++ b/cmd/oleandervane-soak/main.go
@@ -49,8 +49,8 @@
 		if err != nil {
 			return err
 		}
-		fmt.Printf("seed %d: %d answers, %d served, %d faults, %d drains, %d versions, %d evacuations, %d cold starts, %d returns, %d signals and %d crashing requests checked, %d broken\n",
-			seed, report.Responses, report.Served, report.Faults, report.Drains, report.Versions, report.Evacuations, report.ColdStarts, report.Returns, report.Signals, report.Crashes, len(report.Broken))
+		fmt.Printf("seed %d: %d answers, %d served, %d faults, %d drains, %d versions, %d evacuations, %d cold starts, %d returns, %d signals, %d crashing requests and %d restores checked, %d broken\n",
+			seed, report.Responses, report.Served, report.Faults, report.Drains, report.Versions, report.Evacuations, report.ColdStarts, report.Returns, report.Signals, report.Crashes, report.Restores, len(report.Broken))
 		for _, broken := range report.Broken {
 			fmt.Println("  broken:", broken)
 		}
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -59,6 +59,8 @@
 	returns int
 	// signals counts the signals of servers that were checked, crashes the requests that crash servers.
 	signals, crashes int
+	// restores counts the restores of the store that were checked.
+	restores int
 }
 
 func (check *check) fail(format string, arguments ...any) {
@@ -119,9 +121,9 @@
 		check.fail("%d of %d requests were served after the last fault", served, requests)
 	}
 	check.checkBudget()
-	if len(responses) < minResponses || requests == 0 || min(check.drains, check.versions, check.evacuations, check.coldStarts, check.returns) < minEvents {
-		check.fail("too little was checked: %d answers, %d after the last fault, %d drains, %d versions, %d evacuations, %d cold starts, %d returns",
-			len(responses), requests, check.drains, check.versions, check.evacuations, check.coldStarts, check.returns)
+	if len(responses) < minResponses || requests == 0 || min(check.drains, check.versions, check.evacuations, check.coldStarts, check.returns, check.restores) < minEvents {
+		check.fail("too little was checked: %d answers, %d after the last fault, %d drains, %d versions, %d evacuations, %d cold starts, %d returns, %d restores",
+			len(responses), requests, check.drains, check.versions, check.evacuations, check.coldStarts, check.returns, check.restores)
 	}
 }
 
@@ -159,6 +161,17 @@
 	}
 }
 
+// checkRestore checks that a server that was drained before the store was restored ran no requests afterwards, and that no VM lost the
+// configuration.
+func (check *check) checkRestore(server string, vmsWithout []string, runTimes []time.Time) {
+	if len(runTimes) > 0 {
+		check.fail("%s ran %d requests after the store had lost its drain", server, len(runTimes))
+	}
+	for _, vm := range vmsWithout {
+		check.fail("%s no longer served the configuration that the store had lost", vm)
+	}
+}
+
 // checkEvacuated checks that a server ran no requests from evacuationLimit after the start of an evacuation until its end.
 func (check *check) checkEvacuated(server string, runTimes []time.Time) {
 	if len(runTimes) > 0 {
--- a/standin/soak/check_test.go
+++ b/standin/soak/check_test.go
@@ -12,7 +12,7 @@
 
 // passingCheck returns a check of a run that has enough responses and events and no violations.
 func passingCheck(start time.Time) *check {
-	check := &check{journal: newJournal(), drains: 1, versions: 1, evacuations: 1, coldStarts: 1, returns: 1}
+	check := &check{journal: newJournal(), drains: 1, versions: 1, evacuations: 1, coldStarts: 1, returns: 1, restores: 1}
 	for i := range 2 * minResponses {
 		id := fmt.Sprint(i)
 		check.journal.recordArrival("i-0", id, start.Add(time.Duration(i)*time.Millisecond))
@@ -45,6 +45,9 @@
 			}
 		}, "were served after the last fault"},
 		"no drain":                          {func(check *check) { check.drains = 0 }, "too little"},
+		"drain undone by a restore":         {func(check *check) { check.checkRestore("i-0", nil, []time.Time{start}) }, "had lost its drain"},
+		"configuration undone by a restore": {func(check *check) { check.checkRestore("i-0", []string{"vm-1"}, nil) }, "no longer served"},
+		"no restore":                        {func(check *check) { check.restores = 0 }, "too little"},
 		"no cold start":                     {func(check *check) { check.coldStarts = 0 }, "too little"},
 		"repeats above budget":              {func(check *check) { repeat(check, start, 2*minResponses/5+retryBase+1) }, "repeated requests"},
 		"repeats within budget":             {func(check *check) { repeat(check, start, 2*minResponses/5) }, ""},
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -48,6 +48,7 @@
 	Returns     int
 	Signals     int
 	Crashes     int
+	Restores    int
 	Broken      []string
 }
 
@@ -68,6 +69,10 @@
 
 	mutex   sync.Mutex
 	version int
+	// written has what the operator and the backend servers wrote last, by key; nil for a key that they removed.
+	written map[string]*string
+	// restoredAt is when the store was last restored.
+	restoredAt time.Time
 	// outputMutex is held while a line is written to the output.
 	outputMutex sync.Mutex
 	// pending waits for the faults and checks that have not ended.
@@ -81,6 +86,7 @@
 		random:  rand.New(rand.NewPCG(options.Seed, 0)),
 		store:   storestandin.New(timer.System{}),
 		started: time.Now(),
+		written: map[string]*string{},
 	}
 	soak.check = &check{journal: newJournal()}
 	// A process that was started with SIGHUP ignored ignores it until it handles the signal. Otherwise a SIGHUP before its first
@@ -146,7 +152,7 @@
 		name := fmt.Sprintf("version-%d", version)
 		routes = append(routes, route(name, "/"+name+"/", "safe"))
 	}
-	soak.write("op/config", fmt.Sprintf(`{"version":"r%d","resources":[%s,{"resource_type":"services","metadata":{"name":"ledger"},"spec":{"health_path":"/healthz","max_connections":600,"slow_start_s":%v,"cold_per_s":%d}}]}`,
+	soak.writeLocked("op/config", fmt.Sprintf(`{"version":"r%d","resources":[%s,{"resource_type":"services","metadata":{"name":"ledger"},"spec":{"health_path":"/healthz","max_connections":600,"slow_start_s":%v,"cold_per_s":%d}}]}`,
 		soak.version, strings.Join(routes, ","), coldDuration.Seconds(), coldPerSecond))
 	return soak.version
 }
@@ -157,16 +163,28 @@
 
 // write writes a key on behalf of the operator or a backend server. The faults between VMs and the store do not affect it.
 func (soak *Soak) write(key, value string) {
-	_, err := soak.store.Commit(context.Background(), oleandervane.StoreTransaction{Writes: []oleandervane.StoreWrite{{Key: key, Value: []byte(value)}}})
-	if err != nil {
-		soak.check.fail("the soak could not write %s: %v", key, err)
-	}
+	soak.mutex.Lock()
+	defer soak.mutex.Unlock()
+	soak.writeLocked(key, value)
+}
+
+// writeLocked must be called with the mutex locked. The store is never down then.
+func (soak *Soak) writeLocked(key, value string) {
+	soak.written[key] = &value
+	soak.commit(oleandervane.StoreTransaction{Writes: []oleandervane.StoreWrite{{Key: key, Value: []byte(value)}}})
 }
 
 // remove removes a key on behalf of the operator.
 func (soak *Soak) remove(key string) {
-	if _, err := soak.store.Commit(context.Background(), oleandervane.StoreTransaction{Removals: []string{key}}); err != nil {
-		soak.check.fail("the soak could not remove %s: %v", key, err)
+	soak.mutex.Lock()
+	defer soak.mutex.Unlock()
+	soak.written[key] = nil
+	soak.commit(oleandervane.StoreTransaction{Removals: []string{key}})
+}
+
+func (soak *Soak) commit(storeTransaction oleandervane.StoreTransaction) {
+	if _, err := soak.store.Commit(context.Background(), storeTransaction); err != nil {
+		soak.check.fail("the soak could not write to the store: %v", err)
 	}
 }
 
@@ -241,6 +259,8 @@
 	soak.pending.Wait()
 	soak.sendCrashingRequest(ctx, soak.options.Seed%2 == 0)
 	soak.pending.Wait()
+	soak.restoreStore(ctx, soak.backends[0])
+	soak.pending.Wait()
 }
 
 func (soak *Soak) logFault(format string, arguments ...any) {
@@ -254,7 +274,7 @@
 	backend := soak.backends[soak.random.IntN(len(soak.backends))]
 	duration := time.Duration(300+soak.random.IntN(2200)) * time.Millisecond
 	mode := 1 + soak.random.IntN(modeCount-1)
-	switch soak.random.IntN(19) {
+	switch soak.random.IntN(20) {
 	case 0:
 		soak.logFault("%s is killed", vm.id)
 		vm.recordFault(0)
@@ -314,6 +334,8 @@
 			soak.changeConfiguration(ctx)
 			time.Sleep(100 * time.Millisecond)
 		}
+	case 19:
+		soak.restoreStore(ctx, backend)
 	case 18:
 		backends := slices.Clone(soak.backends)
 		soak.random.Shuffle(len(backends), func(i, j int) { backends[i], backends[j] = backends[j], backends[i] })
@@ -367,7 +389,7 @@
 			undisturbedBefore, incarnationBefore := vm.undisturbedSince(changed)
 			status := soak.probe(ctx, vm, version)
 			undisturbedAfter, incarnationAfter := vm.undisturbedSince(changed)
-			if undisturbedBefore && undisturbedAfter && incarnationBefore == incarnationAfter {
+			if undisturbedBefore && undisturbedAfter && incarnationBefore == incarnationAfter && !soak.restoredAfter(changed, applyLimit) {
 				soak.check.count(&soak.check.versions)
 				if status == http.StatusNotFound {
 					soak.check.fail("%s does not serve version %d after %v", vm.id, version, applyLimit)
@@ -396,7 +418,7 @@
 			undisturbed = undisturbed && vmUndisturbed
 		}
 		last := soak.check.journal.lastRun(backend.id)
-		if undisturbed {
+		if undisturbed && !soak.restoredAfter(drainedAt, drainLimit) {
 			soak.check.count(&soak.check.drains)
 			if last.After(drainedAt.Add(drainLimit)) {
 				soak.check.fail("%s ran a request %v after the start of its drain", backend.id, last.Sub(drainedAt))
@@ -434,7 +456,7 @@
 			vmUndisturbed, _ := vm.undisturbedSince(startedAt)
 			undisturbed = undisturbed && vmUndisturbed
 		}
-		if undisturbed {
+		if undisturbed && !soak.restoredAfter(startedAt, evacuationLimit) {
 			soak.check.count(&soak.check.evacuations)
 			for _, backend := range soak.backends {
 				if backend.domain == domain {
@@ -483,6 +505,6 @@
 	return Report{
 		Responses: len(soak.check.responses), Served: served, Faults: soak.faults,
 		Drains: soak.check.drains, Versions: soak.check.versions, Evacuations: soak.check.evacuations,
-		ColdStarts: soak.check.coldStarts, Returns: soak.check.returns, Signals: soak.check.signals, Crashes: soak.check.crashes, Broken: soak.check.violations,
+		ColdStarts: soak.check.coldStarts, Returns: soak.check.returns, Signals: soak.check.signals, Crashes: soak.check.crashes, Restores: soak.check.restores, Broken: soak.check.violations,
 	}
 }
