--- a/entryvm/hosted/hosted.go
+++ b/entryvm/hosted/hosted.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"log"
 	"net/http"
@@ -107,7 +108,7 @@
 	entryVM.log = newLogger(settings, entryVM.logWriter).WithFields(logrus.Fields{
 		"vm": self.ID, "incarnation": self.Incarnation, "failure_domain": self.FailureDomain,
 	})
-	entryVM.observer = &observer{log: entryVM.log, set: metrics.NewSet()}
+	entryVM.observer = &observer{log: entryVM.log, set: metrics.NewSet(), organisations: newOrganisationCounters()}
 	entryVM.guard = guard{observer: entryVM.observer}
 	timerService = guardedTimers{TimerService: timerService, guard: entryVM.guard}
 	entryVM.timerService = timerService
@@ -150,6 +151,7 @@
 		BodyBudget:    entryVM.bodyBudget,
 		TimerService:  timerService,
 		Observer:      entryVM.observer,
+		KeysOutdated:  entryVM.keysOutdated,
 	})
 	entryVM.pipeline = pipeline.NewDispatcher(entryVM.ingress, settings.PipelinedRequests)
 	entryVM.joinFleet(settings)
@@ -181,6 +183,8 @@
 	set.NewGauge("oleandervane_store_invalid_eras", func() float64 { return float64(entryVM.store.InvalidEras()) })
 	set.NewGauge("oleandervane_store_late_responses", func() float64 { return float64(entryVM.store.LateResponses()) })
 	set.NewGauge("oleandervane_notices_dropped", func() float64 { return float64(entryVM.noticeSocket.Dropped()) })
+	set.NewGauge("oleandervane_invalid_entries_total", func() float64 { return float64(entryVM.replica.invalidEntries.Load()) })
+	set.NewGauge("oleandervane_configuration_faults", func() float64 { return float64(entryVM.status().FaultCount) })
 	set.NewGauge("oleandervane_beliefs_age_seconds", func() float64 { return entryVM.replica.age().Seconds() })
 }
 
@@ -323,5 +327,11 @@
 		writer.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		entryVM.observer.Write(writer)
 	})
+	mux.HandleFunc("GET /status", func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(writer).Encode(entryVM.status()); err != nil {
+			entryVM.log.WithError(err).Debug("status could not be sent")
+		}
+	})
 	return mux
 }
