Count the responses of asked VMs as news of the store

A VM that the store refuses and that the others have dropped gets no notices, only responses of the VMs that it asks; these say now whether their sender is in contact with the store, and count as news. Notices of other domains count as well. TestRefusedVMReadsChangesFromOtherVMs and TestVMsAheadAreKnownInAllDomains check both, and pass with -race.

--- a/entryvm/hosted/fleet.go
+++ b/entryvm/hosted/fleet.go
@@ -27,7 +27,7 @@
 		Sender:       entryVM.noticeSocket,
 	})
 	entryVM.relayClient = relay.NewClient()
-	follower := relay.NewFollower(relay.Settings{
+	entryVM.follower = relay.NewFollower(relay.Settings{
 		TimerService: entryVM.timerService,
 		Membership:   entryVM.roster,
 		Notices:      entryVM.notices,
@@ -35,7 +35,7 @@
 	})
 	entryVM.watcher = registrywatch.New(
 		entryVM.observedStore,
-		relayRoles{ChangeLog: entryVM.changeLog, Follower: follower},
+		relayRoles{ChangeLog: entryVM.changeLog, Follower: entryVM.follower},
 		entryVM.timerService,
 		storeSink{replica: entryVM.replica, changeLog: entryVM.changeLog, quarantine: entryVM.forwarder.Quarantine()},
 		settings.changeLimit(),
--- a/entryvm/hosted/hosted.go
+++ b/entryvm/hosted/hosted.go
@@ -95,6 +95,7 @@
 	noticeSocket  *exchange.Socket
 	changeLog     *relay.ChangeLog
 	relayClient   *relay.Client
+	follower      *relay.Follower
 	// callerListener accepts the connections of callers; nil before Run.
 	callerListener atomic.Pointer[webserver.DrainListener]
 	stopping       atomic.Bool
--- a/entryvm/hosted/replica.go
+++ b/entryvm/hosted/replica.go
@@ -32,7 +32,7 @@
 	// readAt is when entries or changes were last read from the store.
 	readAt atomic.Pointer[time.Time]
 	// revision is the revision of the store up to which changes are applied.
-	revision atomic.Uint64
+	revision atomic.Pointer[oleandervane.StoreRevision]
 
 	// catchUps counts reads of changes from another VM in place of the store.
 	catchUps atomic.Uint64
@@ -150,7 +150,7 @@
 	replica.beginEra(storeChanges.Revision.Era)
 	replica.readAt.Store(&now)
 	replica.applyChanges(replica.deferRemovals(storeChanges.Changes, now))
-	replica.revision.Store(storeChanges.Revision)
+	replica.revision.Store(&storeChanges.Revision)
 	if first {
 		replica.timerService.After(roster.SettleTime, func(time.Time) { replica.publishSettled() })
 	}
--- a/entryvm/hosted/revocation.go
+++ b/entryvm/hosted/revocation.go
@@ -9,17 +9,12 @@
 	return organisations.StrictRevocation && !entryVM.hasStoreNews(time.Duration(organisations.RevocationLimit))
 }
 
-// hasStoreNews reports whether this VM heard within the limit what the store has: from the store, or by the notice of a VM that the store
-// answers and whose revision this VM has applied.
+// hasStoreNews reports whether this VM heard within the limit what the store has: from the store, or by a notice or a
+// response of a VM that the store answers and whose revision this VM has applied.
 func (entryVM *EntryVM) hasStoreNews(limit time.Duration) bool {
 	if entryVM.observedStore.RespondedWithin(limit) {
 		return true
 	}
 	applied := entryVM.replica.revision.Load()
-	for _, other := range entryVM.roster.EntryVMs() {
-		if revision, fresh := entryVM.notices.StoreRevision(other.ID, limit); fresh && revision <= applied {
-			return true
-		}
-	}
-	return false
+	return applied != nil && (entryVM.notices.HasNewsUpTo(*applied, limit) || entryVM.follower.HasNews(limit))
 }
--- a/fleet/exchange/exchange.go
+++ b/fleet/exchange/exchange.go
@@ -403,6 +403,21 @@
 	return unheard
 }
 
+// HasNewsUpTo reports whether a VM of any failure domain that was in contact with the store has applied no later revision than the given
+// one, according to a notice that is not older than maxAge.
+func (exchange *Exchange) HasNewsUpTo(revision oleandervane.StoreRevision, maxAge time.Duration) bool {
+	now := exchange.settings.TimerService.Now()
+	exchange.mutex.Lock()
+	defer exchange.mutex.Unlock()
+	for _, received := range exchange.received {
+		notice := received.notice
+		if notice.GetStoreFresh() && storeRevision(notice).Compare(revision) <= 0 && now.Sub(received.at) <= maxAge {
+			return true
+		}
+	}
+	return false
+}
+
 // VMsAhead returns the VMs of any failure domain that have applied a later store revision than the given one and were in contact with
 // the store, according to notices that are not older than maxAge. The notices of another domain name its delegates.
 func (exchange *Exchange) VMsAhead(revision oleandervane.StoreRevision, maxAge time.Duration) []oleandervane.VMID {
--- a/fleet/exchange/exchange_test.go
+++ b/fleet/exchange/exchange_test.go
@@ -308,6 +308,8 @@
 	assert.Assert(t, len(behind.exchange.VMsAhead(oleandervane.StoreRevision{Number: 6}, time.Second)) >= 3+2)
 	assert.Equal(t, len(behind.exchange.VMsAhead(oleandervane.StoreRevision{Number: 8}, time.Second)), 0)
 	assert.Equal(t, len(behind.exchange.Unheard(time.Second)), 0)
+	assert.Assert(t, behind.exchange.HasNewsUpTo(oleandervane.StoreRevision{Number: 7}, time.Second))
+	assert.Assert(t, !behind.exchange.HasNewsUpTo(oleandervane.StoreRevision{Number: 6}, time.Second))
 	fleet.nodes[delegate.ID].inContact, fleet.nodes["vm-2-01"].cut = false, true
 	for range 16 {
 		fleet.sendNotices()
--- a/fleet/relay/behind_test.go
+++ b/fleet/relay/behind_test.go
@@ -41,6 +41,9 @@
 				}
 				time.Sleep(time.Second)
 			}
+			for _, vm := range refused {
+				assert.Assert(t, vm.follower.HasNews(2*time.Second), "%s asks others and has no news", vm.self.ID)
+			}
 			for _, vm := range refused {
 				refuse(vm).Store(false)
 				vm.unlisted.Store(false)
--- a/fleet/relay/follower.go
+++ b/fleet/relay/follower.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -45,7 +46,7 @@
 
 // ChangesClient reads store changes from another VM.
 type ChangesClient interface {
-	Changes(ctx context.Context, from oleandervane.EntryVM, after oleandervane.StoreRevision) (changes []oleandervane.StoreChange, full bool, revision oleandervane.StoreRevision, err error)
+	Changes(ctx context.Context, from oleandervane.EntryVM, after oleandervane.StoreRevision) (Response, error)
 }
 
 // Settings are the dependencies of a Follower.
@@ -59,6 +60,8 @@
 // Follower reads the store through the delegates of its failure domain, or through any VM if the store does not answer.
 type Follower struct {
 	settings Settings
+	// newsAt is when a VM in contact with the store last responded; nil before.
+	newsAt atomic.Pointer[time.Time]
 }
 
 // NewFollower returns a follower.
@@ -132,6 +135,13 @@
 	return len(follower.settings.Notices.VMsAhead(revision, noticeTimeout)) > 0
 }
 
+// HasNews reports whether a VM in contact with the store responded within the given time. The wall clock is checked as well, because the
+// monotonic clock stands still while a VM is suspended.
+func (follower *Follower) HasNews(limit time.Duration) bool {
+	newsAt, now := follower.newsAt.Load(), follower.settings.TimerService.Now()
+	return newsAt != nil && now.Sub(*newsAt) < limit && now.Round(0).Sub(newsAt.Round(0)) < limit
+}
+
 // IsCutOff reports whether other VMs may have dropped this one from their lists: some of those that are listed send no notices. A
 // VM that the store refuses is dropped when its lease has ended, after 3 s.
 func (follower *Follower) IsCutOff() bool {
@@ -171,39 +181,42 @@
 func (follower *Follower) ask(ctx context.Context, vms []oleandervane.EntryVM, after oleandervane.StoreRevision) (storeChanges oleandervane.StoreChanges, full bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	type response struct {
-		storeChanges oleandervane.StoreChanges
-		full         bool
-		err          error
+	type result struct {
+		Response
+		err error
 	}
-	responses := make(chan response, len(vms))
+	results := make(chan result, len(vms))
 	for _, vm := range vms {
 		go func() {
-			changes, full, revision, err := follower.read(ctx, vm, after)
-			if err == nil && revision.Compare(after) <= 0 {
-				err = eris.Wrapf(ErrNoVMAhead, "%s is at revision %v, not after %v", vm.ID, revision, after)
+			response, err := follower.read(ctx, vm, after)
+			if err == nil && response.Revision.Compare(after) <= 0 {
+				err = eris.Wrapf(ErrNoVMAhead, "%s is at revision %v, not after %v", vm.ID, response.Revision, after)
 			}
-			responses <- response{oleandervane.StoreChanges{Changes: changes, Revision: revision}, full, err}
+			results <- result{response, err}
 		}()
 	}
 	err = eris.Wrap(ErrNoVMAhead, "reading changes")
 	for range vms {
-		response := <-responses
-		if response.err == nil {
-			return response.storeChanges, response.full, nil
+		result := <-results
+		if result.err == nil {
+			return oleandervane.StoreChanges{Changes: result.Changes, Revision: result.Revision}, result.Full, nil
 		}
-		err = response.err
+		err = result.err
 	}
 	return oleandervane.StoreChanges{}, false, err
 }
 
 // read reads the changes after a revision from a VM, within callTimeout.
-func (follower *Follower) read(ctx context.Context, vm oleandervane.EntryVM, after oleandervane.StoreRevision) (changes []oleandervane.StoreChange, full bool, revision oleandervane.StoreRevision, err error) {
+func (follower *Follower) read(ctx context.Context, vm oleandervane.EntryVM, after oleandervane.StoreRevision) (Response, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer follower.settings.TimerService.After(callTimeout, func(time.Time) { cancel() })()
-	changes, full, revision, err = follower.settings.Client.Changes(ctx, vm, after)
-	return changes, full, revision, eris.Wrapf(err, "reading changes from %s", vm.ID)
+	response, err := follower.settings.Client.Changes(ctx, vm, after)
+	if err == nil && response.Fresh {
+		now := follower.settings.TimerService.Now()
+		follower.newsAt.Store(&now)
+	}
+	return response, eris.Wrapf(err, "reading changes from %s", vm.ID)
 }
 
 // delegateStore is the store as read through a delegate.
@@ -278,7 +291,8 @@
 	if !found {
 		return nil, false, oleandervane.StoreRevision{}, eris.Wrap(ErrNoDelegate, "reading changes")
 	}
-	changes, full, revision, err = follower.read(ctx, delegate, after)
+	response, err := follower.read(ctx, delegate, after)
+	changes, full, revision = response.Changes, response.Full, response.Revision
 	if err != nil {
 		return nil, false, oleandervane.StoreRevision{}, eris.Wrapf(ErrNoDelegate, "%v", err)
 	}
--- a/fleet/relay/transport.go
+++ b/fleet/relay/transport.go
@@ -26,6 +26,7 @@
 
 // Reader reads the changes after a revision. ChangeLog implements it.
 type Reader interface {
+	oleandervane.StoreRevisionSource
 	Read(after oleandervane.StoreRevision) (changes []oleandervane.StoreChange, full bool, revision oleandervane.StoreRevision)
 }
 
@@ -41,7 +42,8 @@
 // Changes returns the changes after a revision.
 func (handler handler) Changes(_ context.Context, request *peer.ChangesRequest) (*peer.ChangesResponse, error) {
 	changes, full, revision := handler.reader.Read(oleandervane.StoreRevision{Era: oleandervane.StoreEra(request.GetAfterEra()), Number: request.GetAfter()})
-	response := &peer.ChangesResponse{Era: uint64(revision.Era), Revision: revision.Number, Whole: full}
+	_, fresh := handler.reader.StoreRevision()
+	response := &peer.ChangesResponse{Fresh: fresh, Era: uint64(revision.Era), Revision: revision.Number, Whole: full}
 	for _, change := range changes {
 		response.Items = append(response.Items, &peer.StoreItem{
 			Key: change.Entry.Key, Value: change.Entry.Value, Version: change.Entry.Version, Removed: change.Removed,
@@ -70,19 +72,29 @@
 	client.httpClient.CloseIdleConnections()
 }
 
+// Response has the changes after a revision at another VM.
+type Response struct {
+	Changes []oleandervane.StoreChange
+	// Full is set if the changes are all entries.
+	Full     bool
+	Revision oleandervane.StoreRevision
+	// Fresh is set if the VM was in contact with the store.
+	Fresh bool
+}
+
 // Changes reads the changes after a revision from another VM.
-func (client *Client) Changes(ctx context.Context, from oleandervane.EntryVM, after oleandervane.StoreRevision) (changes []oleandervane.StoreChange, full bool, revision oleandervane.StoreRevision, err error) {
+func (client *Client) Changes(ctx context.Context, from oleandervane.EntryVM, after oleandervane.StoreRevision) (Response, error) {
 	response, err := client.clientFor(from.PeerAddress).Changes(ctx, &peer.ChangesRequest{AfterEra: uint64(after.Era), After: after.Number})
 	if err != nil {
-		return nil, false, oleandervane.StoreRevision{}, err
+		return Response{}, err
 	}
-	changes = make([]oleandervane.StoreChange, 0, len(response.GetItems()))
+	changes := make([]oleandervane.StoreChange, 0, len(response.GetItems()))
 	for _, item := range response.GetItems() {
 		entry := oleandervane.StoreEntry{Key: item.GetKey(), Value: item.GetValue(), Version: item.GetVersion()}
 		changes = append(changes, oleandervane.StoreChange{Entry: entry, Removed: item.GetRemoved()})
 	}
-	revision = oleandervane.StoreRevision{Era: oleandervane.StoreEra(response.GetEra()), Number: response.GetRevision()}
-	return changes, response.GetWhole(), revision, nil
+	revision := oleandervane.StoreRevision{Era: oleandervane.StoreEra(response.GetEra()), Number: response.GetRevision()}
+	return Response{Changes: changes, Full: response.GetWhole(), Revision: revision, Fresh: response.GetFresh()}, nil
 }
 
 func (client *Client) clientFor(address netip.AddrPort) peerconnect.RelayServiceClient {
