--- a/entryvm/hosted/fleet.go
+++ b/entryvm/hosted/fleet.go
@@ -44,7 +44,7 @@
 		Slack:         settings.RateLimits.Slack,
 	})
 	entryVM.relayClient = relay.NewClient()
-	follower := relay.NewFollower(relay.Settings{
+	entryVM.follower = relay.NewFollower(relay.Settings{
 		TimerService: entryVM.timerService,
 		Membership:   entryVM.roster,
 		Notices:      entryVM.notices,
@@ -52,7 +52,7 @@
 	})
 	entryVM.watcher = registrywatch.New(
 		entryVM.observedStore,
-		relayRoles{ChangeLog: entryVM.changeLog, Follower: follower},
+		relayRoles{ChangeLog: entryVM.changeLog, Follower: entryVM.follower},
 		entryVM.timerService,
 		storeSink{replica: entryVM.replica, changeLog: entryVM.changeLog, quarantine: entryVM.forwarder.Quarantine()},
 		settings.changeLimit(),
@@ -76,7 +76,7 @@
 }
 
 // Replace replaces all entries.
-func (storeSink storeSink) Replace(entries []oleandervane.StoreEntry, revision uint64) {
+func (storeSink storeSink) Replace(entries []oleandervane.StoreEntry, revision oleandervane.StoreRevision) {
 	for _, entry := range entries {
 		restoreQuarantine(storeSink.quarantine, entry)
 	}
@@ -102,6 +102,14 @@
 	storeSink.changeLog.Clear()
 }
 
+// StoreRestored writes the entry of this VM again and lists the store again. A watch that waits may never return a change.
+func (entryVM *EntryVM) StoreRestored(era oleandervane.StoreEra) {
+	entryVM.observer.set.GetOrCreateCounter("oleandervane_store_restores_total").Inc()
+	entryVM.log.WithField("era", era).Warn("the store was restored from a copy; this VM writes its entry and lists the store again")
+	entryVM.roster.Restored()
+	entryVM.watcher.Interrupt()
+}
+
 // startNotices opens the notice socket and starts to send and receive notices.
 func (entryVM *EntryVM) startNotices(address netip.AddrPort) (stop func(), err error) {
 	if err := entryVM.noticeSocket.Open(address); err != nil {
--- a/entryvm/hosted/hosted.go
+++ b/entryvm/hosted/hosted.go
@@ -107,6 +107,7 @@
 	changeLog     *relay.ChangeLog
 	rateLimiter   *ratelimit.Limiter
 	relayClient   *relay.Client
+	follower      *relay.Follower
 	// callerListener accepts the connections of callers; nil before Run.
 	callerListener atomic.Pointer[webserver.DrainListener]
 	stopping       atomic.Bool
@@ -175,6 +176,7 @@
 		KeysOutdated:  entryVM.keysOutdated,
 	})
 	entryVM.pipeline = pipeline.NewDispatcher(limitedHandler{Handler: entryVM.ingress, account: entryVM.account}, settings.PipelinedRequests).WithReserve(entryVM.account.BeginAhead)
+	entryVM.store.ObserveRestores(entryVM)
 	entryVM.addGauges()
 	return entryVM
 }
@@ -216,6 +218,9 @@
 	set.NewGauge("oleandervane_body_bytes", func() float64 { return float64(entryVM.bodyBudget.Used()) })
 	set.NewGauge("oleandervane_log_lines_dropped", func() float64 { return float64(entryVM.logWriter.Dropped()) })
 	set.NewGauge("oleandervane_store_calls", func() float64 { return float64(entryVM.store.Calls().Total()) })
+	set.NewGauge("oleandervane_store_catch_ups", func() float64 { return float64(entryVM.replica.catchUps.Load()) })
+	set.NewGauge("oleandervane_store_invalid_eras", func() float64 { return float64(entryVM.store.InvalidEras()) })
+	set.NewGauge("oleandervane_store_late_responses", func() float64 { return float64(entryVM.store.LateResponses()) })
 	set.NewGauge("oleandervane_notices_dropped", func() float64 { return float64(entryVM.noticeSocket.Dropped()) })
 	set.NewGauge("oleandervane_invalid_entries_total", func() float64 { return float64(entryVM.replica.invalidEntries.Load()) })
 	set.NewGauge("oleandervane_configuration_faults", func() float64 { return float64(entryVM.status().FaultCount) })
--- a/fleet/relay/statusline_test.go
+++ b/fleet/relay/statusline_test.go
@@ -33,8 +33,8 @@
 			})
 			client := relay.NewClient()
 			defer client.Close()
-			_, _, revision, err := client.Changes(context.Background(), oleandervane.EntryVM{PeerAddress: netip.MustParseAddrPort(listener.Addr().String())}, 0)
-			assert.Equal(t, err == nil && revision == 7, tableCase.Valid, "%v", err)
+			response, err := client.Changes(context.Background(), oleandervane.EntryVM{PeerAddress: netip.MustParseAddrPort(listener.Addr().String())}, oleandervane.StoreRevision{})
+			assert.Equal(t, err == nil && response.Revision.Number == 7, tableCase.Valid, "%v", err)
 		})
 	}
 }
