--- a/standin/soak/check_test.go
+++ b/standin/soak/check_test.go
@@ -47,6 +47,7 @@
 		"no drain":                          {func(check *check) { check.drains = 0 }, "too little"},
 		"drain undone by a restore":         {func(check *check) { check.checkRestore("i-0", nil, []time.Time{start}) }, "had lost its drain"},
 		"configuration undone by a restore": {func(check *check) { check.checkRestore("i-0", []string{"vm-1"}, nil) }, "no longer served"},
+		"refused VM without the version":    {func(check *check) { check.checkRefused("vm-0", 3, http.StatusNotFound) }, "did not serve version 3"},
 		"no restore":                        {func(check *check) { check.restores = 0 }, "too little"},
 		"no cold start":                     {func(check *check) { check.coldStarts = 0 }, "too little"},
 		"repeats above budget":              {func(check *check) { repeat(check, start, 2*minResponses/5+retryBase+1) }, "repeated requests"},
