Check in the soak that removed keys stay removed

Configurations of the soak have an organisation with one key, which the next version removes, and a route that needs a key. After a restore of the store, and at VMs that the store refuses, the removed key must be refused; at the latter the new one must be accepted.

--- a/standin/soak/refuse.go
+++ b/standin/soak/refuse.go
@@ -26,7 +26,10 @@
 		version := soak.writeConfiguration()
 		time.Sleep(applyLimit)
 		for _, vm := range refused {
-			soak.check.checkRefused(vm.id, version, soak.probe(ctx, vm, version))
+			soak.check.checkRefused(vm.id, version, soak.probe(ctx, vm, version), soak.acceptsRemovedKey(ctx, vm, version))
+			if soak.probePath(ctx, vm, keyedPath+"probe", keyOf(version)) == http.StatusUnauthorized {
+				soak.check.fail("%s, which the store refused, did not accept the key of version %d", vm.id, version)
+			}
 		}
 	}
 	for _, vm := range refused {
@@ -35,10 +38,14 @@
 	time.Sleep(settleTime)
 }
 
-// checkRefused checks the status of a request for a route that a configuration version has added while the store refused the VM.
-func (check *check) checkRefused(vm string, version, status int) {
+// checkRefused checks the status of a request for a route that a configuration version has added while the store refused the VM, and
+// whether the VM accepts the key that the version has removed.
+func (check *check) checkRefused(vm string, version, status int, acceptsRemovedKey bool) {
 	check.count(&check.versions)
 	if status == http.StatusNotFound {
 		check.fail("%s, which the store refused, did not serve version %d after %v", vm, version, applyLimit)
 	}
+	if acceptsRemovedKey {
+		check.fail("%s, which the store refused, accepted the key that version %d had removed after %v", vm, version, applyLimit)
+	}
 }
--- a/standin/soak/restore.go
+++ b/standin/soak/restore.go
@@ -18,7 +18,7 @@
 	restoreCheckTime = 2500 * time.Millisecond
 )
 
-// restoreStore drains a server, evacuates a failure domain and changes the configuration, and when all of these are in force the store
+// restoreStore drains a server, evacuates a failure domain and changes the configuration, which removes a key, and when all of these are in force the store
 // comes back from a copy made before. It checks that none of them is undone, unless a VM is disturbed meanwhile.
 func (soak *Soak) restoreStore(ctx context.Context, backend *backend) {
 	if backend.leaving.Swap(true) {
@@ -95,11 +95,11 @@
 	}
 }
 
-// vmsWithout returns the VMs that do not serve a configuration version.
+// vmsWithout returns the VMs that do not serve a configuration version, or accept the key that it has removed.
 func (soak *Soak) vmsWithout(ctx context.Context, version int) []string {
 	var without []string
 	for _, vm := range soak.vms {
-		if soak.probe(ctx, vm, version) == http.StatusNotFound {
+		if soak.probe(ctx, vm, version) == http.StatusNotFound || soak.acceptsRemovedKey(ctx, vm, version) {
 			without = append(without, vm.id)
 		}
 	}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -152,13 +152,16 @@
 		name := fmt.Sprintf("version-%d", version)
 		routes = append(routes, route(name, "/"+name+"/", "safe"))
 	}
+	// The route that needs a key accepts only that of this version.
+	routes = append(routes, strings.Replace(route("keyed", keyedPath, "safe"), `"public":true,`, "", 1),
+		fmt.Sprintf(`{"resource_type":"tenants","metadata":{"name":"kabgayi"},"spec":{"api_keys":[%q]}}`, keyOf(soak.version)))
 	soak.writeLocked("op/config", fmt.Sprintf(`{"version":"r%d","resources":[%s,{"resource_type":"services","metadata":{"name":"ledger"},"spec":{"health_path":"/healthz","max_connections":600,"slow_start_s":%v,"cold_per_s":%d}}]}`,
 		soak.version, strings.Join(routes, ","), coldDuration.Seconds(), coldPerSecond))
 	return soak.version
 }
 
 func route(name, prefix, kind string) string {
-	return fmt.Sprintf(`{"resource_type":"routes","metadata":{"name":%q},"spec":{"host":"a.example","prefix":%q,"route_type":%q,"timeout_s":1.5,"target_latency_s":0.4,"priority":1,"service":"ledger","max_attempts":2,"sticky":true}}`, name, prefix, kind)
+	return fmt.Sprintf(`{"resource_type":"routes","metadata":{"name":%q},"spec":{"host":"a.example","public":true,"prefix":%q,"route_type":%q,"timeout_s":1.5,"target_latency_s":0.4,"priority":1,"service":"ledger","max_attempts":2,"sticky":true}}`, name, prefix, kind)
 }
 
 // write writes a key on behalf of the operator or a backend server. The faults between VMs and the store do not affect it.
@@ -205,14 +208,35 @@
 
 // probe requests the route of a version from one VM and returns the status, 0 if there is no response.
 func (soak *Soak) probe(ctx context.Context, vm *vm, version int) int {
+	return soak.probePath(ctx, vm, fmt.Sprintf("/version-%d/probe", version), "")
+}
+
+// keyedPath is the prefix of the route that needs a key.
+const keyedPath = "/keyed/"
+
+// keyOf returns the key that a configuration version accepts and the next one removes.
+func keyOf(version int) string {
+	return fmt.Sprintf("key-%d", version)
+}
+
+// acceptsRemovedKey reports whether a VM accepts the key that a configuration version has removed.
+func (soak *Soak) acceptsRemovedKey(ctx context.Context, vm *vm, version int) bool {
+	return soak.probePath(ctx, vm, keyedPath+"probe", keyOf(version-1)) == http.StatusOK
+}
+
+// probePath requests a path from one VM, with a key if it is not empty, and returns the status, 0 if there is no response.
+func (soak *Soak) probePath(ctx context.Context, vm *vm, path, key string) int {
 	ctx, cancel := context.WithTimeout(ctx, callerTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/version-%d/probe", vm.caller, version), http.NoBody)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+vm.caller+path, http.NoBody)
 	if err != nil {
 		return 0
 	}
 	request.Host, request.Close = "a.example", true
-	request.Header.Set("X-Request-Id", fmt.Sprintf("probe-%s-%d-%d", vm.id, version, time.Now().UnixNano()))
+	request.Header.Set("X-Request-Id", fmt.Sprintf("probe-%s-%d", vm.id, time.Now().UnixNano()))
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return 0
