Take the notices of VMs of all domains as news of the store under strict revocation

Cause: a VM that the store refuses heard of the store's state only from its own failure domain, so that with strict revocation it could refuse requests although a VM of another domain confirmed its revision; and a notice of a VM that was behind counted as news. Change: the notice of any VM that is in contact with the store and has applied the same revision counts.

--- a/entryvm/hosted/revocation.go
+++ b/entryvm/hosted/revocation.go
@@ -10,16 +10,7 @@
 }
 
 // hasStoreNews reports whether this VM heard within the limit what the store has: from the store, or by the notice of a VM that the store
-// answers and whose revision this VM has applied.
+// answers and that has applied the same revision.
 func (entryVM *EntryVM) hasStoreNews(limit time.Duration) bool {
-	if entryVM.observedStore.RespondedWithin(limit) {
-		return true
-	}
-	applied := entryVM.replica.revision.Load()
-	for _, other := range entryVM.roster.EntryVMs() {
-		if revision, fresh := entryVM.notices.StoreRevision(other.ID, limit); fresh && revision <= applied {
-			return true
-		}
-	}
-	return false
+	return entryVM.observedStore.RespondedWithin(limit) || entryVM.notices.ConfirmsRevision(entryVM.replica.revision.Load(), limit)
 }
--- a/fleet/exchange/exchange.go
+++ b/fleet/exchange/exchange.go
@@ -417,3 +417,18 @@
 	}
 	return ahead
 }
+
+// ConfirmsRevision reports whether a VM of any failure domain that was in contact with the store has applied just the given revision,
+// according to a notice that is not older than maxAge.
+func (exchange *Exchange) ConfirmsRevision(revision uint64, maxAge time.Duration) bool {
+	now := exchange.settings.TimerService.Now()
+	exchange.mutex.Lock()
+	defer exchange.mutex.Unlock()
+	for _, received := range exchange.received {
+		notice := received.notice
+		if notice.GetStoreFresh() && notice.GetStoreRevision() == revision && now.Sub(received.at) <= maxAge {
+			return true
+		}
+	}
+	return false
+}
--- a/fleet/exchange/exchange_test.go
+++ b/fleet/exchange/exchange_test.go
@@ -314,6 +314,27 @@
 	assert.Assert(t, len(unheard) == 1 && unheard[0].ID == "vm-2-01", "%v", unheard)
 }
 
+// Guards against a VM that relies on what it has read from the store although others know more or have lost contact, and against one
+// that does not although a VM of another domain confirms it.
+func TestRevisionIsConfirmedByAnyVM(t *testing.T) {
+	fleet := newFleet(2, 2)
+	for _, node := range fleet.nodes {
+		node.revision, node.inContact = 7, true
+	}
+	receiver := fleet.nodes["vm-0-00"].exchange
+	fleet.nodes["vm-0-01"].inContact = false
+	for range 8 {
+		fleet.sendNotices()
+	}
+	assert.Assert(t, receiver.ConfirmsRevision(7, time.Second))
+	assert.Assert(t, !receiver.ConfirmsRevision(6, time.Second) && !receiver.ConfirmsRevision(8, time.Second))
+	fleet.nodes["vm-1-00"].inContact, fleet.nodes["vm-1-01"].inContact = false, false
+	for range 16 {
+		fleet.sendNotices()
+	}
+	assert.Assert(t, !receiver.ConfirmsRevision(7, time.Second))
+}
+
 // Guards against a follower that trusts a VM which has lost contact with the store or sends no more notices.
 func TestStoreRevisionOfAPeer(t *testing.T) {
 	fleet := newFleet(1, 2)
