--- a/entry/ingress/organisation_test.go
+++ b/entry/ingress/organisation_test.go
@@ -90,3 +90,13 @@
 	assert.Equal(t, completion.Reason, reasonNoCommonRegion)
 	assert.Equal(t, limiter.admitted.Load(), int64(1))
 }
+
+// Guards against a VM without a configuration that refuses a caller as if its key were unknown, which callers do not try again.
+func TestVMWithoutConfigurationKnowsNoKeys(t *testing.T) {
+	handler, _ := newTestHandler(t)
+	handler.index.Store(nil)
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/x", nil))
+	assert.Equal(t, recorder.Code, http.StatusServiceUnavailable)
+	assert.Assert(t, recorder.Header().Get("Retry-After") != "")
+}
