Observe only connections that the server ended under a request

Cause: the change before also took a response that the VM cannot read for a broken connection. Change: a break under a request counts if its error is the end or the reset of the connection. TestOnlyEndsByTheServerAreObserved is new.

--- a/entry/forward/attempt.go
+++ b/entry/forward/attempt.go
@@ -213,7 +213,7 @@
 		attempt.pool().invalidate(attempt.target.Address)
 	case ReasonBroken:
 		attempt.pool().invalidateBroken(attempt.target.Address)
-		attempt.observeBreak()
+		attempt.observeBreak(err)
 	}
 	attempt.recordEvidence(outcome, reason, err)
 	attempt.end(attemptResult)
@@ -258,9 +258,11 @@
 	}
 }
 
-// observeBreak reports that the connection to a backend server broke under the request.
-func (attempt *attempt) observeBreak() {
-	if observer := attempt.forwarder.settings.BreakObserver; observer != nil && !attempt.target.Relay {
+// observeBreak reports that a backend server ended the connection under the request. The end of a connection whose response this VM
+// cannot read is its own.
+func (attempt *attempt) observeBreak(err error) {
+	ended := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	if observer := attempt.forwarder.settings.BreakObserver; ended && observer != nil && !attempt.target.Relay {
 		observer.ObserveBreak(attempt.target.Address, false)
 	}
 }
--- a/entry/forward/idlebreak_test.go
+++ b/entry/forward/idlebreak_test.go
@@ -67,3 +67,19 @@
 		})
 	}
 }
+
+// Guards against a server that counts as ended, and is probed, because it sends what this VM cannot read.
+func TestOnlyEndsByTheServerAreObserved(t *testing.T) {
+	for actions, want := range map[string]int{
+		"read; reset":                    1,
+		`read; send "no HTTP\r\n"; hang`: 0,
+	} {
+		server := scripted(t, "b1", actions)
+		breaks := make(recordedBreaks, 4)
+		forwarder := New(Settings{BreakObserver: breaks}, timer.NewManual(time.Unix(1000, 0)))
+		t.Cleanup(forwarder.Close)
+		result := forwarder.Forward(context.Background(), testRequest(false, "POST", ""), &targets{list: []Target{server.target}})
+		assert.Equal(t, result.Reason, ReasonBroken)
+		assert.Equal(t, len(breaks), want, actions)
+	}
+}
