Check a suspected server at once while the list of VMs has not settled

Cause: a VM that has just started has no rank, and waited 0.4 s for the news of others before it checked a server whose connections broke. Soak on: the one VM that checked i-2 at once was leaving, so that its notices counted nowhere; vm-0 and vm-1 had not settled and waited, and vm-2, which had no idle connection, sent 29 requests. Change: a VM whose list has not settled checks at once. Measured: TestUnsettledVMChecksAtOnce is new.

--- a/entry/placement/end_test.go
+++ b/entry/placement/end_test.go
@@ -169,3 +169,18 @@
 	server.Address = netip.AddrPortFrom(server.Address.Addr(), port)
 	return server
 }
+
+// Guards against a VM that has just started and waits for the news of VMs whose notices do not reach it.
+func TestUnsettledVMChecksAtOnce(t *testing.T) {
+	manual := timer.NewManual(time.Unix(1000, 0))
+	health := &statedHealth{HealthState: oleandervane.HealthState{Connection: oleandervane.ConnectionAccepted, ColdLeft: slowStartTime}}
+	placer := fleet(manual, 16)[0]
+	placer.settings.HealthProber, placer.settings.Settled = health, func() bool { return false }
+	registry := registryOf(registered("a", "kigali-a"), elsewhere("b", 2), elsewhere("c", 3), elsewhere("d", 4))
+	registry.Table.Services["ledger"] = oleandervane.RoutedService{Name: "ledger", HealthPath: "/healthz", SlowStart: slowStartTime, ColdPerSecond: coldPerSecond}
+	placer.Update(registry)
+	placer.ObserveBreak(registered("a", "").Address, true)
+	manual.Advance(time.Millisecond)
+	assert.Equal(t, health.checks, 1)
+	assert.Equal(t, len(placer.ServerEnds()), 1)
+}
--- a/entry/placement/suspicion.go
+++ b/entry/placement/suspicion.go
@@ -79,7 +79,8 @@
 
 // checkDelay returns the time until this VM checks a suspected server.
 func (placer *Placer) checkDelay(server *server) time.Duration {
-	if server.warmUpAssigned() {
+	// A VM that does not know all others yet does not know whether another one checks, and notices may not reach it.
+	if server.warmUpAssigned() || server.vmRank == unknownRank {
 		return 0
 	}
 	servers := placer.view.Load().services[server.Service]
