Send queries about rate limits twice at once over long round trips

Cause: with 35 ms between regions an answer to a second transmission after 30 ms comes after the 80 ms that a request waits, and the loss of one datagram refuses it. Change: over such round trips a query with waiting requests is sent twice within 3 ms and is not delayed for a batch; while the owner fails, queries go to the owner and the deputy at once. The simulated fleet records who heard whom only for links that end.

--- a/fleet/ratelimit/batch.go
+++ b/fleet/ratelimit/batch.go
@@ -29,8 +29,8 @@
 	filledAt  time.Time
 }
 
-// enqueue adds a query to the next datagram to an owner.
-func (limiter *Limiter) enqueue(owner oleandervane.EntryVM, query *peer.TokenQuery, now time.Time) {
+// enqueue adds a query to the next datagram to an owner, which is sent after a delay at the latest.
+func (limiter *Limiter) enqueue(owner oleandervane.EntryVM, query *peer.TokenQuery, now time.Time, delay time.Duration) {
 	outbox := &limiter.outbox
 	if outbox.queries == nil {
 		outbox.queries, outbox.owners = map[oleandervane.VMID][]*peer.TokenQuery{}, map[oleandervane.VMID]oleandervane.EntryVM{}
@@ -41,9 +41,9 @@
 	if len(outbox.queries[owner.ID]) < maxBatch {
 		outbox.queries[owner.ID] = append(outbox.queries[owner.ID], query)
 	}
-	if !outbox.scheduled {
+	if !outbox.scheduled || delay == 0 {
 		outbox.scheduled = true
-		limiter.settings.TimerService.After(batchDelay, func(time.Time) { limiter.flush() })
+		limiter.settings.TimerService.After(delay, func(time.Time) { limiter.flush() })
 	}
 }
 
@@ -54,6 +54,9 @@
 	now := limiter.settings.TimerService.Now()
 	outbox := &limiter.outbox
 	outbox.scheduled = false
+	if len(outbox.queries) == 0 {
+		return
+	}
 	outbox.allowance = outbox.allowance.WithFilled(now.Sub(outbox.filledAt).Seconds())
 	outbox.filledAt = now
 	for _, id := range slices.Sorted(maps.Keys(outbox.queries)) {
--- a/fleet/ratelimit/client.go
+++ b/fleet/ratelimit/client.go
@@ -12,8 +12,9 @@
 	// AnswerTime is the longest time for which a request waits for the owner. A round trip between regions takes 70 ms at most.
 	AnswerTime = 80 * time.Millisecond
 	// repeatDelay is the time after which a query is sent a second time, or roundTripMargin times the usual round trip if that is
-	// longer. After lastRepeat, an answer would come too late.
+	// longer. After lastRepeat, an answer would come too late: such a query is sent twice within repeatFar if a request waits.
 	repeatDelay     = 30 * time.Millisecond
+	repeatFar       = 3 * time.Millisecond
 	roundTripMargin = 1.25
 	lastRepeat      = 60 * time.Millisecond
 	// aheadTime is the time for whose requests a VM asks ahead. A longer one saves queries and lets more tokens lie idle.
@@ -65,6 +66,8 @@
 	vm       oleandervane.EntryVM
 	sentAt   time.Time
 	answered bool
+	// sentToBoth is set if the query was sent to the owner and the deputy at once, and declined if one of them does not grant.
+	sentToBoth, declined bool
 }
 
 // isPending reports whether the answer of a query is awaited.
@@ -224,13 +227,28 @@
 		Burst:        organisation.limit.Burst,
 	}}
 	sequence := limiter.sequence
-	limiter.enqueue(to, client.query.message, now)
-	delay := max(repeatDelay, time.Duration(roundTripMargin*float64(limiter.roundTrips[to.Region])))
-	if delay <= lastRepeat {
+	delay, batch := max(repeatDelay, time.Duration(roundTripMargin*float64(limiter.roundTrips[to.Region]))), batchDelay
+	if delay > lastRepeat {
+		delay, batch = repeatFar, 0
+	}
+	limiter.enqueue(to, client.query.message, now, batch)
+	if other := organisation.other(to.ID); (client.usesDeputy || !client.failing.IsZero()) && other.ID != "" && other.ID != self {
+		client.query.sentToBoth = true
+		limiter.enqueue(other, client.query.message, now, batch)
+	}
+	if delay != repeatFar || len(client.waiters) > 0 {
 		limiter.settings.TimerService.After(delay, func(time.Time) { limiter.repeat(organisation, sequence) })
 	}
 }
 
+// other returns the other one of the owner and the deputy.
+func (organisation *organisation) other(id oleandervane.VMID) oleandervane.EntryVM {
+	if id == organisation.owner.ID {
+		return organisation.deputy
+	}
+	return organisation.owner
+}
+
 // measure updates the usual round trip to a region.
 func (limiter *Limiter) measure(region oleandervane.Region, roundTrip time.Duration) {
 	const weight = 8
@@ -250,9 +268,13 @@
 	if client == nil || !client.query.isPending(now) || client.query.message.GetSequence() != sequence {
 		return
 	}
+	if now.Sub(client.query.sentAt) < repeatDelay && client.failing.IsZero() {
+		limiter.enqueue(client.query.vm, client.query.message, now, 0)
+		return
+	}
 	for _, vm := range []oleandervane.EntryVM{organisation.owner, organisation.deputy} {
 		if vm.ID != "" && vm.ID != limiter.settings.Membership.Self().ID {
-			limiter.enqueue(vm, client.query.message, now)
+			limiter.enqueue(vm, client.query.message, now, 0)
 		}
 	}
 }
@@ -314,6 +336,10 @@
 	if isOwner && organisation.deputy.ID == limiter.settings.Membership.Self().ID {
 		limiter.ownerAnswered(organisation, grant.GetGranted())
 	}
+	if !grant.GetGranted() && client.query.sentToBoth && !client.query.declined {
+		client.query.declined = true
+		return
+	}
 	if client.query.answered || isDeputy && !grant.GetGranted() && client.query.vm.ID != sender.ID {
 		return
 	}
--- a/standin/limitfleet/fleet.go
+++ b/standin/limitfleet/fleet.go
@@ -187,17 +187,16 @@
 	})
 }
 
-// change records who heard from whom until now, and then applies a change.
-func (fleet *Fleet) change(apply func()) {
-	for _, node := range fleet.Nodes {
+// recordHeard records who hears from whom until now, of all pairs with one of the nodes.
+func (fleet *Fleet) recordHeard(nodes ...*Node) {
+	fleet.changedAt = fleet.Timer.Now()
+	for _, node := range nodes {
 		for _, other := range fleet.Nodes {
 			if node.hears(other) {
-				node.lastHeard[other.index] = fleet.Timer.Now()
+				node.lastHeard[other.index], other.lastHeard[node.index] = fleet.changedAt, fleet.changedAt
 			}
 		}
 	}
-	apply()
-	fleet.changedAt = fleet.Timer.Now()
 }
 
 // Cut cuts pairs of VMs off from each other; nil restores all links.
@@ -205,12 +204,13 @@
 	if isCut == nil {
 		isCut = func(*Node, *Node) bool { return false }
 	}
-	fleet.change(func() { fleet.isCut = isCut })
+	fleet.recordHeard(fleet.Nodes...)
+	fleet.isCut = isCut
 }
 
 // Start starts a VM without any state.
 func (fleet *Fleet) Start(node *Node) {
-	fleet.change(func() { node.Alive = true })
+	node.Alive, fleet.changedAt = true, fleet.Timer.Now()
 	node.vm.Incarnation++
 	node.vms, node.listedAt = []oleandervane.EntryVM{node.vm}, time.Time{}
 	clear(node.lastHeard)
@@ -230,7 +230,8 @@
 
 // Kill ends a VM. It stays listed for the time of its lease.
 func (fleet *Fleet) Kill(node *Node) {
-	fleet.change(func() { node.Alive = false })
+	fleet.recordHeard(node)
+	node.Alive = false
 	node.cancel()
 	killed := node.vm
 	fleet.Timer.After(leaseDuration, func(time.Time) {
