Send a second query about a rate limit while one is pending over a long round trip

Cause: with 35 ms between regions a request that arrived while a query was pending waited for its answer, and then for that of a query of its own, which came after 80 ms. Change: such a request has a query of its own at once; up to two are pending. TestLongRoundTrips.

--- a/fleet/ratelimit/alternatives_test.go
+++ b/fleet/ratelimit/alternatives_test.go
@@ -122,7 +122,7 @@
 				}
 			},
 		} {
-			run := newRunOf(newVariant(), 4, compared...)
+			run := newRunOf(newVariant(), 4, 12*time.Millisecond, compared...)
 			from := run.Now()
 			play(run)
 			run.Timer.Advance(10 * time.Second)
--- a/fleet/ratelimit/client.go
+++ b/fleet/ratelimit/client.go
@@ -37,7 +37,8 @@
 	waiters []*waiter
 	load    decayingRate
 	usedAt  time.Time
-	query   query
+	// query is the last query, and former the one before it if both may be pending: over long round trips only.
+	query, former query
 	// obtained is the number of tokens that were held after the last answer.
 	obtained int
 	// refusedUntil is the time until which the owner has no tokens; retryAfter is what it told with that.
@@ -68,6 +69,8 @@
 	answered bool
 	// sentToBoth is set if the query was sent to the owner and the deputy at once, and declined if one of them does not grant.
 	sentToBoth, declined bool
+	// isFar is set if the answer to a query that follows the answer to this one would come too late.
+	isFar bool
 }
 
 // isPending reports whether the answer of a query is awaited.
@@ -198,6 +201,12 @@
 	if !client.query.isPending(now) {
 		client.hops = 0
 		limiter.ask(organisation, now)
+		return
+	}
+	// The pending query may have asked for tokens ahead, but the owner may grant fewer.
+	if client.query.isFar && !client.former.isPending(now) && len(client.waiters) > int(client.query.message.GetWaiting()) {
+		client.former = client.query
+		limiter.ask(organisation, now)
 	}
 }
 
@@ -213,12 +222,16 @@
 		return
 	}
 	limiter.sequence++
+	waiting := len(client.waiters)
+	if client.former.isPending(now) {
+		waiting = max(0, waiting-int(client.former.message.GetWaiting()))
+	}
 	returned := client.returned(now)
 	held := client.held(now)
 	client.query = query{vm: to, sentAt: now, message: &peer.TokenQuery{
 		Organisation: organisation.hash,
 		Sequence:     limiter.sequence,
-		Waiting:      uint32(len(client.waiters)),
+		Waiting:      uint32(waiting),
 		Ahead:        uint32(max(0, int(client.target(now))-held)),
 		Returned:     uint32(returned),
 		Held:         uint32(held),
@@ -229,7 +242,7 @@
 	sequence := limiter.sequence
 	delay, batch := max(repeatDelay, time.Duration(roundTripMargin*float64(limiter.roundTrips[to.Region]))), batchDelay
 	if delay > lastRepeat {
-		delay, batch = repeatFar, 0
+		delay, batch, client.query.isFar = repeatFar, 0, true
 	}
 	limiter.enqueue(to, client.query.message, now, batch)
 	if other := organisation.other(to.ID); (client.usesDeputy || !client.failing.IsZero()) && other.ID != "" && other.ID != self {
@@ -265,7 +278,14 @@
 	defer limiter.mutex.Unlock()
 	now := limiter.settings.TimerService.Now()
 	client := organisation.client
-	if client == nil || !client.query.isPending(now) || client.query.message.GetSequence() != sequence {
+	if client == nil {
+		return
+	}
+	if client.former.isPending(now) && client.former.message.GetSequence() == sequence {
+		limiter.enqueue(client.former.vm, client.former.message, now, 0)
+		return
+	}
+	if !client.query.isPending(now) || client.query.message.GetSequence() != sequence {
 		return
 	}
 	if now.Sub(client.query.sentAt) < repeatDelay && client.failing.IsZero() {
@@ -329,23 +349,27 @@
 	}
 	client := organisation.client
 	isOwner, isDeputy := sender.ID == organisation.owner.ID, sender.ID == organisation.deputy.ID
-	if client.query.message.GetSequence() != grant.GetSequence() || !isOwner && !isDeputy {
+	query := &client.query
+	if client.former.isPending(now) && client.former.message.GetSequence() == grant.GetSequence() {
+		query = &client.former
+	}
+	if query.message.GetSequence() != grant.GetSequence() || !isOwner && !isDeputy {
 		limiter.settings.Observer.TokenMessageIgnored("sequence")
 		return
 	}
 	if isOwner && organisation.deputy.ID == limiter.settings.Membership.Self().ID {
 		limiter.ownerAnswered(organisation, grant.GetGranted())
 	}
-	if !grant.GetGranted() && client.query.sentToBoth && !client.query.declined {
-		client.query.declined = true
+	if !grant.GetGranted() && query.sentToBoth && !query.declined {
+		query.declined = true
 		return
 	}
-	if client.query.answered || isDeputy && !grant.GetGranted() && client.query.vm.ID != sender.ID {
+	if query.answered || isDeputy && !grant.GetGranted() && query.vm.ID != sender.ID {
 		return
 	}
-	client.query.answered = true
-	if client.query.vm.ID == sender.ID {
-		limiter.measure(sender.Region, now.Sub(client.query.sentAt))
+	query.answered = true
+	if query.vm.ID == sender.ID {
+		limiter.measure(sender.Region, now.Sub(query.sentAt))
 	}
 	if !grant.GetGranted() {
 		client.fail(now)
@@ -368,7 +392,7 @@
 		}
 		return
 	}
-	limiter.distribute(organisation, grant, now)
+	limiter.distribute(organisation, query, grant, now)
 }
 
 // ownerAnswered ends the grants of this VM, the deputy, when the owner grants.
@@ -379,10 +403,10 @@
 }
 
 // distribute gives the tokens of an answer to the requests that wait, and keeps the others.
-func (limiter *Limiter) distribute(organisation *organisation, grant *peer.TokenGrant, now time.Time) {
+func (limiter *Limiter) distribute(organisation *organisation, answered *query, grant *peer.TokenGrant, now time.Time) {
 	client := organisation.client
-	asked := client.query.message
-	client.leases = append(client.leases, tokenLease{tokens: int(min(grant.GetTokens(), maxAsked)), end: client.query.sentAt.Add(lease)})
+	asked := answered.message
+	client.leases = append(client.leases, tokenLease{tokens: int(min(grant.GetTokens(), maxAsked)), end: answered.sentAt.Add(lease)})
 	waiting := client.takeWaiters()
 	for len(waiting) > 0 && client.take(now) {
 		limiter.admit(organisation, now, SourceOwner, waiting[0].decided)
@@ -398,7 +422,7 @@
 		return
 	}
 	client.waiters = waiting
-	if len(waiting) > 0 {
+	if len(waiting) > 0 && !client.query.isPending(now) && !client.former.isPending(now) {
 		limiter.ask(organisation, now)
 	}
 }
--- a/fleet/ratelimit/fleet_test.go
+++ b/fleet/ratelimit/fleet_test.go
@@ -34,9 +34,9 @@
 	})
 }
 
-func newFleet(newLimiter func(node *limitfleet.Node) limitfleet.Limiter, seed uint64) *limitfleet.Fleet {
+func newFleet(newLimiter func(node *limitfleet.Node) limitfleet.Limiter, seed uint64, regionDelay time.Duration) *limitfleet.Fleet {
 	return limitfleet.New(limitfleet.Settings{
-		VMs: 121, Domains: 9, Regions: 3, RegionDelay: 12 * time.Millisecond, Loss: 0.005, ListDelay: 1500 * time.Millisecond, Seed: seed,
+		VMs: 121, Domains: 9, Regions: 3, RegionDelay: regionDelay, Loss: 0.005, ListDelay: 1500 * time.Millisecond, Seed: seed,
 		NewLimiter: newLimiter,
 	})
 }
@@ -59,11 +59,11 @@
 }
 
 func newRun(seed uint64, names ...oleandervane.OrganisationName) *run {
-	return newRunOf(newLimiter, seed, names...)
+	return newRunOf(newLimiter, seed, 12*time.Millisecond, names...)
 }
 
-func newRunOf(newLimiter func(node *limitfleet.Node) limitfleet.Limiter, seed uint64, names ...oleandervane.OrganisationName) *run {
-	run := &run{Fleet: newFleet(newLimiter, seed), loads: map[oleandervane.OrganisationName]*limitfleet.Load{}}
+func newRunOf(newLimiter func(node *limitfleet.Node) limitfleet.Limiter, seed uint64, regionDelay time.Duration, names ...oleandervane.OrganisationName) *run {
+	run := &run{Fleet: newFleet(newLimiter, seed, regionDelay), loads: map[oleandervane.OrganisationName]*limitfleet.Load{}}
 	run.Timer.Advance(4 * time.Second)
 	run.configure(nil)
 	run.Timer.Advance(time.Second)
@@ -237,6 +237,44 @@
 	}
 }
 
+// Guards against answers that come too late where a round trip takes nearly the time for which a request waits.
+func TestLongRoundTrips(t *testing.T) {
+	run := newRunOf(newLimiter, 6, 35*time.Millisecond, some...)
+	check := func(least float64) {
+		t.Helper()
+		from := run.Now()
+		run.Timer.Advance(10 * time.Second)
+		run.checkSum(t, from, least)
+	}
+	check(0.99)
+	run.heat(nil, "middle")
+	check(0.97)
+	run.heat(nil, some...)
+	run.Timer.Advance(3 * time.Second)
+	for _, name := range some {
+		run.Offer(name, usual[name])
+	}
+	run.Timer.Advance(window)
+	check(0.99)
+	run.checkBounds(t)
+}
+
+// checkSum checks the share of the requests of all organisations within their limits that was admitted since a time.
+func (run *run) checkSum(t *testing.T, from time.Duration, least float64) {
+	t.Helper()
+	sum, attainable := 0, 0.0
+	for _, name := range slices.Sorted(maps.Keys(run.loads)) {
+		if name == "largest" {
+			continue
+		}
+		_, admitted := run.loads[name].Count(from, run.Now())
+		sum += admitted
+		attainable += run.loads[name].Attainable(limitOf(usual[name]), from, run.Now())
+	}
+	t.Logf("%d of %.0f", sum, attainable)
+	assert.Check(t, float64(sum) >= least*attainable, "%d of %.0f", sum, attainable)
+}
+
 // Guards against limits that admit little while their owners are away, and when owners change. The deputy of an owner that has gone
 // begins after up to 2 s; a VM that becomes the owner of a limit takes it over without a gap.
 func TestOwnersChange(t *testing.T) {
@@ -254,13 +292,7 @@
 		run.Timer.Advance(pause)
 		from := run.Now()
 		run.Timer.Advance(8 * time.Second)
-		sum, attainable := 0, 0.0
-		for _, name := range []oleandervane.OrganisationName{"large", "middle", "small", "smallest"} {
-			_, admitted := run.loads[name].Count(from, run.Now())
-			sum += admitted
-			attainable += run.loads[name].Attainable(limitOf(usual[name]), from, run.Now())
-		}
-		assert.Check(t, float64(sum) >= 0.97*attainable, "%d of %.0f", sum, attainable)
+		run.checkSum(t, from, 0.97)
 		run.checkShare(t, from, 0, false)
 	}
 	run.Cut(func(a, b *limitfleet.Node) bool { return a != b && (owners[a] || owners[b]) })
