Refuse at once where no other VM could answer about a rate limit

Cause: a VM without others, in the first 2 s in which it does not grant, let requests of limited organisations wait for 80 ms. Change: it decides from its share at once. Measured: TestSingleVM; the tests of fleet/ratelimit pass, with the race detector those of single VMs and of changing owners.

--- a/fleet/ratelimit/client.go
+++ b/fleet/ratelimit/client.go
@@ -106,6 +106,10 @@
 		}
 	case decides:
 		limiter.decideAsOwner(organisation, now, decided)
+	case organisation.owner.ID == limiter.settings.Membership.Self().ID && organisation.deputy.ID == "":
+		// There is no other VM to wait for.
+		client.fail(now)
+		limiter.fallBack(organisation, now, decided)
 	case now.Before(client.refusedUntil):
 		limiter.refuse(organisation, now, SourceOwner, client.retryAfter, decided)
 	case len(client.waiters) >= maxWaiters || !client.query.isPending(now) && now.Before(client.probeAt):
--- a/fleet/ratelimit/limiter_test.go
+++ b/fleet/ratelimit/limiter_test.go
@@ -147,6 +147,25 @@
 	}
 }
 
+// Guards against a VM without others that delays refusals, or that admits requests before the list of VMs has settled.
+func TestSingleVM(t *testing.T) {
+	pair := newPair(true)
+	pair.vms = []oleandervane.EntryVM{pair.self}
+	settled := false
+	limiter := ratelimit.New(ratelimit.Settings{
+		TimerService: pair.manual, Membership: pair, Settled: func() bool { return settled }, HeardCapacity: func() float64 { return 1 },
+		Sender: pair, Observer: pair, Window: window, Overage: overage, Slack: slack,
+	})
+	limiter.Update(&oleandervane.RouteTable{Revision: 1, Organisations: []oleandervane.Organisation{organisation}})
+	limiter.Run()
+	pair.manual.Advance(5 * time.Second)
+	assert.Assert(t, !limiter.Admit(context.Background(), organisation).Admitted)
+	settled = true
+	pair.manual.Advance(time.Second)
+	assert.Assert(t, limiter.Admit(context.Background(), organisation).Admitted)
+	assert.Equal(t, len(pair.sent), 0)
+}
+
 // Guards against a datagram that crashes the process.
 func FuzzReceive(f *testing.F) {
 	for _, message := range []*peer.TokenMessage{
