--- a/fleet/ratelimit/client.go
+++ b/fleet/ratelimit/client.go
@@ -12,8 +12,9 @@
 	// AnswerTime is the longest time for which a request waits for the owner. A round trip between regions takes 70 ms at most.
 	AnswerTime = 80 * time.Millisecond
 	// repeatDelay is the time after which a query is sent a second time, or roundTripMargin times the usual round trip if that is
-	// longer. After lastRepeat, an answer would come too late.
+	// longer. After lastRepeat, an answer would come too late: such a query is sent twice within repeatFar if a request waits.
 	repeatDelay     = 30 * time.Millisecond
+	repeatFar       = 3 * time.Millisecond
 	roundTripMargin = 1.25
 	lastRepeat      = 60 * time.Millisecond
 	// aheadTime is the time for whose requests a VM asks ahead. A longer one saves queries and lets more tokens lie idle.
@@ -36,7 +37,8 @@
 	waiters []*waiter
 	load    decayingRate
 	usedAt  time.Time
-	query   query
+	// query is the last query, and former the one before it if both may be pending: over long round trips only.
+	query, former query
 	// obtained is the number of tokens that were held after the last answer.
 	obtained int
 	// refusedUntil is the time until which the owner has no tokens; retryAfter is what it told with that.
@@ -65,6 +67,10 @@
 	vm       oleandervane.EntryVM
 	sentAt   time.Time
 	answered bool
+	// sentToBoth is set if the query was sent to the owner and the deputy at once, and declined if one of them does not grant.
+	sentToBoth, declined bool
+	// isFar is set if the answer to a query that follows the answer to this one would come too late.
+	isFar bool
 }
 
 // isPending reports whether the answer of a query is awaited.
@@ -100,6 +106,10 @@
 		}
 	case decides:
 		limiter.decideAsOwner(organisation, now, decided)
+	case organisation.owner.ID == limiter.settings.Membership.Self().ID && organisation.deputy.ID == "":
+		// There is no other VM to wait for.
+		client.fail(now)
+		limiter.fallBack(organisation, now, decided)
 	case now.Before(client.refusedUntil):
 		limiter.refuse(organisation, now, SourceOwner, client.retryAfter, decided)
 	case len(client.waiters) >= maxWaiters || !client.query.isPending(now) && now.Before(client.probeAt):
@@ -195,6 +205,12 @@
 	if !client.query.isPending(now) {
 		client.hops = 0
 		limiter.ask(organisation, now)
+		return
+	}
+	// The pending query may have asked for tokens ahead, but the owner may grant fewer.
+	if client.query.isFar && !client.former.isPending(now) && len(client.waiters) > int(client.query.message.GetWaiting()) {
+		client.former = client.query
+		limiter.ask(organisation, now)
 	}
 }
 
@@ -210,12 +226,16 @@
 		return
 	}
 	limiter.sequence++
+	waiting := len(client.waiters)
+	if client.former.isPending(now) {
+		waiting = max(0, waiting-int(client.former.message.GetWaiting()))
+	}
 	returned := client.returned(now)
 	held := client.held(now)
 	client.query = query{vm: to, sentAt: now, message: &peer.TokenQuery{
 		Organisation: organisation.hash,
 		Sequence:     limiter.sequence,
-		Waiting:      uint32(len(client.waiters)),
+		Waiting:      uint32(waiting),
 		Ahead:        uint32(max(0, int(client.target(now))-held)),
 		Returned:     uint32(returned),
 		Held:         uint32(held),
@@ -224,13 +244,28 @@
 		Burst:        organisation.limit.Burst,
 	}}
 	sequence := limiter.sequence
-	limiter.enqueue(to, client.query.message, now)
-	delay := max(repeatDelay, time.Duration(roundTripMargin*float64(limiter.roundTrips[to.Region])))
-	if delay <= lastRepeat {
+	delay, batch := max(repeatDelay, time.Duration(roundTripMargin*float64(limiter.roundTrips[to.Region]))), batchDelay
+	if delay > lastRepeat {
+		delay, batch, client.query.isFar = repeatFar, 0, true
+	}
+	limiter.enqueue(to, client.query.message, now, batch)
+	if other := organisation.other(to.ID); (client.usesDeputy || !client.failing.IsZero()) && other.ID != "" && other.ID != self {
+		client.query.sentToBoth = true
+		limiter.enqueue(other, client.query.message, now, batch)
+	}
+	if delay != repeatFar || len(client.waiters) > 0 {
 		limiter.settings.TimerService.After(delay, func(time.Time) { limiter.repeat(organisation, sequence) })
 	}
 }
 
+// other returns the other one of the owner and the deputy.
+func (organisation *organisation) other(id oleandervane.VMID) oleandervane.EntryVM {
+	if id == organisation.owner.ID {
+		return organisation.deputy
+	}
+	return organisation.owner
+}
+
 // measure updates the usual round trip to a region.
 func (limiter *Limiter) measure(region oleandervane.Region, roundTrip time.Duration) {
 	const weight = 8
@@ -247,12 +282,23 @@
 	defer limiter.mutex.Unlock()
 	now := limiter.settings.TimerService.Now()
 	client := organisation.client
-	if client == nil || !client.query.isPending(now) || client.query.message.GetSequence() != sequence {
+	if client == nil {
+		return
+	}
+	if client.former.isPending(now) && client.former.message.GetSequence() == sequence {
+		limiter.enqueue(client.former.vm, client.former.message, now, 0)
+		return
+	}
+	if !client.query.isPending(now) || client.query.message.GetSequence() != sequence {
+		return
+	}
+	if now.Sub(client.query.sentAt) < repeatDelay && client.failing.IsZero() {
+		limiter.enqueue(client.query.vm, client.query.message, now, 0)
 		return
 	}
 	for _, vm := range []oleandervane.EntryVM{organisation.owner, organisation.deputy} {
 		if vm.ID != "" && vm.ID != limiter.settings.Membership.Self().ID {
-			limiter.enqueue(vm, client.query.message, now)
+			limiter.enqueue(vm, client.query.message, now, 0)
 		}
 	}
 }
@@ -307,19 +353,27 @@
 	}
 	client := organisation.client
 	isOwner, isDeputy := sender.ID == organisation.owner.ID, sender.ID == organisation.deputy.ID
-	if client.query.message.GetSequence() != grant.GetSequence() || !isOwner && !isDeputy {
+	query := &client.query
+	if client.former.isPending(now) && client.former.message.GetSequence() == grant.GetSequence() {
+		query = &client.former
+	}
+	if query.message.GetSequence() != grant.GetSequence() || !isOwner && !isDeputy {
 		limiter.settings.Observer.TokenMessageIgnored("sequence")
 		return
 	}
 	if isOwner && organisation.deputy.ID == limiter.settings.Membership.Self().ID {
 		limiter.ownerAnswered(organisation, grant.GetGranted())
 	}
-	if client.query.answered || isDeputy && !grant.GetGranted() && client.query.vm.ID != sender.ID {
+	if !grant.GetGranted() && query.sentToBoth && !query.declined {
+		query.declined = true
 		return
 	}
-	client.query.answered = true
-	if client.query.vm.ID == sender.ID {
-		limiter.measure(sender.Region, now.Sub(client.query.sentAt))
+	if query.answered || isDeputy && !grant.GetGranted() && query.vm.ID != sender.ID {
+		return
+	}
+	query.answered = true
+	if query.vm.ID == sender.ID {
+		limiter.measure(sender.Region, now.Sub(query.sentAt))
 	}
 	if !grant.GetGranted() {
 		client.fail(now)
@@ -342,7 +396,7 @@
 		}
 		return
 	}
-	limiter.distribute(organisation, grant, now)
+	limiter.distribute(organisation, query, grant, now)
 }
 
 // ownerAnswered ends the grants of this VM, the deputy, when the owner grants.
@@ -353,10 +407,10 @@
 }
 
 // distribute gives the tokens of an answer to the requests that wait, and keeps the others.
-func (limiter *Limiter) distribute(organisation *organisation, grant *peer.TokenGrant, now time.Time) {
+func (limiter *Limiter) distribute(organisation *organisation, answered *query, grant *peer.TokenGrant, now time.Time) {
 	client := organisation.client
-	asked := client.query.message
-	client.leases = append(client.leases, tokenLease{tokens: int(min(grant.GetTokens(), maxAsked)), end: client.query.sentAt.Add(lease)})
+	asked := answered.message
+	client.leases = append(client.leases, tokenLease{tokens: int(min(grant.GetTokens(), maxAsked)), end: answered.sentAt.Add(lease)})
 	waiting := client.takeWaiters()
 	for len(waiting) > 0 && client.take(now) {
 		limiter.admit(organisation, now, SourceOwner, waiting[0].decided)
@@ -372,7 +426,7 @@
 		return
 	}
 	client.waiters = waiting
-	if len(waiting) > 0 {
+	if len(waiting) > 0 && !client.query.isPending(now) && !client.former.isPending(now) {
 		limiter.ask(organisation, now)
 	}
 }
