--- a/entry/forward/attempt.go
+++ b/entry/forward/attempt.go
@@ -217,8 +217,12 @@
 		err = cause
 	}
 	reason, attemptResult := classifyError(outcome, err)
-	if reason == ReasonSilent || reason == ReasonBroken {
+	switch reason {
+	case ReasonSilent:
 		attempt.pool().invalidate(attempt.target.Address)
+	case ReasonBroken:
+		attempt.pool().invalidateBroken(attempt.target.Address)
+		attempt.observeBreak(err)
 	}
 	attempt.recordEvidence(outcome, reason, err)
 	attempt.end(attemptResult)
@@ -265,6 +269,15 @@
 	}
 }
 
+// observeBreak reports that a backend server ended the connection under the request. The end of a connection whose response this VM
+// cannot read is its own.
+func (attempt *attempt) observeBreak(err error) {
+	ended := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	if observer := attempt.forwarder.settings.BreakObserver; ended && observer != nil && !attempt.target.Relay {
+		observer.ObserveBreak(attempt.target.Address, false)
+	}
+}
+
 // recordEnd records that the run of the target has ended, because its address refuses connections.
 func (attempt *attempt) recordEnd() {
 	attempt.forwarder.quarantine.RecordEnd(attempt.target)
@@ -289,6 +302,7 @@
 		attempt.pool().invalidate(attempt.target.Address)
 		return attempt.failConnection(ErrMismatch)
 	}
+	attempt.connection.keepAlive = metadata.KeepAlive
 	attempt.echoed, attempt.status = len(metadata.EchoedIDs) > 0, response.StatusCode
 	if responseObserver, observes := attempt.reservation.(ResponseObserver); observes {
 		responseObserver.ObserveResponse(metadata)
--- a/entry/forward/gate.go
+++ b/entry/forward/gate.go
@@ -31,6 +31,8 @@
 	state       atomic.Int32
 	beforeWrite atomic.Pointer[func() error]
 	refusal     atomic.Pointer[error]
+	// idleBreak is called when the peer closes or resets the connection while no attempt uses it.
+	idleBreak atomic.Pointer[func()]
 	// begins is set when the first byte of a request is about to be written. Only Read uses checker. invalid is set when the response
 	// has an invalid status line or came before the request.
 	begins  atomic.Bool
@@ -99,6 +101,12 @@
 // with an invalid status line.
 func (gate *gate) Read(buffer []byte) (int, error) {
 	count, err := gate.Conn.Read(buffer)
+	// Reads of a connection that this VM closed fail with net.ErrClosed.
+	if count == 0 && err != nil && gate.state.Load() == gateIdle && !errors.Is(err, net.ErrClosed) {
+		if idleBreak := gate.idleBreak.Load(); idleBreak != nil {
+			(*idleBreak)()
+		}
+	}
 	if count > 0 && gate.state.Load() != gateWritten {
 		gate.invalid.Store(true)
 		return 0, errUnsolicited
--- a/entryvm/hosted/hosted.go
+++ b/entryvm/hosted/hosted.go
@@ -30,6 +30,7 @@
 	"oleandervane.example/entryvm/incarnation"
 	"oleandervane.example/entryvm/webserver"
 	"oleandervane.example/fleet/exchange"
+	"oleandervane.example/fleet/ratelimit"
 	"oleandervane.example/fleet/registrywatch"
 	"oleandervane.example/fleet/relay"
 	"oleandervane.example/fleet/roster"
@@ -104,10 +105,14 @@
 	notices       *exchange.Exchange
 	noticeSocket  *exchange.Socket
 	changeLog     *relay.ChangeLog
+	rateLimiter   *ratelimit.Limiter
 	relayClient   *relay.Client
+	follower      *relay.Follower
 	// callerListener accepts the connections of callers; nil before Run.
 	callerListener atomic.Pointer[webserver.DrainListener]
 	stopping       atomic.Bool
+	// askedForEnds is set with the first backend servers.
+	askedForEnds atomic.Bool
 }
 
 // New returns an entry VM that logs to output. It opens no connection before Run.
@@ -139,6 +144,7 @@
 		ConnectTimeout:         connectTimeout,
 		AbortDelay:             forward.DefaultAbortDelay,
 		SuspectObserver:        entryVM.observer,
+		BreakObserver:          breakObserver{entryVM},
 		ReserveResponse:        entryVM.account.ReserveResponse,
 		QuarantineRecorder:     quarantineRecords{store: entryVM.observedStore, log: entryVM.log},
 		TrialCoordinator:       newTrialCoordinator(self.ID, entryVM.observedStore, timerService, entryVM.log),
@@ -153,8 +159,10 @@
 		Membership:   entryVM.roster,
 		Settled:      entryVM.roster.Settled,
 		Prober:       entryVM.forwarder,
+		HealthProber: entryVM.forwarder,
 		Observer:     entryVM.observer,
 	})
+	entryVM.joinFleet(settings)
 	entryVM.bodyBudget = bodymemory.NewWithAccount(timerService, int64(bodyShare*float64(settings.MemoryMegabytes)*megabyte), entryVM.account)
 	entryVM.ingress = ingress.New(ingress.Dependencies{
 		Self:          self,
@@ -164,14 +172,25 @@
 		BodyBudget:    entryVM.bodyBudget,
 		TimerService:  timerService,
 		Observer:      entryVM.observer,
+		Limiter:       entryVM.rateLimiter,
 		KeysOutdated:  entryVM.keysOutdated,
 	})
 	entryVM.pipeline = pipeline.NewDispatcher(limitedHandler{Handler: entryVM.ingress, account: entryVM.account}, settings.PipelinedRequests).WithReserve(entryVM.account.BeginAhead)
-	entryVM.joinFleet(settings)
+	entryVM.store.ObserveRestores(entryVM)
 	entryVM.addGauges()
 	return entryVM
 }
 
+// breakObserver passes broken connections to the placer, which is created after the forwarder.
+type breakObserver struct {
+	entryVM *EntryVM
+}
+
+// ObserveBreak passes a broken connection on.
+func (breakObserver breakObserver) ObserveBreak(address netip.AddrPort, idle bool) {
+	breakObserver.entryVM.placer.ObserveBreak(address, idle)
+}
+
 func newLogger(settings Settings, output io.Writer) *logrus.Logger {
 	logger := logrus.New()
 	logger.SetOutput(output)
@@ -199,9 +218,13 @@
 	set.NewGauge("oleandervane_body_bytes", func() float64 { return float64(entryVM.bodyBudget.Used()) })
 	set.NewGauge("oleandervane_log_lines_dropped", func() float64 { return float64(entryVM.logWriter.Dropped()) })
 	set.NewGauge("oleandervane_store_calls", func() float64 { return float64(entryVM.store.Calls().Total()) })
+	set.NewGauge("oleandervane_store_catch_ups", func() float64 { return float64(entryVM.replica.catchUps.Load()) })
+	set.NewGauge("oleandervane_store_invalid_eras", func() float64 { return float64(entryVM.store.InvalidEras()) })
+	set.NewGauge("oleandervane_store_late_responses", func() float64 { return float64(entryVM.store.LateResponses()) })
 	set.NewGauge("oleandervane_notices_dropped", func() float64 { return float64(entryVM.noticeSocket.Dropped()) })
 	set.NewGauge("oleandervane_invalid_entries_total", func() float64 { return float64(entryVM.replica.invalidEntries.Load()) })
 	set.NewGauge("oleandervane_configuration_faults", func() float64 { return float64(entryVM.status().FaultCount) })
+	set.NewGauge("oleandervane_rate_limit_datagrams", func() float64 { return float64(entryVM.rateLimiter.Sent()) })
 	set.NewGauge("oleandervane_beliefs_age_seconds", func() float64 { return entryVM.replica.age().Seconds() })
 }
 
@@ -223,7 +246,11 @@
 func (entryVM *EntryVM) publish(registry oleandervane.Registry) {
 	entryVM.recordEnds(registry)
 	entryVM.placer.Update(registry)
+	if len(registry.BackendServers) > 0 && !entryVM.askedForEnds.Swap(true) {
+		entryVM.timerService.After(0, func(time.Time) { entryVM.askForEnds() })
+	}
 	if registry.Table != nil {
+		entryVM.rateLimiter.Update(registry.Table)
 		entryVM.setHeaderLimits(registry.Table.Limits)
 		entryVM.ingress.Publish(registry.Table)
 	}
--- a/entryvm/hosted/observer.go
+++ b/entryvm/hosted/observer.go
@@ -19,6 +19,7 @@
 	"oleandervane.example/entry/forward"
 	"oleandervane.example/entry/ingress"
 	"oleandervane.example/entry/placement"
+	"oleandervane.example/fleet/ratelimit"
 )
 
 // observer writes a log line and updates metrics for each decision.
@@ -31,6 +32,8 @@
 	replica *replica
 	// storeFailed is called when the VM's entry in the store could not be written or renewed. It may be nil.
 	storeFailed func()
+	// rateRefusalsLoggedAt is in Unix nanoseconds; rateRefusals counts the refusals since then.
+	rateRefusalsLoggedAt, rateRefusals atomic.Int64
 	// invalidHeadersLoggedAt and callersLoggedAt are in Unix nanoseconds, callersNotLogged counts decisions since the latter.
 	invalidHeadersLoggedAt, callersLoggedAt, callersNotLogged atomic.Int64
 }
@@ -38,6 +41,9 @@
 // invalidHeaderLogPeriod is the least time between two log lines about invalid headers.
 const invalidHeaderLogPeriod = 10 * time.Second
 
+// rateRefusalLogPeriod is the least time between two log lines about requests beyond rate limits.
+const rateRefusalLogPeriod = time.Second
+
 // maxLoggedQuery bounds the bytes of a query in a log line.
 const maxLoggedQuery = 256
 
@@ -160,6 +166,12 @@
 	observer.log.WithFields(logrus.Fields{"server": id, "cause": cause, "cold_for": duration.String()}).Info("backend server counts as cold")
 }
 
+// ServerChecked logs the check of a backend server whose connections broke.
+func (observer *observer) ServerChecked(id oleandervane.BackendServerID, checkResult placement.CheckResult) {
+	observer.set.GetOrCreateCounter(fmt.Sprintf("oleandervane_server_checks_total{result=%q}", checkResult)).Inc()
+	observer.log.WithFields(logrus.Fields{"server": id, "result": checkResult}).Info("backend server was checked because its connections broke")
+}
+
 // InvalidHeaders counts headers of a backend server that are ignored. It logs one in invalidHeaderLogPeriod.
 func (observer *observer) InvalidHeaders(id oleandervane.BackendServerID, names []string) {
 	for _, name := range names {
@@ -173,6 +185,31 @@
 	observer.log.WithFields(logrus.Fields{"server": id, "headers": names}).Warn("response of a backend server has headers whose values make no sense; they are ignored")
 }
 
+// RateDecided counts decisions on requests of organisations with a rate limit. It logs one refusal in rateRefusalLogPeriod.
+func (observer *observer) RateDecided(organisation oleandervane.OrganisationName, limit oleandervane.RateLimit, decision ratelimit.Decision) {
+	observer.set.GetOrCreateCounter(fmt.Sprintf("oleandervane_rate_limit_decisions_total{admitted=\"%t\",source=%q}", decision.Admitted, decision.Source)).Inc()
+	if decision.Admitted {
+		return
+	}
+	refusals := observer.rateRefusals.Add(1)
+	now := observer.replica.timerService.Now().UnixNano()
+	last := observer.rateRefusalsLoggedAt.Load()
+	if now-last < int64(rateRefusalLogPeriod) || !observer.rateRefusalsLoggedAt.CompareAndSwap(last, now) {
+		return
+	}
+	observer.rateRefusals.Add(-refusals)
+	observer.log.WithFields(logrus.Fields{
+		"organisation": organisation, "limit_per_second": limit.PerSecond, "burst": limit.Burst, "source": decision.Source,
+		"requests_per_second_here": math.Round(decision.Load*100) / 100, "retry_after": decision.RetryAfter.Round(time.Millisecond).String(),
+		"refusals_since_last_line": refusals,
+	}).Info("request is refused because of the rate limit of its organisation")
+}
+
+// TokenMessageIgnored counts messages about rate limits that are invalid or outdated.
+func (observer *observer) TokenMessageIgnored(reason string) {
+	observer.set.GetOrCreateCounter(fmt.Sprintf("oleandervane_rate_limit_messages_ignored_total{reason=%q}", reason)).Inc()
+}
+
 // callerLogPeriod is the least time between two log lines about callers that were refused or closed.
 const callerLogPeriod = time.Second
 
@@ -261,7 +298,7 @@
 
 // Registered logs that the VM is registered in the store.
 func (observer *observer) Registered(lease oleandervane.LeaseID) {
-	observer.log.WithField("lease", lease).Info("entry VM is registered in the store")
+	observer.log.WithField("lease", lease.Number).Info("entry VM is registered in the store")
 }
 
 // RegistrationFailed logs that the VM's entry could not be written or renewed.
--- a/entryvm/hosted/settings.go
+++ b/entryvm/hosted/settings.go
@@ -54,6 +54,7 @@
 	FailureDomains map[oleandervane.FailureDomain]oleandervane.Region `toml:"failure_domains"`
 	Retries        Retries                                            `toml:"retries"`
 	Organisations  Organisations                                      `toml:"organisations"`
+	RateLimits     RateLimits                                         `toml:"rate_limits"`
 }
 
 // Organisations are the settings for organisations, which identify themselves by keys.
@@ -73,6 +74,14 @@
 	Window settingsfile.Duration `toml:"window"`
 }
 
+// RateLimits bound the error of the rate limits of organisations: in each window, all VMs together admit at most 1 + Overage times what
+// a limit allows, and Slack requests.
+type RateLimits struct {
+	Window  settingsfile.Duration `toml:"window"`
+	Overage float64               `toml:"overage"`
+	Slack   float64               `toml:"slack"`
+}
+
 // DefaultSettings returns the values of the settings that a file omits.
 func DefaultSettings() Settings {
 	return Settings{
@@ -88,6 +97,7 @@
 		DrainLimit:           settingsfile.Duration(2 * time.Second),
 		ApplyLimit:           settingsfile.Duration(2 * time.Second),
 		LookupLifetime:       settingsfile.Duration(2 * time.Second),
+		RateLimits:           RateLimits{Window: settingsfile.Duration(5 * time.Second), Overage: 0.1, Slack: 20},
 		// A VM in contact hears of the store each second; a limit of some seconds allows for lost calls.
 		Organisations: Organisations{RevocationLimit: settingsfile.Duration(5 * time.Second)},
 		Retries:       Retries{Ratio: 0.1, Window: settingsfile.Duration(10 * time.Second)},
@@ -129,6 +139,8 @@
 	faults.Check(settings.Retries.Ratio >= 0 && settings.Retries.Base >= 0, "retries", "ratio and base must not be negative")
 	faults.Check(settings.Organisations.RevocationLimit > 0, "organisations.revocation_limit", "must be above 0s")
 	faults.Check(settings.Retries.Window > 0, "retries.window", "must be above 0s")
+	faults.Check(settings.RateLimits.Window > 0, "rate_limits.window", "must be above 0s")
+	faults.Check(settings.RateLimits.Overage >= 0 && settings.RateLimits.Slack >= 0, "rate_limits", "overage and slack must not be negative")
 }
 
 func (settings Settings) addresses() map[string]netip.AddrPort {
--- a/fleet/exchange/exchange_test.go
+++ b/fleet/exchange/exchange_test.go
@@ -36,13 +36,16 @@
 	receivedMarks         []uint32
 	cut                   bool
 	revision              uint64
+	era                   oleandervane.StoreEra
 	inContact             bool
 }
 
-func (node *node) Self() oleandervane.EntryVM                 { return node.self }
-func (node *node) EntryVMs() []oleandervane.EntryVM           { return node.fleet.vms }
-func (node *node) InFlight() []oleandervane.ServerCount       { return node.inFlight }
-func (node *node) StoreRevision() (uint64, bool)              { return node.revision, node.inContact }
+func (node *node) Self() oleandervane.EntryVM           { return node.self }
+func (node *node) EntryVMs() []oleandervane.EntryVM     { return node.fleet.vms }
+func (node *node) InFlight() []oleandervane.ServerCount { return node.inFlight }
+func (node *node) StoreRevision() (oleandervane.StoreRevision, bool) {
+	return oleandervane.StoreRevision{Era: node.era, Number: node.revision}, node.inContact
+}
 func (node *node) Suspects() []oleandervane.SuspectRequest    { return node.suspects }
 func (node *node) Quarantined() []oleandervane.SuspectRequest { return node.quarantined }
 
@@ -301,19 +304,42 @@
 	for range 8 {
 		fleet.sendNotices()
 	}
-	assert.DeepEqual(t, behind.exchange.VMsAhead(7, time.Second), []oleandervane.VMID{delegate.ID})
-	assert.Assert(t, len(behind.exchange.VMsAhead(6, time.Second)) >= 3+2)
-	assert.Equal(t, len(behind.exchange.VMsAhead(8, time.Second)), 0)
+	assert.DeepEqual(t, behind.exchange.VMsAhead(oleandervane.StoreRevision{Number: 7}, time.Second), []oleandervane.VMID{delegate.ID})
+	assert.Assert(t, len(behind.exchange.VMsAhead(oleandervane.StoreRevision{Number: 6}, time.Second)) >= 3+2)
+	assert.Equal(t, len(behind.exchange.VMsAhead(oleandervane.StoreRevision{Number: 8}, time.Second)), 0)
 	assert.Equal(t, len(behind.exchange.Unheard(time.Second)), 0)
+	assert.Assert(t, behind.exchange.HasNewsUpTo(oleandervane.StoreRevision{Number: 7}, time.Second))
+	assert.Assert(t, !behind.exchange.HasNewsUpTo(oleandervane.StoreRevision{Number: 6}, time.Second))
 	fleet.nodes[delegate.ID].inContact, fleet.nodes["vm-2-01"].cut = false, true
 	for range 16 {
 		fleet.sendNotices()
 	}
-	assert.Equal(t, len(behind.exchange.VMsAhead(7, time.Second)), 0)
+	assert.Equal(t, len(behind.exchange.VMsAhead(oleandervane.StoreRevision{Number: 7}, time.Second)), 0)
 	unheard := behind.exchange.Unheard(time.Second)
 	assert.Assert(t, len(unheard) == 1 && unheard[0].ID == "vm-2-01", "%v", unheard)
 }
 
+// Guards against a VM that relies on what it has read from the store although others know more or have lost contact, and against one
+// that does not although a VM of another domain confirms it.
+func TestRevisionIsConfirmedByAnyVM(t *testing.T) {
+	fleet := newFleet(2, 2)
+	for _, node := range fleet.nodes {
+		node.revision, node.inContact = 7, true
+	}
+	receiver := fleet.nodes["vm-0-00"].exchange
+	fleet.nodes["vm-0-01"].inContact = false
+	for range 8 {
+		fleet.sendNotices()
+	}
+	assert.Assert(t, receiver.HasNewsUpTo(oleandervane.StoreRevision{Number: 7}, time.Second))
+	assert.Assert(t, !receiver.HasNewsUpTo(oleandervane.StoreRevision{Number: 6}, time.Second))
+	fleet.nodes["vm-1-00"].inContact, fleet.nodes["vm-1-01"].inContact = false, false
+	for range 16 {
+		fleet.sendNotices()
+	}
+	assert.Assert(t, !receiver.HasNewsUpTo(oleandervane.StoreRevision{Number: 7}, time.Second))
+}
+
 // Guards against a follower that trusts a VM which has lost contact with the store or sends no more notices.
 func TestStoreRevisionOfAPeer(t *testing.T) {
 	fleet := newFleet(1, 2)
@@ -321,7 +347,7 @@
 	sender.revision, sender.inContact = 42, true
 	sender.exchange.SendNotices()
 	revision, fresh := receiver.exchange.StoreRevision("vm-0-00", time.Second)
-	assert.Assert(t, fresh && revision == 42)
+	assert.Assert(t, fresh && revision.Number == 42)
 	fleet.manual.Advance(1100 * time.Millisecond)
 	_, fresh = receiver.exchange.StoreRevision("vm-0-00", time.Second)
 	assert.Assert(t, !fresh)
@@ -398,3 +424,40 @@
 		})
 	}
 }
+
+// Guards against VMs that are cut off, use their shares of rate limits from 2 s on, and still count at the owners of the limits.
+func TestHeardCapacityDuringACut(t *testing.T) {
+	for name, isCut := range map[string]func(vm int) bool{
+		"single VMs":  func(vm int) bool { return vm%10 < 3 },
+		"two domains": func(vm int) bool { return vm < 40 },
+		"most VMs":    func(vm int) bool { return vm%10 != 3 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			fleet := newFleet(6, 20)
+			for range 16 {
+				fleet.sendNotices()
+			}
+			connected := 0.0
+			for number, vm := range fleet.vms {
+				assert.Equal(t, fleet.nodes[vm.ID].exchange.HeardCapacity(), 120.0)
+				fleet.nodes[vm.ID].cut = isCut(number)
+				if !isCut(number) {
+					connected++
+				}
+			}
+			for passed := time.Duration(0); passed <= 1750*time.Millisecond; passed += DefaultPeriod {
+				fleet.sendNotices()
+			}
+			for number, vm := range fleet.vms {
+				heard, want := fleet.nodes[vm.ID].exchange.HeardCapacity(), connected
+				if isCut(number) {
+					want = 1
+				}
+				assert.Assert(t, heard <= want, "%s: %v, connected %v", vm.ID, heard, want)
+			}
+			fleet.sendNotices()
+			// Domains whose delegates are all cut off count as unheard until their lists change.
+			t.Logf("%v of %v", fleet.nodes["vm-2-03"].exchange.HeardCapacity(), connected)
+		})
+	}
+}
--- a/fleet/relay/transport.go
+++ b/fleet/relay/transport.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 
 	"oleandervane.example"
+	"oleandervane.example/fleet/exchange"
 	"oleandervane.example/fleet/peer"
 	"oleandervane.example/fleet/peer/peerconnect"
 	"oleandervane.example/socket"
@@ -27,22 +28,35 @@
 
 // Reader reads the changes after a revision. ChangeLog implements it.
 type Reader interface {
-	Read(after uint64) (changes []oleandervane.StoreChange, full bool, revision uint64)
+	oleandervane.StoreRevisionSource
+	Read(after oleandervane.StoreRevision) (changes []oleandervane.StoreChange, full bool, revision oleandervane.StoreRevision)
 }
 
-// NewHandler returns the path prefix and the HTTP handler that serve changes to followers.
-func NewHandler(reader Reader) (string, http.Handler) {
-	return peerconnect.NewRelayServiceHandler(handler{reader}, connect.WithReadMaxBytes(maxRequestBytes))
+// EndReader reads the ends of backend servers that this VM knows, whoever found them, the newest first. placement.Placer implements it.
+type EndReader interface {
+	KnownServerEnds() []oleandervane.ServerEnd
+}
+
+// NewHandler returns the path prefix and the HTTP handler that serve changes to followers, and ends to VMs that have just started.
+func NewHandler(reader Reader, endReader EndReader) (string, http.Handler) {
+	return peerconnect.NewRelayServiceHandler(handler{reader, endReader}, connect.WithReadMaxBytes(maxRequestBytes))
 }
 
 type handler struct {
-	reader Reader
+	reader    Reader
+	endReader EndReader
+}
+
+// ServerEnds returns the ends that are known.
+func (handler handler) ServerEnds(context.Context, *peer.ServerEndsRequest) (*peer.ServerEndsResponse, error) {
+	return &peer.ServerEndsResponse{ServerEnds: exchange.EncodeServerEnds(handler.endReader.KnownServerEnds())}, nil
 }
 
 // Changes returns the changes after a revision.
 func (handler handler) Changes(_ context.Context, request *peer.ChangesRequest) (*peer.ChangesResponse, error) {
-	changes, full, revision := handler.reader.Read(request.GetAfter())
-	response := &peer.ChangesResponse{Revision: revision, Whole: full}
+	changes, full, revision := handler.reader.Read(oleandervane.StoreRevision{Era: oleandervane.StoreEra(request.GetAfterEra()), Number: request.GetAfter()})
+	_, fresh := handler.reader.StoreRevision()
+	response := &peer.ChangesResponse{Fresh: fresh, Era: uint64(revision.Era), Revision: revision.Number, Whole: full}
 	for _, change := range changes {
 		response.Items = append(response.Items, &peer.StoreItem{
 			Key: change.Entry.Key, Value: change.Entry.Value, Version: change.Entry.Version, Removed: change.Removed,
@@ -71,18 +85,38 @@
 	client.httpClient.CloseIdleConnections()
 }
 
+// Response has the changes after a revision at another VM.
+type Response struct {
+	Changes []oleandervane.StoreChange
+	// Full is set if the changes are all entries.
+	Full     bool
+	Revision oleandervane.StoreRevision
+	// Fresh is set if the VM was in contact with the store.
+	Fresh bool
+}
+
 // Changes reads the changes after a revision from another VM.
-func (client *Client) Changes(ctx context.Context, from oleandervane.EntryVM, after uint64) (changes []oleandervane.StoreChange, full bool, revision uint64, err error) {
-	response, err := client.clientFor(from.PeerAddress).Changes(ctx, &peer.ChangesRequest{After: after})
+func (client *Client) Changes(ctx context.Context, from oleandervane.EntryVM, after oleandervane.StoreRevision) (Response, error) {
+	response, err := client.clientFor(from.PeerAddress).Changes(ctx, &peer.ChangesRequest{AfterEra: uint64(after.Era), After: after.Number})
 	if err != nil {
-		return nil, false, 0, err
+		return Response{}, err
 	}
-	changes = make([]oleandervane.StoreChange, 0, len(response.GetItems()))
+	changes := make([]oleandervane.StoreChange, 0, len(response.GetItems()))
 	for _, item := range response.GetItems() {
 		entry := oleandervane.StoreEntry{Key: item.GetKey(), Value: item.GetValue(), Version: item.GetVersion()}
 		changes = append(changes, oleandervane.StoreChange{Entry: entry, Removed: item.GetRemoved()})
 	}
-	return changes, response.GetWhole(), response.GetRevision(), nil
+	revision := oleandervane.StoreRevision{Era: oleandervane.StoreEra(response.GetEra()), Number: response.GetRevision()}
+	return Response{Changes: changes, Full: response.GetWhole(), Revision: revision, Fresh: response.GetFresh()}, nil
+}
+
+// ServerEnds reads the ends that another VM knows.
+func (client *Client) ServerEnds(ctx context.Context, from oleandervane.EntryVM) ([]oleandervane.ServerEnd, error) {
+	response, err := client.clientFor(from.PeerAddress).ServerEnds(ctx, &peer.ServerEndsRequest{})
+	if err != nil {
+		return nil, err
+	}
+	return exchange.DecodeServerEnds(response.GetServerEnds()), nil
 }
 
 func (client *Client) clientFor(address netip.AddrPort) peerconnect.RelayServiceClient {
