--- a/entry/forward/attempt.go
+++ b/entry/forward/attempt.go
@@ -4,17 +4,22 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"oleandervane.example"
+	"oleandervane.example/statusline"
 )
 
 const (
+	// minBufferedBytes is the size up to which a response is buffered while memory is scarce.
+	minBufferedBytes = 16 << 10
 	// maxRefusalBytes is the size up to which the body of a refusal is read, so that its connection can be reused.
 	maxRefusalBytes = 4 << 10
 	// refusalBodyTimeout bounds the reading of that body. Servers send the body together with the header.
@@ -200,6 +205,10 @@
 	if refusal := attempt.connection.gate.refused(); refusal != nil {
 		err = refusal
 	}
+	if outcome == oleandervane.Unknown && attempt.connection.gate.invalid.Load() && !errors.Is(err, statusline.ErrInvalid) {
+		// net/http reports some errors of a connection by their text only.
+		err = fmt.Errorf("%w: %w", statusline.ErrInvalid, err)
+	}
 	return attempt.fail(outcome, err)
 }
 
@@ -229,6 +238,8 @@
 		return ReasonSilent, oleandervane.AttemptTimedOut
 	case errors.Is(err, ErrTooLong):
 		return ReasonTooLong, oleandervane.AttemptBroken
+	case errors.Is(err, statusline.ErrInvalid):
+		return ReasonInvalid, oleandervane.AttemptBroken
 	case errors.Is(err, ErrMismatch):
 		return ReasonMismatch, oleandervane.AttemptBroken
 	case errors.As(err, &refusal):
@@ -306,8 +317,10 @@
 	if !attempt.detectsTruncation(response) || response.StatusCode == http.StatusSwitchingProtocols {
 		return attempt.failTruncated(ErrTruncated)
 	}
-	beginning, whole, err := readBeginning(response.Body, attempt.forwarder.settings.MaxBufferedBytes)
+	limit, release := attempt.reserveBeginning(response)
+	beginning, whole, err := readBeginning(response.Body, limit)
 	if err != nil {
+		release()
 		return attempt.failTruncated(err)
 	}
 	attempt.forwarder.firstBytes.record(attempt.request, attempt.forwarder.timerService.Now().Sub(attempt.startedAt))
@@ -316,6 +329,7 @@
 		Header: responseHeader(attempt.target, response.Header),
 		Body:   beginning,
 	}
+	result.release = release
 	finish := onceWith(attempt.finish)
 	if whole {
 		finish(nil)
@@ -326,6 +340,18 @@
 	return attemptOutcome{outcome: outcome, response: result}
 }
 
+// reserveBeginning returns the size up to which a response is buffered, and a function to call when the buffer is not needed any more.
+func (attempt *attempt) reserveBeginning(response *http.Response) (limit int, release func()) {
+	limit = attempt.forwarder.settings.MaxBufferedBytes
+	if response.ContentLength >= 0 && response.ContentLength <= minBufferedBytes {
+		return limit, func() {}
+	}
+	if release = attempt.forwarder.settings.ReserveResponse(int64(limit)); release == nil {
+		return min(limit, minBufferedBytes), func() {}
+	}
+	return limit, sync.OnceFunc(release)
+}
+
 // endRefused ends an attempt for which the target stated that it was not run or that its outcome is unknown.
 func (attempt *attempt) endRefused(response *http.Response, outcome oleandervane.Outcome, reason Reason) attemptOutcome {
 	attemptResult := oleandervane.AttemptBroken
--- a/entryvm/hosted/fleet.go
+++ b/entryvm/hosted/fleet.go
@@ -13,6 +13,7 @@
 	"oleandervane.example/entry/forward"
 	"oleandervane.example/fleet/exchange"
 	"oleandervane.example/fleet/peer"
+	"oleandervane.example/fleet/ratelimit"
 	"oleandervane.example/fleet/registrywatch"
 	"oleandervane.example/fleet/relay"
 )
@@ -31,8 +32,19 @@
 		Store:        entryVM.changeLog,
 		Sender:       entryVM.noticeSocket,
 	})
+	entryVM.rateLimiter = ratelimit.New(ratelimit.Settings{
+		TimerService:  entryVM.timerService,
+		Membership:    entryVM.roster,
+		Settled:       entryVM.roster.Settled,
+		HeardCapacity: entryVM.notices.HeardCapacity,
+		Sender:        entryVM.notices,
+		Observer:      entryVM.observer,
+		Window:        time.Duration(settings.RateLimits.Window),
+		Overage:       settings.RateLimits.Overage,
+		Slack:         settings.RateLimits.Slack,
+	})
 	entryVM.relayClient = relay.NewClient()
-	follower := relay.NewFollower(relay.Settings{
+	entryVM.follower = relay.NewFollower(relay.Settings{
 		TimerService: entryVM.timerService,
 		Membership:   entryVM.roster,
 		Notices:      entryVM.notices,
@@ -40,7 +52,7 @@
 	})
 	entryVM.watcher = registrywatch.New(
 		entryVM.observedStore,
-		relayRoles{ChangeLog: entryVM.changeLog, Follower: follower},
+		relayRoles{ChangeLog: entryVM.changeLog, Follower: entryVM.follower},
 		entryVM.timerService,
 		storeSink{replica: entryVM.replica, changeLog: entryVM.changeLog, quarantine: entryVM.forwarder.Quarantine()},
 		settings.changeLimit(),
@@ -64,7 +76,7 @@
 }
 
 // Replace replaces all entries.
-func (storeSink storeSink) Replace(entries []oleandervane.StoreEntry, revision uint64) {
+func (storeSink storeSink) Replace(entries []oleandervane.StoreEntry, revision oleandervane.StoreRevision) {
 	for _, entry := range entries {
 		restoreQuarantine(storeSink.quarantine, entry)
 	}
@@ -90,6 +102,14 @@
 	storeSink.changeLog.Clear()
 }
 
+// StoreRestored writes the entry of this VM again and lists the store again. A watch that waits may never return a change.
+func (entryVM *EntryVM) StoreRestored(era oleandervane.StoreEra) {
+	entryVM.observer.set.GetOrCreateCounter("oleandervane_store_restores_total").Inc()
+	entryVM.log.WithField("era", era).Warn("the store was restored from a copy; this VM writes its entry and lists the store again")
+	entryVM.roster.Restored()
+	entryVM.watcher.Interrupt()
+}
+
 // startNotices opens the notice socket and starts to send and receive notices.
 func (entryVM *EntryVM) startNotices(address netip.AddrPort) (stop func(), err error) {
 	if err := entryVM.noticeSocket.Open(address); err != nil {
@@ -97,21 +117,31 @@
 	}
 	go func() {
 		receive := func(notice *peer.Notice) {
-			entryVM.guard.run("notice", func() { entryVM.notices.Receive(notice) })
+			entryVM.guard.run("notice", func() { entryVM.receive(notice) })
 		}
 		if err := entryVM.noticeSocket.Receive(receive); err != nil {
 			entryVM.log.WithError(err).Error("notices of other VMs are no longer received; loads are known only from reports of servers")
 		}
 	}()
-	cancel := entryVM.notices.Run()
+	cancelNotices, cancelLimiter := entryVM.notices.Run(), entryVM.rateLimiter.Run()
 	return func() {
-		cancel()
+		cancelNotices()
+		cancelLimiter()
 		if err := entryVM.noticeSocket.Close(); err != nil {
 			entryVM.log.WithError(err).Warn("notice socket could not be closed")
 		}
 	}, nil
 }
 
+// receive processes a datagram of another VM: a notice, or a message about rate limits.
+func (entryVM *EntryVM) receive(notice *peer.Notice) {
+	if tokens := notice.GetTokens(); tokens != nil {
+		entryVM.rateLimiter.Receive(oleandervane.VMID(notice.GetVm()), oleandervane.Incarnation(notice.GetIncarnation()), tokens)
+		return
+	}
+	entryVM.notices.Receive(notice)
+}
+
 const (
 	// askedVMs is the number of VMs that a VM asks at its start. One may have died, and one may have just started too.
 	askedVMs = 3
--- a/fleet/exchange/exchange.go
+++ b/fleet/exchange/exchange.go
@@ -47,6 +47,12 @@
 	maxServerEnds = 128
 	// maxAffinityMarks bounds the cache affinity marks in a notice, 4 bytes each.
 	maxAffinityMarks = 1024
+	// recentVM is how long a notice of a VM of the own domain counts in the capacity that was heard from, and recentDomain how long
+	// the totals of another domain do. VMs that are cut off use their shares of rate limits after 2 s (fleet/ratelimit), which must be
+	// later than the end of the last notice that has them: at most recentVM, one report (0.5 s) and a few delays. Two notices in a
+	// row may be lost.
+	recentVM     = 700 * time.Millisecond
+	recentDomain = 1100 * time.Millisecond
 	// maxGap is the longest time between two notices that a VM sends or receives, unless it was paused. It is far above the delays of a
 	// busy machine, and below the differences between two VMs that a quarantine tolerates.
 	maxGap = 2 * time.Second
@@ -224,7 +230,8 @@
 	setCounts(notice, exchange.settings.InFlight.InFlight())
 	notice.Suspects = encodeSuspects(exchange.settings.Suspects.Suspects())
 	notice.Quarantined = encodeSuspects(part(exchange.settings.Suspects.Quarantined(), sequence))
-	notice.StoreRevision, notice.StoreFresh = exchange.settings.Store.StoreRevision()
+	storeRevision, fresh := exchange.settings.Store.StoreRevision()
+	notice.StoreEra, notice.StoreRevision, notice.StoreFresh = uint64(storeRevision.Era), storeRevision.Number, fresh
 	notice.Directives = encodeDirectives(exchange.settings.Directives.Directives())
 	notice.ServerEnds = EncodeServerEnds(exchange.settings.ServerEnds.ServerEnds())
 	notice.Familiar = exchange.settings.Affinity.PendingAffinity()
@@ -272,6 +279,7 @@
 	addServerEnds(ends, own, 0)
 	vms := 1
 	now := exchange.settings.TimerService.Now()
+	capacity := exchange.heardLocally(now)
 	exchange.mutex.Lock()
 	for _, received := range exchange.received {
 		if received.notice.FailureDomain == "" && now.Sub(received.at) < noticeLifetime {
@@ -286,12 +294,19 @@
 	notice := &peer.Notice{
 		Vm: own.Vm, Incarnation: own.Incarnation, Sequence: own.Sequence, FailureDomain: string(self.FailureDomain),
 		Vms: uint32(vms), Suspects: own.Suspects, Quarantined: own.Quarantined, Directives: own.Directives,
-		ServerEnds: EncodeServerEnds(youngestEnds(ends)), Familiar: pending, StoreRevision: own.StoreRevision, StoreFresh: own.StoreFresh,
+		ServerEnds: EncodeServerEnds(youngestEnds(ends)), Familiar: pending, StoreEra: own.StoreEra, StoreRevision: own.StoreRevision, StoreFresh: own.StoreFresh,
+		RecentCapacity: uint32(capacity),
 	}
 	setSums(notice, sums)
 	return notice
 }
 
+// SendTokens sends a message about the rate limits of organisations to a VM, beside the notices.
+func (exchange *Exchange) SendTokens(to oleandervane.EntryVM, message *peer.TokenMessage) {
+	self := exchange.settings.Membership.Self()
+	exchange.settings.Sender.Send([]oleandervane.EntryVM{to}, &peer.Notice{Vm: string(self.ID), Incarnation: uint64(self.Incarnation), Tokens: message})
+}
+
 // Receive processes a notice. It ignores notices from unknown VMs, from an earlier incarnation, older than the last one, or
 // for a failure domain that is not the sender's. Of notices that were queued while this VM was paused, only ends of servers count.
 func (exchange *Exchange) Receive(notice *peer.Notice) {
@@ -366,15 +381,59 @@
 
 // StoreRevision returns the store revision that a VM of the own failure domain has applied, according to its last notice.
 // The result is fresh if the VM was in contact with the store then and the notice is not older than maxAge.
-func (exchange *Exchange) StoreRevision(id oleandervane.VMID, maxAge time.Duration) (revision uint64, fresh bool) {
+func (exchange *Exchange) StoreRevision(id oleandervane.VMID, maxAge time.Duration) (revision oleandervane.StoreRevision, fresh bool) {
 	now := exchange.settings.TimerService.Now()
 	exchange.mutex.Lock()
 	defer exchange.mutex.Unlock()
 	received, found := exchange.received[string(id)+"\x00"]
 	if !found || now.Sub(received.at) > maxAge || !received.notice.GetStoreFresh() {
-		return 0, false
+		return oleandervane.StoreRevision{}, false
+	}
+	return storeRevision(received.notice), true
+}
+
+// heardLocally returns the capacity of the VMs of the own failure domain that were heard from a moment ago, this one included.
+func (exchange *Exchange) heardLocally(now time.Time) float64 {
+	self := exchange.settings.Membership.Self()
+	capacity := self.CapacityOrOne()
+	local := vmsIn(exchange.settings.Membership.EntryVMs(), self.FailureDomain)
+	exchange.mutex.Lock()
+	defer exchange.mutex.Unlock()
+	for _, vm := range local {
+		received, found := exchange.received[string(vm.ID)+"\x00"]
+		if found && vm.ID != self.ID && now.Sub(received.at) < recentVM && received.notice.GetIncarnation() == uint64(vm.Incarnation) {
+			capacity += vm.CapacityOrOne()
+		}
+	}
+	return capacity
+}
+
+// HeardCapacity returns the capacity of the VMs that this one heard from a moment ago, itself included. Those of other failure domains
+// are as their delegates heard from them; of two that differ, the lower figure counts.
+func (exchange *Exchange) HeardCapacity() float64 {
+	now := exchange.settings.TimerService.Now()
+	capacity := exchange.heardLocally(now)
+	exchange.mutex.Lock()
+	defer exchange.mutex.Unlock()
+	if now.Before(exchange.queuedUntil) {
+		return exchange.settings.Membership.Self().CapacityOrOne()
+	}
+	domains := map[string]float64{}
+	for _, received := range exchange.received {
+		domain := received.notice.GetFailureDomain()
+		if domain == "" || domain == string(exchange.settings.Membership.Self().FailureDomain) || now.Sub(received.at) >= recentDomain {
+			continue
+		}
+		reported := float64(received.notice.GetRecentCapacity())
+		if known, found := domains[domain]; found {
+			reported = min(known, reported)
+		}
+		domains[domain] = reported
+	}
+	for _, reported := range domains {
+		capacity += reported
 	}
-	return received.notice.GetStoreRevision(), true
+	return capacity
 }
 
 // Unheard returns the listed VMs that sent no notice for maxAge: the VMs of the own failure domain, and all VMs of other domains that
@@ -402,16 +461,31 @@
 	return unheard
 }
 
+// HasNewsUpTo reports whether a VM of any failure domain that was in contact with the store has applied no later revision than the given
+// one, according to a notice that is not older than maxAge.
+func (exchange *Exchange) HasNewsUpTo(revision oleandervane.StoreRevision, maxAge time.Duration) bool {
+	now := exchange.settings.TimerService.Now()
+	exchange.mutex.Lock()
+	defer exchange.mutex.Unlock()
+	for _, received := range exchange.received {
+		notice := received.notice
+		if notice.GetStoreFresh() && storeRevision(notice).Compare(revision) <= 0 && now.Sub(received.at) <= maxAge {
+			return true
+		}
+	}
+	return false
+}
+
 // VMsAhead returns the VMs of any failure domain that have applied a later store revision than the given one and were in contact with
 // the store, according to notices that are not older than maxAge. The notices of another domain name its delegates.
-func (exchange *Exchange) VMsAhead(revision uint64, maxAge time.Duration) []oleandervane.VMID {
+func (exchange *Exchange) VMsAhead(revision oleandervane.StoreRevision, maxAge time.Duration) []oleandervane.VMID {
 	now := exchange.settings.TimerService.Now()
 	exchange.mutex.Lock()
 	defer exchange.mutex.Unlock()
 	var ahead []oleandervane.VMID
 	for _, received := range exchange.received {
 		notice := received.notice
-		if notice.GetStoreFresh() && notice.GetStoreRevision() > revision && now.Sub(received.at) <= maxAge {
+		if notice.GetStoreFresh() && storeRevision(notice).Compare(revision) > 0 && now.Sub(received.at) <= maxAge {
 			ahead = append(ahead, oleandervane.VMID(notice.GetVm()))
 		}
 	}
--- a/fleet/relay/transport.go
+++ b/fleet/relay/transport.go
@@ -14,6 +14,7 @@
 	"oleandervane.example/fleet/peer"
 	"oleandervane.example/fleet/peer/peerconnect"
 	"oleandervane.example/socket"
+	"oleandervane.example/statusline"
 )
 
 const (
@@ -27,7 +28,8 @@
 
 // Reader reads the changes after a revision. ChangeLog implements it.
 type Reader interface {
-	Read(after uint64) (changes []oleandervane.StoreChange, full bool, revision uint64)
+	oleandervane.StoreRevisionSource
+	Read(after oleandervane.StoreRevision) (changes []oleandervane.StoreChange, full bool, revision oleandervane.StoreRevision)
 }
 
 // EndReader reads the ends of backend servers that this VM knows, whoever found them, the newest first. placement.Placer implements it.
@@ -52,8 +54,9 @@
 
 // Changes returns the changes after a revision.
 func (handler handler) Changes(_ context.Context, request *peer.ChangesRequest) (*peer.ChangesResponse, error) {
-	changes, full, revision := handler.reader.Read(request.GetAfter())
-	response := &peer.ChangesResponse{Revision: revision, Whole: full}
+	changes, full, revision := handler.reader.Read(oleandervane.StoreRevision{Era: oleandervane.StoreEra(request.GetAfterEra()), Number: request.GetAfter()})
+	_, fresh := handler.reader.StoreRevision()
+	response := &peer.ChangesResponse{Fresh: fresh, Era: uint64(revision.Era), Revision: revision.Number, Whole: full}
 	for _, change := range changes {
 		response.Items = append(response.Items, &peer.StoreItem{
 			Key: change.Entry.Key, Value: change.Entry.Value, Version: change.Entry.Version, Removed: change.Removed,
@@ -74,7 +77,7 @@
 	transport := &http.Transport{
 		DialContext: socket.NewDialer().DialContext, IdleConnTimeout: clientIdleTimeout, MaxIdleConnsPerHost: 1,
 	}
-	return &Client{httpClient: &http.Client{Transport: transport}, clients: map[netip.AddrPort]peerconnect.RelayServiceClient{}}
+	return &Client{httpClient: &http.Client{Transport: statusline.NewTransport(transport)}, clients: map[netip.AddrPort]peerconnect.RelayServiceClient{}}
 }
 
 // Close closes idle connections.
@@ -82,18 +85,29 @@
 	client.httpClient.CloseIdleConnections()
 }
 
+// Response has the changes after a revision at another VM.
+type Response struct {
+	Changes []oleandervane.StoreChange
+	// Full is set if the changes are all entries.
+	Full     bool
+	Revision oleandervane.StoreRevision
+	// Fresh is set if the VM was in contact with the store.
+	Fresh bool
+}
+
 // Changes reads the changes after a revision from another VM.
-func (client *Client) Changes(ctx context.Context, from oleandervane.EntryVM, after uint64) (changes []oleandervane.StoreChange, full bool, revision uint64, err error) {
-	response, err := client.clientFor(from.PeerAddress).Changes(ctx, &peer.ChangesRequest{After: after})
+func (client *Client) Changes(ctx context.Context, from oleandervane.EntryVM, after oleandervane.StoreRevision) (Response, error) {
+	response, err := client.clientFor(from.PeerAddress).Changes(ctx, &peer.ChangesRequest{AfterEra: uint64(after.Era), After: after.Number})
 	if err != nil {
-		return nil, false, 0, err
+		return Response{}, err
 	}
-	changes = make([]oleandervane.StoreChange, 0, len(response.GetItems()))
+	changes := make([]oleandervane.StoreChange, 0, len(response.GetItems()))
 	for _, item := range response.GetItems() {
 		entry := oleandervane.StoreEntry{Key: item.GetKey(), Value: item.GetValue(), Version: item.GetVersion()}
 		changes = append(changes, oleandervane.StoreChange{Entry: entry, Removed: item.GetRemoved()})
 	}
-	return changes, response.GetWhole(), response.GetRevision(), nil
+	revision := oleandervane.StoreRevision{Era: oleandervane.StoreEra(response.GetEra()), Number: response.GetRevision()}
+	return Response{Changes: changes, Full: response.GetWhole(), Revision: revision, Fresh: response.GetFresh()}, nil
 }
 
 // ServerEnds reads the ends that another VM knows.
