Keep returned tokens only until the end of their lease

Cause: a token of a request that had not run was valid for three seconds from its last use, so that a VM whose requests are all refused by placement kept its tokens after the owner had counted them as lost. An owner kept a lease entry for each such request until it had none for 30 s: only queries removed them, and an owner sends none. It also asked its deputy to take such tokens back, which a deputy cannot do. Change: a token returns to the lease it was taken from, entries that are of no use are removed then, and a VM that decides itself does not ask. A token returned after its lease goes to the owner.

--- a/fleet/ratelimit/client.go
+++ b/fleet/ratelimit/client.go
@@ -99,8 +99,7 @@
 	switch {
 	case now.Before(client.unlimitedUntil):
 		limiter.admit(organisation, now, SourceRemoved, decided)
-	case client.take(now):
-		limiter.admit(organisation, now, SourceLease, decided)
+	case limiter.takeLease(organisation, now, SourceLease, decided):
 		if !decides && client.isLow(now) && client.mayAsk(now) {
 			limiter.ask(organisation, now)
 		}
@@ -124,22 +123,46 @@
 	limiter.grants(organisation)
 	owned, taken := organisation.ownership, 0
 	if owned.bucket, taken = owned.bucket.WithTaken(1); taken == 1 {
-		limiter.admit(organisation, now, SourceOwner, decided)
+		limiter.admitWith(organisation, now, SourceOwner, now.Add(lease), decided)
 		return
 	}
 	owned.shortfall.add(now, shortfallMemory, 1)
 	limiter.refuse(organisation, now, SourceOwner, owned.retryAfter(organisation.limit, now), decided)
 }
 
-// take takes a token from a lease.
-func (client *client) take(now time.Time) bool {
+// takeLease admits a request with a token of a lease, if there is one.
+func (limiter *Limiter) takeLease(organisation *organisation, now time.Time, source Source, decided func(oleandervane.RateAdmission)) bool {
+	end, taken := organisation.client.take(now)
+	if taken {
+		limiter.admitWith(organisation, now, source, end, decided)
+	}
+	return taken
+}
+
+// take takes a token from a lease and returns the end of the lease.
+func (client *client) take(now time.Time) (end time.Time, taken bool) {
 	for i := range client.leases {
 		if client.leases[i].tokens > 0 && now.Before(client.leases[i].end) {
 			client.leases[i].tokens--
-			return true
+			return client.leases[i].end, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// putBack returns a token to the lease that it was taken from. Leases that are of no use any more are removed: an owner sends no queries,
+// which remove them elsewhere.
+func (client *client) putBack(end, now time.Time) {
+	client.leases = slices.DeleteFunc(client.leases, func(lease tokenLease) bool {
+		return lease.tokens == 0 || now.Sub(lease.end) >= returnTime
+	})
+	for i := range client.leases {
+		if client.leases[i].end.Equal(end) {
+			client.leases[i].tokens++
+			return
 		}
 	}
-	return false
+	client.leases = append(client.leases, tokenLease{tokens: 1, end: end})
 }
 
 // held returns the number of valid tokens.
@@ -412,8 +435,7 @@
 	asked := answered.message
 	client.leases = append(client.leases, tokenLease{tokens: int(min(grant.GetTokens(), maxAsked)), end: answered.sentAt.Add(lease)})
 	waiting := client.takeWaiters()
-	for len(waiting) > 0 && client.take(now) {
-		limiter.admit(organisation, now, SourceOwner, waiting[0].decided)
+	for len(waiting) > 0 && limiter.takeLease(organisation, now, SourceOwner, waiting[0].decided) {
 		waiting = waiting[1:]
 	}
 	client.obtained = client.held(now)
@@ -447,10 +469,19 @@
 	}
 }
 
+// admit admits a request without a token that could be given back. A token of the own share is dropped, because it may have been admitted
+// before the owner answered again.
 func (limiter *Limiter) admit(organisation *organisation, now time.Time, source Source, decided func(oleandervane.RateAdmission)) {
 	limiter.observe(organisation, now, Decision{Admitted: true, Source: source})
-	end := now.Add(lease)
-	decided(oleandervane.RateAdmission{Admitted: true, Cancel: func() { limiter.giveBack(organisation, source, end) }})
+	decided(oleandervane.RateAdmission{Admitted: true})
+}
+
+// admitWith admits a request with a token that is valid until end.
+func (limiter *Limiter) admitWith(
+	organisation *organisation, now time.Time, source Source, end time.Time, decided func(oleandervane.RateAdmission),
+) {
+	limiter.observe(organisation, now, Decision{Admitted: true, Source: source})
+	decided(oleandervane.RateAdmission{Admitted: true, Cancel: func() { limiter.giveBack(organisation, end) }})
 }
 
 func (limiter *Limiter) refuse(
@@ -466,14 +497,13 @@
 	limiter.settings.Observer.RateDecided(organisation.name, organisation.limit, decision)
 }
 
-// giveBack keeps the token of a request that has not run for another one. A token of the own share is dropped, because it may have
-// been admitted before the owner answered again.
-func (limiter *Limiter) giveBack(organisation *organisation, source Source, end time.Time) {
+// giveBack keeps the token of a request that has not run for another one, until the end of its lease, or to return it to the owner. If it
+// were valid for longer, a VM whose requests are all refused by placement would keep its tokens after the owner has counted them as lost.
+func (limiter *Limiter) giveBack(organisation *organisation, end time.Time) {
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
 	now := limiter.settings.TimerService.Now()
-	if organisation.client == nil || source != SourceLease && source != SourceOwner || !now.Before(end) {
-		return
+	if organisation.client != nil && now.Sub(end) < returnTime {
+		organisation.client.putBack(end, now)
 	}
-	organisation.client.leases = append(organisation.client.leases, tokenLease{tokens: 1, end: end})
 }
--- a/fleet/ratelimit/limiter.go
+++ b/fleet/ratelimit/limiter.go
@@ -200,7 +200,8 @@
 			continue
 		}
 		known.evict(now)
-		if known.client != nil && known.client.hasReturns(now) && known.client.mayAsk(now) {
+		// A VM that decides itself would ask the deputy, which cannot take tokens back.
+		if known.client != nil && !limiter.decides(known) && known.client.hasReturns(now) && known.client.mayAsk(now) {
 			asking = append(asking, known)
 		}
 	}
--- a/fleet/ratelimit/limiter_test.go
+++ b/fleet/ratelimit/limiter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -121,7 +122,8 @@
 	assert.Assert(t, pair.query(newQuery(8, 1)).GetUnlimited())
 }
 
-// Guards against a request that waits longer than it may, and against tokens of requests that have not run which are lost.
+// Guards against a request that waits longer than it may, and against tokens of requests that have not run which are lost, or for
+// each of which the owner keeps memory.
 func TestClientWithoutAnswer(t *testing.T) {
 	pair := newPair(false)
 	decided := 0
@@ -137,16 +139,48 @@
 	assert.Equal(t, pair.decision.Source, ratelimit.SourceFallback)
 
 	owner := newPair(true)
-	for range 5 {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range 20_000 {
 		admission := owner.limiter.Admit(context.Background(), organisation)
 		assert.Assert(t, admission.Admitted)
 		admission.Cancel()
 	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	assert.Assert(t, after.HeapAlloc < before.HeapAlloc+200<<10, "%d bytes before, %d after", before.HeapAlloc, after.HeapAlloc)
 	for range 10 {
 		assert.Assert(t, owner.limiter.Admit(context.Background(), organisation).Admitted)
 	}
 }
 
+// Guards against tokens that outlive their lease because requests give them back, and against an owner that asks its deputy because of
+// them.
+func TestLeaseOfTokenGivenBack(t *testing.T) {
+	pair := newPair(false)
+	pair.limiter.Decide("a", func(oleandervane.RateAdmission) {})
+	pair.manual.Advance(5 * time.Millisecond)
+	query := pair.sent[len(pair.sent)-1].GetQueries()[0]
+	grant := &peer.TokenGrant{Organisation: query.GetOrganisation(), Sequence: query.GetSequence(), Granted: true, Tokens: query.GetWaiting() + 1}
+	for _, vm := range pair.vms {
+		pair.limiter.Receive(vm.ID, 1, &peer.TokenMessage{Grants: []*peer.TokenGrant{grant}})
+	}
+	pair.manual.Advance(2900 * time.Millisecond)
+	pair.limiter.Admit(context.Background(), organisation).Cancel()
+	assert.Equal(t, pair.decision.Source, ratelimit.SourceLease)
+	pair.manual.Advance(time.Second)
+	pair.limiter.Decide("a", func(oleandervane.RateAdmission) {})
+	pair.manual.Advance(ratelimit.AnswerTime)
+	assert.Assert(t, pair.decision.Source != ratelimit.SourceLease)
+
+	owner := newPair(true)
+	first, second := owner.limiter.Admit(context.Background(), organisation), owner.limiter.Admit(context.Background(), organisation)
+	first.Cancel()
+	second.Cancel()
+	owner.manual.Advance(3500 * time.Millisecond)
+	assert.Equal(t, len(owner.sent), 0)
+}
+
 // Guards against a VM without others that delays refusals, or that admits requests before the list of VMs has settled.
 func TestSingleVM(t *testing.T) {
 	pair := newPair(true)
