Bound tokens and times before they are converted

Cause: a bucket with more than 2^63 tokens (rate 1e19, burst 1e20) granted none, because the conversion to int overflowed, and refused every request of the organisation. At a rate below about 1e-10 the time to the next token overflowed too, and callers were told to return after 50 ms. Change: both are bounded as floating-point numbers first, the times of the own share as well.

--- a/fleet/ratelimit/bucket.go
+++ b/fleet/ratelimit/bucket.go
@@ -53,7 +53,8 @@
 func (bucket Bucket) WithTaken(wanted int) (rest Bucket, taken int) {
 	// Sums of fractions may be below a whole number by a rounding error.
 	const roundingError = 1e-9
-	taken = max(0, min(wanted, int(bucket.tokens+roundingError)))
+	// The number is bounded before it is converted, because a large limit has more tokens than an int can hold.
+	taken = max(0, int(min(float64(wanted), bucket.tokens+roundingError)))
 	bucket.tokens = max(0, bucket.tokens-float64(taken))
 	return bucket, taken
 }
--- a/fleet/ratelimit/fallback.go
+++ b/fleet/ratelimit/fallback.go
@@ -43,8 +43,8 @@
 	}
 	rest, taken := client.fallback.bucket.WithTaken(1)
 	if taken == 0 {
-		retryAfter := time.Duration((1 - rest.Tokens()) / (organisation.limit.PerSecond * share) * float64(time.Second))
-		limiter.refuse(organisation, now, SourceFallback, max(client.probePause, min(lastProbe, retryAfter)), decided)
+		seconds := min(lastProbe.Seconds(), (1-rest.Tokens())/(organisation.limit.PerSecond*share))
+		limiter.refuse(organisation, now, SourceFallback, max(client.probePause, time.Duration(seconds*float64(time.Second))), decided)
 		return
 	}
 	client.fallback.bucket = rest
@@ -54,8 +54,8 @@
 // shareDelay returns the time after which a VM uses its share. The permitted error covers the last part of contactLossDelay, in which
 // both the owner and the VMs that are cut off admit requests.
 func (limiter *Limiter) shareDelay(limit oleandervane.RateLimit) time.Duration {
-	covered := transitionShare * limiter.permittedError(limit) / limit.PerSecond
-	return max(0, contactLossDelay-time.Duration(covered*float64(time.Second)))
+	covered := min(contactLossDelay.Seconds(), transitionShare*limiter.permittedError(limit)/limit.PerSecond)
+	return contactLossDelay - time.Duration(covered*float64(time.Second))
 }
 
 // share returns this VM's share of a limit: by capacity, or an equal one for as many VMs, by rank, as the burst has tokens, if the
--- a/fleet/ratelimit/limiter_test.go
+++ b/fleet/ratelimit/limiter_test.go
@@ -200,6 +200,21 @@
 	assert.Equal(t, len(pair.sent), 0)
 }
 
+// Guards against limits at the ends of the range whose tokens or times overflow: a very high one that refuses requests, and a very low one
+// whose callers are told to return at once.
+func TestExtremeLimits(t *testing.T) {
+	pair := newPair(true)
+	for i, limit := range []oleandervane.RateLimit{{PerSecond: 1e19, Burst: 1e20}, {PerSecond: 1e308, Burst: 1e308}, {PerSecond: 1e-12}} {
+		extreme := oleandervane.Organisation{Name: "a", RateLimit: limit}
+		pair.limiter.Update(&oleandervane.RouteTable{Revision: oleandervane.Revision(i + 2), Organisations: []oleandervane.Organisation{extreme}})
+		pair.manual.Advance(5 * time.Second)
+		for range 100 {
+			pair.limiter.Admit(context.Background(), extreme)
+		}
+		assert.Assert(t, pair.decision.Admitted || pair.decision.RetryAfter >= 5*time.Second, "%v %v", limit, pair.decision)
+	}
+}
+
 // Guards against a datagram that crashes the process.
 func FuzzReceive(f *testing.F) {
 	for _, message := range []*peer.TokenMessage{
--- a/fleet/ratelimit/owner.go
+++ b/fleet/ratelimit/owner.go
@@ -217,7 +217,8 @@
 // retryAfter returns the time in which the owner has tokens for all requests that were refused in the last second.
 func (ownership *ownership) retryAfter(limit oleandervane.RateLimit, now time.Time) time.Duration {
 	missing := 1 - ownership.bucket.Tokens() + ownership.shortfall.at(now, shortfallMemory)
-	return min(maxRetry, max(minRetry, time.Duration(missing/limit.PerSecond*float64(time.Second))))
+	// The time is bounded in seconds, because that of a very low limit overflows a duration.
+	return max(minRetry, time.Duration(min(maxRetry.Seconds(), missing/limit.PerSecond)*float64(time.Second)))
 }
 
 // decayingRate is a rate per second in which older events count less: after memory, an event counts about a third.
