Refuse waiting requests whose regions have changed

Cause: the check before the first byte of an attempt used the key only. A request that waited for its body, or for a further attempt, was sent to a server in a region that the configuration in force no longer allows, up to 30 s after the change. Change: such a request gets 503 organisation_changed with a short Retry-After, as one whose key has moved to another organisation. This applies to installations with organisations. Result: TestChangedRegionsApplyToWaitingRequests fails before (no refusal) and passes. go test -race ./entry/ingress passes.

--- a/entry/ingress/organisation.go
+++ b/entry/ingress/organisation.go
@@ -4,6 +4,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"oleandervane.example"
@@ -125,7 +126,7 @@
 }
 
 // checkKey is called immediately before the request is written to a backend server. It refuses the request if the configuration has
-// changed since the caller was identified and the key is no longer that of its organisation.
+// changed since the caller was identified and the key is no longer that of its organisation, or other regions are allowed.
 func (call *call) checkKey(former *route.Index) error {
 	index := call.handler.index.Load()
 	if index == former {
@@ -150,9 +151,21 @@
 		// The header that was prepared has the key, or the name of another organisation.
 		return refusalChanged
 	}
+	if !slices.Equal(regionsOf(organisation), regionsOf(call.completion.Organisation)) ||
+		!slices.Equal(matched.AllowedRegions, call.completion.Route.AllowedRegions) {
+		// The backend server was chosen by the former regions, perhaps half a minute after the change.
+		return refusalChanged
+	}
 	return nil
 }
 
+func regionsOf(organisation *oleandervane.Organisation) []oleandervane.Region {
+	if organisation == nil {
+		return nil
+	}
+	return organisation.AllowedRegions
+}
+
 // checkAge refuses a request that needs a key if the known keys are too old.
 func (call *call) checkAge(index *route.Index) error {
 	outdated := call.handler.dependencies.KeysOutdated
--- a/entry/ingress/organisation_test.go
+++ b/entry/ingress/organisation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -100,3 +101,28 @@
 	assert.Equal(t, recorder.Code, http.StatusServiceUnavailable)
 	assert.Assert(t, recorder.Header().Get("Retry-After") != "")
 }
+
+// Guards against a request that waits while the regions of its organisation or route change, and runs in a former one.
+func TestChangedRegionsApplyToWaitingRequests(t *testing.T) {
+	handler, _ := newTestHandler(t)
+	handler.dependencies.CallerDialect = keyDialect{}
+	publish := func(ofOrganisation, ofRoute oleandervane.Region) {
+		handler.Publish(&oleandervane.RouteTable{
+			RequiresKeys:  true,
+			Organisations: []oleandervane.Organisation{{Name: "o", Keys: []oleandervane.KeyDigest{oleandervane.NewKeyDigest("k")}, AllowedRegions: []oleandervane.Region{"a", ofOrganisation}}},
+			Routes:        []oleandervane.Route{{Host: "example.com", Prefix: "/", AllowedRegions: []oleandervane.Region{"a", ofRoute}}},
+		})
+	}
+	for _, changed := range [][2]oleandervane.Region{{"b", "b"}, {"c", "b"}, {"b", "c"}} {
+		publish("b", "b")
+		index := handler.index.Load()
+		request := httptest.NewRequest(http.MethodGet, "/x", nil)
+		request.Header.Set("Key", "k")
+		call := handler.newCall(httptest.NewRecorder(), request)
+		call.completion.Route, _ = index.Match(request.Host, "/x")
+		assert.Assert(t, call.identify(index, call.completion.Route) == nil)
+		publish(changed[0], changed[1])
+		isChanged := changed != [2]oleandervane.Region{"b", "b"}
+		assert.Equal(t, errors.Is(call.checkKey(index), refusalChanged), isChanged, "%v", changed)
+	}
+}
