Keep requests that outlast the time for their header

Cause: the server waits for the end of the connection in another goroutine, which it starts before the handler. If that goroutine read before the request counted as served, the read got the deadline of the header (header_timeout_s + 2 s) and counted as a wait for the caller. When the deadline passed, net/http cancelled the request, and the connection could be closed for others in a flood. Change: a read takes its phase and its deadline under one mutex, and the begin of a request restores the deadline of the server and ends the wait for the caller.

--- a/entry/account/connection.go
+++ b/entry/account/connection.go
@@ -70,7 +70,9 @@
 	now := connection.account.timerService.Now()
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
-	connection.blockedFor += now.Sub(connection.blockedAt)
+	if !connection.blockedAt.IsZero() {
+		connection.blockedFor += now.Sub(connection.blockedAt)
+	}
 	connection.blockedAt = time.Time{}
 	connection.moved += bytes
 	if connection.moved >= progressBytes {
@@ -114,12 +116,12 @@
 	connection.account.observer.Refused(connection.listener, connection.address, CauseHeaderBytes)
 }
 
-// BeginRequest says that the header of a request is complete.
+// BeginRequest says that the header of a request is complete, which ends a wait for the caller.
 func (connection *Connection) BeginRequest() {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
 	connection.serving, connection.served = true, true
-	connection.blockedFor, connection.moved = 0, 0
+	connection.blockedAt, connection.blockedFor, connection.moved = time.Time{}, 0, 0
 }
 
 // EndRequest says that a response is complete and the connection is idle.
--- a/entryvm/webserver/guardlistener.go
+++ b/entryvm/webserver/guardlistener.go
@@ -139,16 +139,34 @@
 	// headerDeadline is the end of the time for the header that is being read. Only Read uses it.
 	headerDeadline time.Time
 
-	// mutex guards the deadline of the server.
+	// mutex guards the deadline of the server. limited is set while an earlier one is in force.
 	mutex        sync.Mutex
 	readDeadline time.Time
+	limited      bool
 }
 
 // Read reads bytes for the server. A header counts before the server parses it, because a header field takes many times its bytes.
 func (guardedConn *guardedConn) Read(buffer []byte) (int, error) {
-	serving, begun := guardedConn.account.Phase()
+	serving := guardedConn.beginRead(len(buffer) == 1)
+	count, err := guardedConn.Conn.Read(buffer)
 	if serving && len(buffer) == 1 {
-		return guardedConn.Conn.Read(buffer)
+		return count, err
+	}
+	guardedConn.endRead(count)
+	if serving || count == 0 {
+		return count, err
+	}
+	return guardedConn.checkHeader(buffer[:count], err)
+}
+
+// beginRead sets the deadline of a read, and reports whether a request is served. A read of a single byte then waits for the end of the
+// connection and has none but that of the server.
+func (guardedConn *guardedConn) beginRead(single bool) (serving bool) {
+	guardedConn.mutex.Lock()
+	defer guardedConn.mutex.Unlock()
+	serving, begun := guardedConn.account.Phase()
+	if serving && single {
+		return true
 	}
 	var deadline time.Time
 	switch {
@@ -162,31 +180,36 @@
 	default:
 		guardedConn.headerDeadline = time.Time{}
 	}
-	count, err := guardedConn.readBefore(deadline, buffer)
-	if serving || count == 0 {
-		return count, err
+	if !deadline.IsZero() && (guardedConn.readDeadline.IsZero() || deadline.Before(guardedConn.readDeadline)) {
+		guardedConn.limited = true
+		_ = guardedConn.Conn.SetReadDeadline(deadline)
 	}
-	return guardedConn.checkHeader(buffer[:count], err)
+	guardedConn.account.Block()
+	return serving
 }
 
-// readBefore reads until the earlier of a deadline and that of the server.
-func (guardedConn *guardedConn) readBefore(deadline time.Time, buffer []byte) (int, error) {
-	if !deadline.IsZero() {
-		guardedConn.mutex.Lock()
-		if guardedConn.readDeadline.IsZero() || deadline.Before(guardedConn.readDeadline) {
-			_ = guardedConn.Conn.SetReadDeadline(deadline)
-		}
-		guardedConn.mutex.Unlock()
-		defer func() {
-			guardedConn.mutex.Lock()
-			defer guardedConn.mutex.Unlock()
-			_ = guardedConn.Conn.SetReadDeadline(guardedConn.readDeadline)
-		}()
-	}
-	guardedConn.account.Block()
-	count, err := guardedConn.Conn.Read(buffer)
+func (guardedConn *guardedConn) endRead(count int) {
+	guardedConn.mutex.Lock()
+	defer guardedConn.mutex.Unlock()
+	guardedConn.restoreDeadline()
 	guardedConn.account.Unblock(count)
-	return count, err
+}
+
+// restoreDeadline puts the deadline of the server in force. The caller must hold the mutex.
+func (guardedConn *guardedConn) restoreDeadline() {
+	if guardedConn.limited {
+		guardedConn.limited = false
+		_ = guardedConn.Conn.SetReadDeadline(guardedConn.readDeadline)
+	}
+}
+
+// beginRequest says that the header of a request is complete. The server waits for the end of the connection in another goroutine, which
+// may have begun to read before. That read must not end with the time for the header, because it would cancel the request.
+func (guardedConn *guardedConn) beginRequest() {
+	guardedConn.mutex.Lock()
+	defer guardedConn.mutex.Unlock()
+	guardedConn.account.BeginRequest()
+	guardedConn.restoreDeadline()
 }
 
 // checkHeader refuses a request whose header is too large or for which there is no room, before the server has parsed it.
@@ -263,7 +286,7 @@
 	server := NewOnListener(listener, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		// The server does not report a request as active if it read all of it together with the one before.
 		if guarded, isGuarded := request.Context().Value(guardedConnKey{}).(*guardedConn); isGuarded {
-			guarded.account.BeginRequest()
+			guarded.beginRequest()
 		}
 		handler.ServeHTTP(writer, request)
 	}))
