Count only the bytes of a request's header as header

Cause: all bytes that were read before the handler ran counted as header, also the beginning of the body or requests behind it: up to 4,095 bytes beyond the header, which is all of the margin of 4 KiB. A header of 16,384 bytes without its request line was refused (431) if its last line was read together with the body. Each line end in the beginning of a body was charged as a field of 160 bytes. Change: headerSpan finds the empty line at the end of the header. Tests: TestBodyDoesNotCountAsHeader, with callers whose first segment has 350 to 1,200 bytes.

--- a/entryvm/webserver/guardlistener.go
+++ b/entryvm/webserver/guardlistener.go
@@ -1,7 +1,6 @@
 package webserver
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -138,6 +137,8 @@
 	limits  *atomic.Pointer[HeaderLimits]
 	// headerDeadline is the end of the time for the header that is being read. Only Read uses it.
 	headerDeadline time.Time
+	// headerSpan finds the end of that header. Only Read and the end of a request use it, one after the other.
+	headerSpan headerSpan
 
 	// mutex guards the deadline of the server. limited is set while an earlier one is in force.
 	mutex        sync.Mutex
@@ -214,7 +215,7 @@
 
 // checkHeader refuses a request whose header is too large or for which there is no room, before the server has parsed it.
 func (guardedConn *guardedConn) checkHeader(read []byte, err error) (int, error) {
-	size, fits := guardedConn.account.AddHeader(int64(len(read)), int64(bytes.Count(read, []byte{'\n'})))
+	size, fits := guardedConn.account.AddHeader(guardedConn.headerSpan.measure(read))
 	switch {
 	case size > guardedConn.limits.Load().Bytes+headerMarginBytes:
 		guardedConn.account.RefuseHeader()
@@ -292,6 +293,7 @@
 	}))
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		if guarded, isGuarded := conn.(*guardedConn); isGuarded && state == http.StateIdle {
+			guarded.headerSpan = headerSpan{}
 			guarded.account.EndRequest()
 		}
 	}
--- a/entryvm/webserver/guardlistener_test.go
+++ b/entryvm/webserver/guardlistener_test.go
@@ -1,9 +1,11 @@
 package webserver
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -61,3 +63,30 @@
 	callersLeft.Wait()
 	assert.Equal(t, cancelled.Load(), int64(0))
 }
+
+// Guards against headers of the permitted size that are refused because the beginning of the body was read with them.
+func TestBodyDoesNotCountAsHeader(t *testing.T) {
+	address := newGuardedServer(t, DefaultHeaderLimits(), func(_ http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+	})
+	body := strings.Repeat("x", 32<<10)
+	fields := fmt.Sprintf("Host: a\r\nContent-Length: %d\r\n", len(body))
+	for number := 0; len(fields) < 16<<10-70; number++ {
+		fields += fmt.Sprintf("X-Field-%03d: %s\r\n", number, strings.Repeat("f", 40))
+	}
+	message := "POST /" + strings.Repeat("p", 300) + " HTTP/1.1\r\n" + fields + "\r\n" + body
+	for first := 350; first <= 1200; first += 50 {
+		conn, err := net.Dial("tcp", address)
+		assert.NilError(t, err)
+		_, err = io.WriteString(conn, message[:first])
+		assert.NilError(t, err)
+		time.Sleep(5 * time.Millisecond)
+		_, err = io.WriteString(conn, message[first:])
+		assert.NilError(t, err)
+		response := make([]byte, len("HTTP/1.1 200"))
+		_, err = io.ReadFull(conn, response)
+		assert.NilError(t, err)
+		assert.Equal(t, string(response), "HTTP/1.1 200", "first piece of %d bytes", first)
+		assert.NilError(t, conn.Close())
+	}
+}
