Keep nothing of responses that were sent on a kept connection

Cause: each request that started ahead of its turn registered a function at the context of its connection, which releases its memory when the connection ends. It stayed registered after the response was sent, so that memory grew with each pipelined request of a kept connection, and no account counted it. Change: the function is removed when the response is sent. Tests: TestConnectionKeepsNothingOfSentResponses. Result: one function was left for each response before, none now; go test -race passes for entry/pipeline.

--- a/entry/pipeline/early.go
+++ b/entry/pipeline/early.go
@@ -22,8 +22,9 @@
 	header http.Header
 	// turn is closed when the response's turn has come, done when the handler has returned.
 	turn, done chan struct{}
-	// release says that the response takes no memory any more.
+	// release says that the response takes no memory any more. unwatch prevents its call at the end of the connection.
 	release func()
+	unwatch func() bool
 
 	mutex   sync.Mutex
 	status  int
@@ -36,7 +37,7 @@
 func startEarly(ctx context.Context, handler http.Handler, request *http.Request, release func()) *earlyResponse {
 	early := &earlyResponse{header: http.Header{}, turn: make(chan struct{}), done: make(chan struct{}), release: sync.OnceFunc(release)}
 	early.ctx, early.cancel = context.WithCancel(ctx)
-	context.AfterFunc(ctx, early.release)
+	early.unwatch = context.AfterFunc(ctx, early.release)
 	go early.run(handler, request.WithContext(early.ctx))
 	return early
 }
@@ -112,6 +113,8 @@
 	stop := context.AfterFunc(request.Context(), early.cancel)
 	defer stop()
 	defer early.release()
+	// A connection that is kept would keep the call of each response.
+	defer early.unwatch()
 	early.flush(writer)
 	<-early.done
 	if early.aborted {
--- a/entry/pipeline/pipeline_test.go
+++ b/entry/pipeline/pipeline_test.go
@@ -9,10 +9,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -328,3 +330,25 @@
 		}
 	})
 }
+
+// countingContext counts the functions that wait for its end.
+type countingContext struct {
+	context.Context
+	done    chan struct{}
+	waiting atomic.Int64
+}
+
+func (countingContext *countingContext) Done() <-chan struct{} { return countingContext.done }
+
+func (countingContext *countingContext) AfterFunc(func()) (stop func() bool) {
+	countingContext.waiting.Add(1)
+	return func() bool { return countingContext.waiting.Add(-1) >= 0 }
+}
+
+// Guards against memory that grows with each request that started early on a kept connection.
+func TestConnectionKeepsNothingOfSentResponses(t *testing.T) {
+	ctx := &countingContext{Context: context.Background(), done: make(chan struct{})}
+	request := httptest.NewRequest(http.MethodGet, "/", http.NoBody)
+	startEarly(ctx, http.NotFoundHandler(), request, func() {}).deliver(httptest.NewRecorder(), request)
+	assert.Equal(t, ctx.waiting.Load(), int64(0))
+}
