Count progress within large writes to callers

Cause: a write of a whole buffer, up to 256 KiB for the beginning of a response, counted as one wait for the caller, so that a caller that read steadily over a shared link had no progress for as long as the write took, and could lose its connection to others (from 250 ms on) when descriptors or memory were used up. Change: each piece of 32 KiB counts as progress. Tests: TestSteadyReaderKeepsItsConnection.

--- a/entryvm/webserver/guardlistener.go
+++ b/entryvm/webserver/guardlistener.go
@@ -245,18 +245,18 @@
 
 // Write writes in pieces, each of which the caller has to accept in time.
 func (guardedConn *guardedConn) Write(buffer []byte) (written int, err error) {
-	guardedConn.account.Block()
 	for err == nil && written < len(buffer) {
 		piece := buffer[written:min(len(buffer), written+writePieceBytes)]
 		_ = guardedConn.Conn.SetWriteDeadline(time.Now().Add(writeStall))
+		guardedConn.account.Block()
 		var count int
 		count, err = guardedConn.Conn.Write(piece)
+		guardedConn.account.Unblock(count)
 		written += count
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			_ = guardedConn.Conn.Close()
 		}
 	}
-	guardedConn.account.Unblock(written)
 	return written, err
 }
 
--- a/entryvm/webserver/guardlistener_test.go
+++ b/entryvm/webserver/guardlistener_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,7 +18,10 @@
 	"oleandervane.example/timer"
 )
 
-type noObserver struct{ account.Observer }
+type noObserver struct{}
+
+func (noObserver) Refused(account.Listener, netip.Addr, account.Cause) {}
+func (noObserver) Closed(account.Closed, account.Cause)                {}
 
 // newGuardedServer starts a server on a guarded listener of a VM of 136 MB.
 func newGuardedServer(t *testing.T, headerLimits HeaderLimits, handler http.HandlerFunc) (address string) {
@@ -90,3 +94,26 @@
 		assert.NilError(t, conn.Close())
 	}
 }
+
+// slowConn accepts a piece of a response each 100 ms.
+type slowConn struct{ net.Conn }
+
+func (slowConn) SetWriteDeadline(time.Time) error { return nil }
+
+func (slowConn) Write(piece []byte) (int, error) {
+	time.Sleep(100 * time.Millisecond)
+	return len(piece), nil
+}
+
+// Guards against callers that lose their connections to others while they read a large response steadily.
+func TestSteadyReaderKeepsItsConnection(t *testing.T) {
+	limits := account.NewLimits(136<<20, 2870)
+	limits.Connections[account.CallerListener] = 1
+	callers := account.New(limits, timer.System{}, noObserver{})
+	guarded := &guardedConn{Conn: slowConn{}}
+	guarded.account = callers.Open(account.CallerListener, netip.Addr{}, func() { t.Error("the connection was closed") })
+	guarded.account.BeginRequest()
+	go func() { _, _ = guarded.Write(make([]byte, 8*writePieceBytes)) }()
+	time.Sleep(450 * time.Millisecond)
+	assert.Assert(t, callers.Open(account.CallerListener, netip.Addr{}, func() {}) == nil)
+}
