Refuse no request that has started ahead of its turn

Cause: the bytes of a connection are scanned below the guard of the listener, which starts pipelined requests ahead of their turn. If memory was used up when the server came to read the header of such a request, the guard refused it with 503, which states that it has not run. Change: the connection is closed without a response if a request has started. Tests: TestRequestsThatStartedAreNotRefused. Result: the test gets 503 before and the end of the connection now. go test -race passes for entryvm/webserver; the change of entry/pipeline is a new method only.

--- a/entry/pipeline/connection.go
+++ b/entry/pipeline/connection.go
@@ -185,6 +185,13 @@
 	return first.early
 }
 
+// StartedEarly reports whether a request that the server has not begun to serve has started.
+func (connection *connection) StartedEarly() bool {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	return connection.startedEarly() > 0
+}
+
 func (connection *connection) endServing() {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
--- a/entryvm/webserver/guardlistener.go
+++ b/entryvm/webserver/guardlistener.go
@@ -227,8 +227,13 @@
 }
 
 // refuse responds to a request whose header is read in part. Some of the rest is dropped, because a connection that is closed with
-// unread bytes is reset, and the caller may then not see the response.
+// unread bytes is reset, and the caller may then not see the response. There is no response if a request of the connection has started
+// ahead of its turn: a refusal says that it has not run.
 func (guardedConn *guardedConn) refuse(response string) (int, error) {
+	if ahead, startsAhead := guardedConn.Conn.(interface{ StartedEarly() bool }); startsAhead && ahead.StartedEarly() {
+		_ = guardedConn.Conn.Close()
+		return 0, errRefused
+	}
 	writeRefusal(guardedConn.Conn, response)
 	_ = guardedConn.Conn.SetReadDeadline(time.Now().Add(refusalLinger))
 	_, _ = io.CopyN(io.Discard, guardedConn.Conn, maxDroppedBytes)
--- a/entryvm/webserver/guardlistener_test.go
+++ b/entryvm/webserver/guardlistener_test.go
@@ -117,3 +117,21 @@
 	time.Sleep(450 * time.Millisecond)
 	assert.Assert(t, callers.Open(account.CallerListener, netip.Addr{}, func() {}) == nil)
 }
+
+// earlyConn is a connection whose next request has started ahead of its turn.
+type earlyConn struct{ net.Conn }
+
+func (earlyConn) StartedEarly() bool { return true }
+
+// Guards against refusals of requests that have started ahead of their turn, because a refusal says that a request has not run.
+func TestRequestsThatStartedAreNotRefused(t *testing.T) {
+	server, caller := net.Pipe()
+	defer caller.Close()
+	go func() {
+		_, err := (&guardedConn{Conn: earlyConn{server}}).refuse(busyResponse())
+		assert.Check(t, err != nil)
+	}()
+	response, err := io.ReadAll(caller)
+	assert.NilError(t, err)
+	assert.Equal(t, string(response), "")
+}
