Begin the time for the first header with its first byte

Cause: the time for the header of a connection's first request (3 s + 2 s) began when the connection was accepted. A connection that a caller opened ahead and left idle, which idle_timeout_s (15 s) allows, was closed after 5 s. Change: the time begins with the first byte, as for later requests. The first byte has 30 s; until then the connection is among the first that are closed for others. Tests: TestTimeForAHeaderBeginsWithItsFirstByte. Result: with a time of 50 ms, a connection that is used after 150 ms was closed before, and is served now. go test -race passes for entryvm/webserver and entry/account. The floods were not run.

--- a/entry/account/connection.go
+++ b/entry/account/connection.go
@@ -138,11 +138,11 @@
 	}
 }
 
-// Phase reports whether a request is served, and otherwise whether a header is awaited that has begun or is the first one.
+// Phase reports whether a request is served, and otherwise whether a header has begun.
 func (connection *Connection) Phase() (serving, begun bool) {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
-	return connection.serving, connection.size > 0 || !connection.served
+	return connection.serving, connection.size > 0
 }
 
 // End ends the account of the connection. Later calls have no effect.
--- a/entryvm/hosted/hosted.go
+++ b/entryvm/hosted/hosted.go
@@ -48,8 +48,9 @@
 	backendIdleTimeout = 8 * time.Second
 	// callerIdleTimeout is longer than any idle timeout that configurations set for callers.
 	callerIdleTimeout = 75 * time.Second
-	// headerTimeout bounds the time for a request's header, beside the time of the configuration. It applies to a header whose beginning
-	// arrived together with the request before it, and is longer than any time that configurations set.
+	// headerTimeout bounds the time for a request's header, beside the time of the configuration. It applies to the first
+	// byte of a connection and to a header whose beginning arrived together with the request before it, and is longer than any time that
+	// configurations set.
 	headerTimeout = 30 * time.Second
 	// smallRequestTimeout bounds a request of the directory or the readiness with its response, which take one round trip each.
 	smallRequestTimeout = 8 * time.Second
--- a/entryvm/webserver/guardlistener.go
+++ b/entryvm/webserver/guardlistener.go
@@ -20,8 +20,8 @@
 )
 
 const (
-	// headerMargin is added to the configured time for a request's header, because the caller starts to count when it sends and the
-	// VM when it accepts.
+	// headerMargin is added to the configured time for a request's header, because the parts of the header take different times to
+	// arrive. The time begins with the first byte: callers open connections ahead and leave them idle.
 	headerMargin = 2 * time.Second
 	// headerMarginBytes is added to the configured size of a header. Callers count it without the request line, some without line ends.
 	headerMarginBytes = 4 << 10
--- a/entryvm/webserver/guardlistener_test.go
+++ b/entryvm/webserver/guardlistener_test.go
@@ -135,3 +135,16 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(response), "")
 }
+
+// Guards against connections that are closed because their callers opened them ahead of the first request.
+func TestTimeForAHeaderBeginsWithItsFirstByte(t *testing.T) {
+	address := newGuardedServer(t, HeaderLimits{Bytes: 16 << 10, Timeout: 50*time.Millisecond - headerMargin}, func(http.ResponseWriter, *http.Request) {})
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer conn.Close()
+	time.Sleep(150 * time.Millisecond)
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	assert.NilError(t, err)
+	_, err = io.ReadFull(conn, make([]byte, len("HTTP/1.1 200")))
+	assert.NilError(t, err)
+}
