Release bytes of an ended connection without its lock

Cause: AddHeader released charged bytes, which locks the account, with the mutex of the connection held, if the connection had ended meanwhile. A search for connections to close locks them in the other order. When the server closed a connection during a stop while its header was read, both could wait for each other, and with them all callers. Change: the bytes are released after the mutex of the connection. Tests: TestEndOfAConnectionBlocksNothing, with a connection that is ended and still listed, as between the two steps of End.

--- a/entry/account/account_test.go
+++ b/entry/account/account_test.go
@@ -120,3 +120,35 @@
 	assert.Assert(t, account.ChargeBody(limits.TotalBytes-account.Usage(CallerListener).Bytes))
 	assert.Assert(t, account.Open(CallerListener, netip.Addr{}, func() {}) == nil)
 }
+
+// Guards against a deadlock of the account when a connection ends while its header is read and another one is opened.
+func TestEndOfAConnectionBlocksNothing(t *testing.T) {
+	account := New(NewLimits(136<<20, 2870), timer.NewManual(time.Unix(1000, 0)), nil)
+	connection := account.Open(CallerListener, netip.Addr{}, func() {})
+	connection.BeginRequest()
+	connection.ended, connection.size = true, headerStepBytes
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 100_000 {
+			connection.AddHeader(0, 0)
+		}
+	}()
+	deadline := time.After(20 * time.Second)
+	for now := time.Unix(1000, 0); ; now = now.Add(searchPause) {
+		searched := make(chan struct{})
+		go func() {
+			account.mutex.Lock()
+			defer account.mutex.Unlock()
+			account.victims(CallerListener, now)
+			close(searched)
+		}()
+		select {
+		case <-done:
+			return
+		case <-deadline:
+			t.Fatal("the account is locked")
+		case <-searched:
+		}
+	}
+}
--- a/entry/account/connection.go
+++ b/entry/account/connection.go
@@ -100,17 +100,26 @@
 		connection.account.observer.Refused(connection.listener, connection.address, CauseMemory)
 		return size, false
 	}
-	connection.mutex.Lock()
-	defer connection.mutex.Unlock()
-	if connection.ended {
+	if !connection.addHeaderBytes(step) {
 		connection.account.release(connection.listener, step)
 		return size, false
 	}
-	connection.headerBytes += step
-	connection.bytes += step
 	return size, true
 }
 
+// addHeaderBytes adds bytes that are charged, unless the connection has ended. The mutex of the account is locked before that of a
+// connection, so that bytes are not released here.
+func (connection *Connection) addHeaderBytes(bytes int64) (added bool) {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	if connection.ended {
+		return false
+	}
+	connection.headerBytes += bytes
+	connection.bytes += bytes
+	return true
+}
+
 // RefuseHeader reports a header that is too large.
 func (connection *Connection) RefuseHeader() {
 	connection.account.observer.Refused(connection.listener, connection.address, CauseHeaderBytes)
