Leave room for requests without a body beside bodies

Cause: bodies took all memory up to the total of connections, requests and bodies. At a VM of 136 MB with 400 kept connections this is less than the share of bodies alone, so that requests without a body were refused (503), and idle connections closed, for as long as uploads filled it. Change: bodies leave 1/32 of the total, 2.6 MB or 40 requests at such a VM. A body of 64 MiB still fits beside 400 connections. Tests: TestBodiesLeaveRoomForRequests. TestMemoryIsLeftForOrdinaryRequests checked that a body may take the last byte; it now checks the same bound less the room, and that connections fill the rest and no more.

--- a/entry/account/account.go
+++ b/entry/account/account.go
@@ -50,6 +50,9 @@
 	maxVictimShare = 1.0 / 32
 	// ordinaryShare is the part of the memory up to which large headers are accepted. The rest is left for ordinary requests.
 	ordinaryShare = 0.8
+	// noBodyShare is the part of the total that bodies leave for requests without one. It holds 40 requests at a VM of 136 MB, where a
+	// body of 64 MiB still fits beside 400 connections and 90 requests.
+	noBodyShare = 1.0 / 32
 	// aheadShare is the part of the limits up to which requests are started ahead of their turn.
 	aheadShare = 0.5
 )
@@ -263,11 +266,12 @@
 	}
 }
 
-// ChargeBody accounts for bytes of a request body and reports whether there is room for them.
+// ChargeBody accounts for bytes of a request body and reports whether there is room for them. Some room is left for other requests, which
+// would be refused until a body is released.
 func (account *Account) ChargeBody(bytes int64) bool {
 	account.mutex.Lock()
 	defer account.mutex.Unlock()
-	if account.bodyBytes+account.pools[CallerListener].bytes+bytes > account.limits.TotalBytes {
+	if account.bodyBytes+account.pools[CallerListener].bytes+bytes > int64((1-noBodyShare)*float64(account.limits.TotalBytes)) {
 		return false
 	}
 	account.bodyBytes += bytes
