Keep the deferral of removals after a restore through a cut

Cause: the first list after an outage ends the deferral of removals if entries of VMs are unchanged, because then only this VM was cut off. It also ended a deferral that had begun before: after a restore of the store, a VM that lost the store for a second took servers for gone that had not written their entries again yet. Change: a deferral that was in force before the outage goes on to its end. Tests: TestCutAfterARestoreRemovesNothing.

--- a/entryvm/hosted/replica.go
+++ b/entryvm/hosted/replica.go
@@ -49,8 +49,8 @@
 	// deferredRemovals are removals that came after an outage of the store and wait until it is known whether their entries
 	// come back.
 	deferredRemovals map[string]oleandervane.StoreChange
-	// deferUntil is the end of the time in which removals are deferred.
-	deferUntil time.Time
+	// deferUntil is the end of the time in which removals are deferred, formerDeferUntil what it was before the last outage.
+	deferUntil, formerDeferUntil time.Time
 }
 
 func newReplica(reader oleandervane.RegistryReader, roster *roster.Roster, timerService oleandervane.TimerService, log *logrus.Entry, publish func(oleandervane.Registry)) *replica {
@@ -124,7 +124,8 @@
 }
 
 // endDeferralAfterCut ends the deferral of removals if the first list after an outage shows that only this VM was cut off. The
-// entries of VMs have the shortest leases, so those of other VMs would have lapsed before any entry of a server.
+// entries of VMs have the shortest leases, so those of other VMs would have lapsed before any entry of a server. A deferral that had begun
+// before the outage goes on.
 func (replica *replica) endDeferralAfterCut(entries []oleandervane.StoreEntry) {
 	if !replica.afterOutage {
 		return
@@ -133,11 +134,11 @@
 	comparison := compare(replica.versions, entries, roster.KeyPrefix+string(replica.roster.Self().ID))
 	cut := comparison.unchangedVMs > 0
 	if cut {
-		replica.deferUntil = time.Time{}
+		replica.deferUntil = replica.formerDeferUntil
 	}
 	replica.log.WithFields(logrus.Fields{
 		"unchanged": comparison.unchanged, "missing": len(replica.versions) - comparison.found,
-		"unchanged_vms": comparison.unchangedVMs, "known_vms": comparison.knownVMs, "removals_deferred": !cut,
+		"unchanged_vms": comparison.unchangedVMs, "known_vms": comparison.knownVMs, "removals_deferred": replica.timerService.Now().Before(replica.deferUntil),
 	}).Info("entries are listed after an outage")
 }
 
@@ -232,6 +233,9 @@
 	replica.log.WithField("away", outage.String()).Info("store is back")
 	replica.mutex.Lock()
 	defer replica.mutex.Unlock()
+	if !replica.afterOutage {
+		replica.formerDeferUntil = replica.deferUntil
+	}
 	replica.afterOutage = true
 	replica.deferRemovalsFor(registrywatch.RemovalDelay)
 }
--- a/entryvm/hosted/replica_test.go
+++ b/entryvm/hosted/replica_test.go
@@ -93,6 +93,22 @@
 	}
 }
 
+// The VM loses the store for a moment after it was restored. Guards against a list after this cut that ends the deferral of removals which
+// began with the restore, before servers have written their entries again.
+func TestCutAfterARestoreRemovesNothing(t *testing.T) {
+	manual := timer.NewManual(time.Unix(1000, 0))
+	replica := newTestReplica(manual)
+	vm := listed("vms/vm-2", vmEntry, 5)
+	replica.Replace([]oleandervane.StoreEntry{listed("servers/a", serverEntry, 6), vm}, inEra(1, 7))
+	replica.Replace([]oleandervane.StoreEntry{vm}, inEra(2, 5))
+	manual.Advance(1300 * time.Millisecond)
+	replica.StoreRecovered(time.Second)
+	replica.Replace([]oleandervane.StoreEntry{vm}, inEra(2, 6))
+	assert.Assert(t, replica.hasServer("a"))
+	manual.Advance(registrywatch.RemovalDelay)
+	assert.Assert(t, !replica.hasServer("a"))
+}
+
 // contact is a relay.Contact that is always in contact.
 type contact struct{}
 
