--- a/entry/account/connection.go
+++ b/entry/account/connection.go
@@ -70,7 +70,9 @@
 	now := connection.account.timerService.Now()
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
-	connection.blockedFor += now.Sub(connection.blockedAt)
+	if !connection.blockedAt.IsZero() {
+		connection.blockedFor += now.Sub(connection.blockedAt)
+	}
 	connection.blockedAt = time.Time{}
 	connection.moved += bytes
 	if connection.moved >= progressBytes {
@@ -98,28 +100,37 @@
 		connection.account.observer.Refused(connection.listener, connection.address, CauseMemory)
 		return size, false
 	}
-	connection.mutex.Lock()
-	defer connection.mutex.Unlock()
-	if connection.ended {
+	if !connection.addHeaderBytes(step) {
 		connection.account.release(connection.listener, step)
 		return size, false
 	}
-	connection.headerBytes += step
-	connection.bytes += step
 	return size, true
 }
 
+// addHeaderBytes adds bytes that are charged, unless the connection has ended. The mutex of the account is locked before that of a
+// connection, so that bytes are not released here.
+func (connection *Connection) addHeaderBytes(bytes int64) (added bool) {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	if connection.ended {
+		return false
+	}
+	connection.headerBytes += bytes
+	connection.bytes += bytes
+	return true
+}
+
 // RefuseHeader reports a header that is too large.
 func (connection *Connection) RefuseHeader() {
 	connection.account.observer.Refused(connection.listener, connection.address, CauseHeaderBytes)
 }
 
-// BeginRequest says that the header of a request is complete.
+// BeginRequest says that the header of a request is complete, which ends a wait for the caller.
 func (connection *Connection) BeginRequest() {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
 	connection.serving, connection.served = true, true
-	connection.blockedFor, connection.moved = 0, 0
+	connection.blockedAt, connection.blockedFor, connection.moved = time.Time{}, 0, 0
 }
 
 // EndRequest says that a response is complete and the connection is idle.
@@ -136,11 +147,11 @@
 	}
 }
 
-// Phase reports whether a request is served, and otherwise whether a header is awaited that has begun or is the first one.
+// Phase reports whether a request is served, and otherwise whether a header has begun.
 func (connection *Connection) Phase() (serving, begun bool) {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
-	return connection.serving, connection.size > 0 || !connection.served
+	return connection.serving, connection.size > 0
 }
 
 // End ends the account of the connection. Later calls have no effect.
--- a/entryvm/webserver/guardlistener.go
+++ b/entryvm/webserver/guardlistener.go
@@ -1,7 +1,6 @@
 package webserver
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -21,8 +20,8 @@
 )
 
 const (
-	// headerMargin is added to the configured time for a request's header, because the caller starts to count when it sends and the
-	// VM when it accepts.
+	// headerMargin is added to the configured time for a request's header, because the parts of the header take different times to
+	// arrive. The time begins with the first byte: callers open connections ahead and leave them idle.
 	headerMargin = 2 * time.Second
 	// headerMarginBytes is added to the configured size of a header. Callers count it without the request line, some without line ends.
 	headerMarginBytes = 4 << 10
@@ -138,17 +137,37 @@
 	limits  *atomic.Pointer[HeaderLimits]
 	// headerDeadline is the end of the time for the header that is being read. Only Read uses it.
 	headerDeadline time.Time
+	// headerSpan finds the end of that header. Only Read and the end of a request use it, one after the other.
+	headerSpan headerSpan
 
-	// mutex guards the deadline of the server.
+	// mutex guards the deadline of the server. limited is set while an earlier one is in force.
 	mutex        sync.Mutex
 	readDeadline time.Time
+	limited      bool
 }
 
 // Read reads bytes for the server. A header counts before the server parses it, because a header field takes many times its bytes.
 func (guardedConn *guardedConn) Read(buffer []byte) (int, error) {
-	serving, begun := guardedConn.account.Phase()
+	serving := guardedConn.beginRead(len(buffer) == 1)
+	count, err := guardedConn.Conn.Read(buffer)
 	if serving && len(buffer) == 1 {
-		return guardedConn.Conn.Read(buffer)
+		return count, err
+	}
+	guardedConn.endRead(count)
+	if serving || count == 0 {
+		return count, err
+	}
+	return guardedConn.checkHeader(buffer[:count], err)
+}
+
+// beginRead sets the deadline of a read, and reports whether a request is served. A read of a single byte then waits for the end of the
+// connection and has none but that of the server.
+func (guardedConn *guardedConn) beginRead(single bool) (serving bool) {
+	guardedConn.mutex.Lock()
+	defer guardedConn.mutex.Unlock()
+	serving, begun := guardedConn.account.Phase()
+	if serving && single {
+		return true
 	}
 	var deadline time.Time
 	switch {
@@ -162,36 +181,41 @@
 	default:
 		guardedConn.headerDeadline = time.Time{}
 	}
-	count, err := guardedConn.readBefore(deadline, buffer)
-	if serving || count == 0 {
-		return count, err
+	if !deadline.IsZero() && (guardedConn.readDeadline.IsZero() || deadline.Before(guardedConn.readDeadline)) {
+		guardedConn.limited = true
+		_ = guardedConn.Conn.SetReadDeadline(deadline)
 	}
-	return guardedConn.checkHeader(buffer[:count], err)
+	guardedConn.account.Block()
+	return serving
 }
 
-// readBefore reads until the earlier of a deadline and that of the server.
-func (guardedConn *guardedConn) readBefore(deadline time.Time, buffer []byte) (int, error) {
-	if !deadline.IsZero() {
-		guardedConn.mutex.Lock()
-		if guardedConn.readDeadline.IsZero() || deadline.Before(guardedConn.readDeadline) {
-			_ = guardedConn.Conn.SetReadDeadline(deadline)
-		}
-		guardedConn.mutex.Unlock()
-		defer func() {
-			guardedConn.mutex.Lock()
-			defer guardedConn.mutex.Unlock()
-			_ = guardedConn.Conn.SetReadDeadline(guardedConn.readDeadline)
-		}()
-	}
-	guardedConn.account.Block()
-	count, err := guardedConn.Conn.Read(buffer)
+func (guardedConn *guardedConn) endRead(count int) {
+	guardedConn.mutex.Lock()
+	defer guardedConn.mutex.Unlock()
+	guardedConn.restoreDeadline()
 	guardedConn.account.Unblock(count)
-	return count, err
+}
+
+// restoreDeadline puts the deadline of the server in force. The caller must hold the mutex.
+func (guardedConn *guardedConn) restoreDeadline() {
+	if guardedConn.limited {
+		guardedConn.limited = false
+		_ = guardedConn.Conn.SetReadDeadline(guardedConn.readDeadline)
+	}
+}
+
+// beginRequest says that the header of a request is complete. The server waits for the end of the connection in another goroutine, which
+// may have begun to read before. That read must not end with the time for the header, because it would cancel the request.
+func (guardedConn *guardedConn) beginRequest() {
+	guardedConn.mutex.Lock()
+	defer guardedConn.mutex.Unlock()
+	guardedConn.account.BeginRequest()
+	guardedConn.restoreDeadline()
 }
 
 // checkHeader refuses a request whose header is too large or for which there is no room, before the server has parsed it.
 func (guardedConn *guardedConn) checkHeader(read []byte, err error) (int, error) {
-	size, fits := guardedConn.account.AddHeader(int64(len(read)), int64(bytes.Count(read, []byte{'\n'})))
+	size, fits := guardedConn.account.AddHeader(guardedConn.headerSpan.measure(read))
 	switch {
 	case size > guardedConn.limits.Load().Bytes+headerMarginBytes:
 		guardedConn.account.RefuseHeader()
@@ -203,8 +227,13 @@
 }
 
 // refuse responds to a request whose header is read in part. Some of the rest is dropped, because a connection that is closed with
-// unread bytes is reset, and the caller may then not see the response.
+// unread bytes is reset, and the caller may then not see the response. There is no response if a request of the connection has started
+// ahead of its turn: a refusal says that it has not run.
 func (guardedConn *guardedConn) refuse(response string) (int, error) {
+	if ahead, startsAhead := guardedConn.Conn.(interface{ StartedEarly() bool }); startsAhead && ahead.StartedEarly() {
+		_ = guardedConn.Conn.Close()
+		return 0, errRefused
+	}
 	writeRefusal(guardedConn.Conn, response)
 	_ = guardedConn.Conn.SetReadDeadline(time.Now().Add(refusalLinger))
 	_, _ = io.CopyN(io.Discard, guardedConn.Conn, maxDroppedBytes)
@@ -221,18 +250,18 @@
 
 // Write writes in pieces, each of which the caller has to accept in time.
 func (guardedConn *guardedConn) Write(buffer []byte) (written int, err error) {
-	guardedConn.account.Block()
 	for err == nil && written < len(buffer) {
 		piece := buffer[written:min(len(buffer), written+writePieceBytes)]
 		_ = guardedConn.Conn.SetWriteDeadline(time.Now().Add(writeStall))
+		guardedConn.account.Block()
 		var count int
 		count, err = guardedConn.Conn.Write(piece)
+		guardedConn.account.Unblock(count)
 		written += count
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			_ = guardedConn.Conn.Close()
 		}
 	}
-	guardedConn.account.Unblock(written)
 	return written, err
 }
 
@@ -263,12 +292,13 @@
 	server := NewOnListener(listener, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		// The server does not report a request as active if it read all of it together with the one before.
 		if guarded, isGuarded := request.Context().Value(guardedConnKey{}).(*guardedConn); isGuarded {
-			guarded.account.BeginRequest()
+			guarded.beginRequest()
 		}
 		handler.ServeHTTP(writer, request)
 	}))
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		if guarded, isGuarded := conn.(*guardedConn); isGuarded && state == http.StateIdle {
+			guarded.headerSpan = headerSpan{}
 			guarded.account.EndRequest()
 		}
 	}
