Measure the memory of uploads in a process of its own

VMs of other tests of the package run until the process ends, there are more of them now, and their memory counted. Change: the test runs itself again in a process of its own. Bound, uploads and checks are the same.

--- a/entryvm/hosted/uploads_test.go
+++ b/entryvm/hosted/uploads_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"os/exec"
 	"runtime"
 	"strconv"
 	"sync"
@@ -55,9 +57,30 @@
 	return refusals
 }
 
+// ownProcess is set in the environment of a test that runs in a process of its own.
+const ownProcess = "OLEANDERVANE_TEST_IN_OWN_PROCESS"
+
+// runInOwnProcess runs the test again in a process of its own, and returns false there. The VMs of other tests run until their process
+// ends, and would count as memory of the VM of this test.
+func runInOwnProcess(t *testing.T) bool {
+	t.Helper()
+	if os.Getenv(ownProcess) != "" {
+		return false
+	}
+	command := exec.CommandContext(t.Context(), os.Args[0], "-test.run=^"+t.Name()+"$", "-test.v")
+	command.Env = append(os.Environ(), ownProcess+"=1")
+	output, err := command.CombinedOutput()
+	t.Logf("%s", output)
+	assert.NilError(t, err)
+	return true
+}
+
 // Guards against a VM that exceeds its memory because of request bodies that the configuration allows, with which all requests that it
 // has accepted end, and against uploads that are refused forever or run twice.
 func TestUploadsDoNotFillMemory(t *testing.T) {
+	if runInOwnProcess(t) {
+		return
+	}
 	backend := newBackend(t)
 	fixture := newFixture(t, backend)
 	var served atomic.Int64
