Show that an evacuation after a restore of the store is lost

A machine remembers former entries of the store by revision and value. A restored store gives revisions out again, and all evacuations have the same value, so that the second evacuation of a zone is taken for the first one and ignored for good.

--- /dev/null
+++ b/review/testbed/installation/server.go
@@ -0,0 +1,162 @@
+package installation
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Slots is the number of requests that a backend server runs at once.
+const Slots = 9
+
+// Arrival is a request that reached a backend server.
+type Arrival struct {
+	Server, RequestID string
+	At                time.Time
+	// Ran says that the server ran the request.
+	Ran bool
+}
+
+// Server is a backend server that follows the platform's pages.
+type Server struct {
+	ID       string
+	Service  string
+	Place    Place
+	RunTime  time.Duration
+	Address  string
+	BornAt   time.Time
+	arrivals *Arrivals
+	record   *Record
+	listener net.Listener
+	server   *http.Server
+	slots    chan struct{}
+	// ReadBody, if set, reads the body of a request. The run begins before.
+	ReadBody func(body io.Reader) ([]byte, error)
+
+	mutex   sync.Mutex
+	leaving bool
+}
+
+// Arrivals has the requests that reached any server.
+type Arrivals struct {
+	mutex sync.Mutex
+	list  []Arrival
+}
+
+// All returns a copy of the list.
+func (arrivals *Arrivals) All() []Arrival {
+	arrivals.mutex.Lock()
+	defer arrivals.mutex.Unlock()
+	return append([]Arrival(nil), arrivals.list...)
+}
+
+func (arrivals *Arrivals) add(arrival Arrival) {
+	arrivals.mutex.Lock()
+	defer arrivals.mutex.Unlock()
+	arrivals.list = append(arrivals.list, arrival)
+}
+
+// StartServer starts a backend server that runs each request for a time.
+func (installation *Installation) StartServer(id, service string, place Place, runTime time.Duration, arrivals *Arrivals) (*Server, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	server := &Server{
+		ID: id, Service: service, Place: place, RunTime: runTime, Address: listener.Addr().String(), BornAt: time.Now(),
+		arrivals: arrivals, record: installation.Record, listener: listener, slots: make(chan struct{}, Slots),
+	}
+	server.server = &http.Server{Handler: server, ReadHeaderTimeout: time.Minute, IdleTimeout: 10 * time.Second}
+	go func() { _ = server.server.Serve(listener) }()
+	installation.OnClose(server.Stop)
+	return server, nil
+}
+
+// Entry returns the entry of the server in the store.
+func (server *Server) Entry(state string) string {
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","concurrency_limit":%d,"state":%q,"warmup_left_s":0,"sequence":1,"born":%d}`,
+		server.Service, server.Address, server.Place.Zone, Slots, state, server.BornAt.UnixMilli())
+}
+
+// Key returns the key of the entry.
+func (server *Server) Key() string {
+	return "servers/" + server.ID
+}
+
+// Leave has all further responses say that the server leaves.
+func (server *Server) Leave() {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.leaving = true
+	server.record.Say("server %s begins to leave and says so in all responses", server.ID)
+}
+
+// Leaving reports whether the server leaves.
+func (server *Server) Leaving() bool {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.leaving
+}
+
+// Stop ends the server.
+func (server *Server) Stop() {
+	_ = server.server.Close()
+}
+
+// ServeHTTP runs a request, or states that it did not.
+func (server *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	id := request.Header.Get("X-Request-Id")
+	header := writer.Header()
+	if server.Leaving() {
+		header.Set("Server-Leaving", "1")
+	}
+	header.Set("X-Server-Load", strconv.Itoa(len(server.slots))+",0,"+strconv.Itoa(Slots))
+	if request.URL.Path == "/healthz" {
+		header.Set("X-Served-By", server.ID)
+		if server.Leaving() {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
+	if target := request.Header.Get("X-Target-Instance"); target != "" && target != server.ID {
+		refuse(writer, http.StatusMisdirectedRequest)
+		return
+	}
+	if id == "" {
+		refuse(writer, http.StatusBadRequest)
+		return
+	}
+	header.Set("X-Request-Id", id)
+	select {
+	case server.slots <- struct{}{}:
+		defer func() { <-server.slots }()
+	default:
+		server.arrivals.add(Arrival{Server: server.ID, RequestID: id, At: time.Now()})
+		refuse(writer, http.StatusServiceUnavailable)
+		return
+	}
+	server.arrivals.add(Arrival{Server: server.ID, RequestID: id, At: time.Now(), Ran: true})
+	server.record.Add("run      %s at %s: %s %s", id, server.ID, request.Method, request.RequestURI)
+	readBody := server.ReadBody
+	if readBody == nil {
+		readBody = io.ReadAll
+	}
+	body, err := readBody(request.Body)
+	if err != nil {
+		server.record.Add("cut      %s at %s: after %d bytes of the body: %v", id, server.ID, len(body), err)
+		return
+	}
+	time.Sleep(server.RunTime)
+	header.Set("X-Response-Signature", "mac-"+id)
+	server.record.Add("done     %s at %s: body of %d bytes", id, server.ID, len(body))
+	_, _ = fmt.Fprintf(writer, "%s ran %s", server.ID, id)
+}
+
+func refuse(writer http.ResponseWriter, status int) {
+	writer.Header().Set("X-Not-Executed", "1")
+	writer.WriteHeader(status)
+}
