Show that a planned stop drops answers of pipelined requests

net/http closes a connection after its current response once the server shuts down, also if requests behind that one have started early.

--- a/review/testbed/cmd/drill/main.go
+++ b/review/testbed/cmd/drill/main.go
@@ -16,6 +16,7 @@
 	"leaving":    playLeaving,
 	"release":    playRelease,
 	"evacuation": playEvacuation,
+	"pipelined":  playPipelined,
 	"uploads":    playUploads,
 }
 
--- a/review/testbed/installation/server.go
+++ b/review/testbed/installation/server.go
@@ -23,10 +23,12 @@
 
 // Server is a backend server that follows the platform's pages.
 type Server struct {
-	ID       string
-	Service  string
-	Place    Place
-	RunTime  time.Duration
+	ID      string
+	Service string
+	Place   Place
+	RunTime time.Duration
+	// RunTimes has the run times of paths with another one.
+	RunTimes map[string]time.Duration
 	Address  string
 	BornAt   time.Time
 	arrivals *Arrivals
@@ -95,10 +97,13 @@
 	server.record.Say("server %s begins to leave and says so in all responses", server.ID)
 }
 
-// Leaving reports whether the server leaves.
-func (server *Server) Leaving() bool {
+// sayLeaving sets the header of a response if the server leaves, and reports whether it does.
+func (server *Server) sayLeaving(header http.Header) bool {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
+	if server.leaving {
+		header.Set("Server-Leaving", "1")
+	}
 	return server.leaving
 }
 
@@ -111,23 +116,20 @@
 func (server *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	id := request.Header.Get("X-Request-Id")
 	header := writer.Header()
-	if server.Leaving() {
-		header.Set("Server-Leaving", "1")
-	}
 	header.Set("X-Server-Load", strconv.Itoa(len(server.slots))+",0,"+strconv.Itoa(Slots))
 	if request.URL.Path == "/healthz" {
 		header.Set("X-Served-By", server.ID)
-		if server.Leaving() {
+		if server.sayLeaving(header) {
 			writer.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
 	}
 	if target := request.Header.Get("X-Target-Instance"); target != "" && target != server.ID {
-		refuse(writer, http.StatusMisdirectedRequest)
+		server.refuse(writer, http.StatusMisdirectedRequest)
 		return
 	}
 	if id == "" {
-		refuse(writer, http.StatusBadRequest)
+		server.refuse(writer, http.StatusBadRequest)
 		return
 	}
 	header.Set("X-Request-Id", id)
@@ -136,7 +138,7 @@
 		defer func() { <-server.slots }()
 	default:
 		server.arrivals.add(Arrival{Server: server.ID, RequestID: id, At: time.Now()})
-		refuse(writer, http.StatusServiceUnavailable)
+		server.refuse(writer, http.StatusServiceUnavailable)
 		return
 	}
 	server.arrivals.add(Arrival{Server: server.ID, RequestID: id, At: time.Now(), Ran: true})
@@ -150,13 +152,19 @@
 		server.record.Add("cut      %s at %s: after %d bytes of the body: %v", id, server.ID, len(body), err)
 		return
 	}
-	time.Sleep(server.RunTime)
+	runTime, found := server.RunTimes[request.URL.Path]
+	if !found {
+		runTime = server.RunTime
+	}
+	time.Sleep(runTime)
 	header.Set("X-Response-Signature", "mac-"+id)
+	server.sayLeaving(header)
 	server.record.Add("done     %s at %s: body of %d bytes", id, server.ID, len(body))
 	_, _ = fmt.Fprintf(writer, "%s ran %s", server.ID, id)
 }
 
-func refuse(writer http.ResponseWriter, status int) {
+func (server *Server) refuse(writer http.ResponseWriter, status int) {
+	server.sayLeaving(writer.Header())
 	writer.Header().Set("X-Not-Executed", "1")
 	writer.WriteHeader(status)
 }
