Show that a broken response loses answers of sound servers

Requests behind a download start early. When the download breaks off in the middle, its connection is closed, and the answers of the requests that other servers have run go with it.

--- a/review/testbed/cmd/drill/evacuation.go
+++ b/review/testbed/cmd/drill/evacuation.go
@@ -18,7 +18,7 @@
 // between the two evacuations.
 func playEvacuation(started *installation.Installation, disrupted bool) (broken []string, err error) {
 	record, arrivals := started.Record, &installation.Arrivals{}
-	servers, err := startServers(started, arrivals, "i", 6)
+	servers, err := startServers(started, arrivals, "ledger", "i", 6)
 	if err != nil {
 		return nil, err
 	}
--- a/review/testbed/cmd/drill/leaving.go
+++ b/review/testbed/cmd/drill/leaving.go
@@ -28,7 +28,7 @@
 
 func (leavingCase leavingCase) play(started *installation.Installation, disrupted bool) (broken []string, err error) {
 	record, arrivals := started.Record, &installation.Arrivals{}
-	servers, err := startServers(started, arrivals, "old", 3)
+	servers, err := startServers(started, arrivals, "ledger", "old", 3)
 	if err != nil {
 		return nil, err
 	}
@@ -48,7 +48,7 @@
 	}
 	time.Sleep(time.Second)
 	if leavingCase.replaced {
-		replacements, err := startServers(started, arrivals, "new", leavingCase.leavers)
+		replacements, err := startServers(started, arrivals, "ledger", "new", leavingCase.leavers)
 		if err != nil {
 			return nil, err
 		}
--- a/review/testbed/cmd/drill/main.go
+++ b/review/testbed/cmd/drill/main.go
@@ -17,6 +17,7 @@
 	"release":    playRelease,
 	"evacuation": playEvacuation,
 	"pipelined":  playPipelined,
+	"truncated":  playTruncated,
 	"uploads":    playUploads,
 }
 
--- a/review/testbed/cmd/drill/pipelined.go
+++ b/review/testbed/cmd/drill/pipelined.go
@@ -25,7 +25,7 @@
 // VM gets SIGTERM while both are at servers.
 func playPipelined(started *installation.Installation, disrupted bool) (broken []string, err error) {
 	record, arrivals := started.Record, &installation.Arrivals{}
-	servers, err := startServers(started, arrivals, "i", 3)
+	servers, err := startServers(started, arrivals, "ledger", "i", 3)
 	if err != nil {
 		return nil, err
 	}
--- a/review/testbed/cmd/drill/prepare.go
+++ b/review/testbed/cmd/drill/prepare.go
@@ -19,12 +19,12 @@
 	heartbeat = 1500 * time.Millisecond
 )
 
-// startServers starts backend servers of the service, one in each place in turn.
-func startServers(started *installation.Installation, arrivals *installation.Arrivals, name string, count int) ([]*installation.Server, error) {
+// startServers starts backend servers of a service, one in each place in turn.
+func startServers(started *installation.Installation, arrivals *installation.Arrivals, service, name string, count int) ([]*installation.Server, error) {
 	var servers []*installation.Server
 	for i := range count {
 		place := installation.Places[i%len(installation.Places)]
-		server, err := started.StartServer(fmt.Sprintf("%s-%d", name, i), "ledger", place, filingTime, arrivals)
+		server, err := started.StartServer(fmt.Sprintf("%s-%d", name, i), service, place, filingTime, arrivals)
 		if err != nil {
 			return nil, err
 		}
--- a/review/testbed/installation/server.go
+++ b/review/testbed/installation/server.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"strconv"
@@ -36,6 +37,10 @@
 	listener net.Listener
 	server   *http.Server
 	slots    chan struct{}
+	// Answer is the body of answers, if set. BreakOff, if set, says whether the next one ends after BrokenAfter bytes.
+	Answer      []byte
+	BreakOff    func() bool
+	BrokenAfter int
 	// ReadBody, if set, reads the body of a request. The run begins before.
 	ReadBody func(body io.Reader) ([]byte, error)
 
@@ -72,7 +77,7 @@
 		ID: id, Service: service, Place: place, RunTime: runTime, Address: listener.Addr().String(), BornAt: time.Now(),
 		arrivals: arrivals, record: installation.Record, listener: listener, slots: make(chan struct{}, Slots),
 	}
-	server.server = &http.Server{Handler: server, ReadHeaderTimeout: time.Minute, IdleTimeout: 10 * time.Second}
+	server.server = &http.Server{Handler: server, ReadHeaderTimeout: time.Minute, IdleTimeout: 10 * time.Second, ErrorLog: log.New(io.Discard, "", 0)}
 	go func() { _ = server.server.Serve(listener) }()
 	installation.OnClose(server.Stop)
 	return server, nil
@@ -160,7 +165,17 @@
 	header.Set("X-Response-Signature", "mac-"+id)
 	server.sayLeaving(header)
 	server.record.Add("done     %s at %s: body of %d bytes", id, server.ID, len(body))
-	_, _ = fmt.Fprintf(writer, "%s ran %s", server.ID, id)
+	answer := server.Answer
+	if answer == nil {
+		answer = fmt.Appendf(nil, "%s ran %s", server.ID, id)
+	}
+	header.Set("Content-Length", strconv.Itoa(len(answer)))
+	if server.BreakOff != nil && server.BreakOff() {
+		server.record.Add("breaks   the answer to %s at %s", id, server.ID)
+		_, _ = writer.Write(answer[:server.BrokenAfter])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = writer.Write(answer)
 }
 
 func (server *Server) refuse(writer http.ResponseWriter, status int) {
