Show that uploads that end late in the grace are passed on and lost

The time that is left for a request is compared with its time limit, not with the end of the stop, if it began before the SIGTERM.

--- a/review/testbed/cmd/drill/main.go
+++ b/review/testbed/cmd/drill/main.go
@@ -13,12 +13,13 @@
 type play func(installation *installation.Installation, disrupted bool) (broken []string, err error)
 
 var plays = map[string]play{
-	"leaving":    playLeaving,
-	"release":    playRelease,
-	"evacuation": playEvacuation,
-	"pipelined":  playPipelined,
-	"truncated":  playTruncated,
-	"uploads":    playUploads,
+	"leaving":     playLeaving,
+	"release":     playRelease,
+	"evacuation":  playEvacuation,
+	"pipelined":   playPipelined,
+	"lateuploads": playLateUploads,
+	"truncated":   playTruncated,
+	"uploads":     playUploads,
 }
 
 const (
--- a/review/testbed/installation/caller.go
+++ b/review/testbed/installation/caller.go
@@ -42,14 +42,19 @@
 
 // Send sends a request to a VM and waits for its answer.
 func (callers *Callers) Send(vm *VM, method, path, body string, timeLimit time.Duration) Sent {
+	return callers.SendBody(vm, method, path, strings.NewReader(body), int64(len(body)), timeLimit)
+}
+
+// SendBody does the same with a body of a length that is read while it is sent.
+func (callers *Callers) SendBody(vm *VM, method, path string, body io.Reader, length int64, timeLimit time.Duration) Sent {
 	sent := Sent{RequestID: fmt.Sprintf("c-%d", callers.number.Add(1)), VM: vm.ID, At: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), timeLimit)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+vm.Caller.String()+path, strings.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+vm.Caller.String()+path, body)
 	if err != nil {
 		return sent
 	}
-	request.Host = Host
+	request.Host, request.ContentLength = Host, length
 	request.Header.Set("X-Request-Id", sent.RequestID)
 	request.Header.Set("X-Timeout-Ms", strconv.FormatInt(timeLimit.Milliseconds(), 10))
 	callers.record.Add("sent     %s to %s: %s %s", sent.RequestID, vm.ID, method, path)
