Rename package statusline to responsehead

The package is about to check the names of header fields as well. No change of behaviour: only the package, its files and its imports have other names.

--- a/entry/forward/attempt.go
+++ b/entry/forward/attempt.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"oleandervane.example"
-	"oleandervane.example/statusline"
+	"oleandervane.example/responsehead"
 )
 
 const (
@@ -205,9 +205,9 @@
 	if refusal := attempt.connection.gate.refused(); refusal != nil {
 		err = refusal
 	}
-	if outcome == oleandervane.Unknown && attempt.connection.gate.invalid.Load() && !errors.Is(err, statusline.ErrInvalid) {
+	if outcome == oleandervane.Unknown && attempt.connection.gate.invalid.Load() && !errors.Is(err, responsehead.ErrInvalid) {
 		// net/http reports some errors of a connection by their text only.
-		err = fmt.Errorf("%w: %w", statusline.ErrInvalid, err)
+		err = fmt.Errorf("%w: %w", responsehead.ErrInvalid, err)
 	}
 	return attempt.fail(outcome, err)
 }
@@ -238,7 +238,7 @@
 		return ReasonSilent, oleandervane.AttemptTimedOut
 	case errors.Is(err, ErrTooLong):
 		return ReasonTooLong, oleandervane.AttemptBroken
-	case errors.Is(err, statusline.ErrInvalid):
+	case errors.Is(err, responsehead.ErrInvalid):
 		return ReasonInvalid, oleandervane.AttemptBroken
 	case errors.Is(err, ErrMismatch):
 		return ReasonMismatch, oleandervane.AttemptBroken
--- a/entry/forward/gate.go
+++ b/entry/forward/gate.go
@@ -5,7 +5,7 @@
 	"net"
 	"sync/atomic"
 
-	"oleandervane.example/statusline"
+	"oleandervane.example/responsehead"
 )
 
 // The states of a gate.
@@ -36,7 +36,7 @@
 	// begins is set when the first byte of a request is about to be written. Only Read uses checker. invalid is set when the response
 	// has an invalid status line or came before the request.
 	begins  atomic.Bool
-	checker statusline.Checker
+	checker responsehead.Checker
 	invalid atomic.Bool
 	// encrypted says that Conn encrypts: it may have sent a part of a record when it reports that nothing was written.
 	encrypted bool
--- a/entryvm/prober.go
+++ b/entryvm/prober.go
@@ -10,7 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"oleandervane.example"
-	"oleandervane.example/statusline"
+	"oleandervane.example/responsehead"
 )
 
 const (
@@ -34,7 +34,7 @@
 		// open without need.
 		DisableKeepAlives: true,
 	}
-	return &prober{client: &http.Client{Transport: statusline.NewTransport(transport), Timeout: probeTimeout}, timerService: timerService, self: self}
+	return &prober{client: &http.Client{Transport: responsehead.NewTransport(transport), Timeout: probeTimeout}, timerService: timerService, self: self}
 }
 
 // Probe requests the load of a backend server and calls done from another goroutine.
--- a/fleet/relay/transport.go
+++ b/fleet/relay/transport.go
@@ -13,8 +13,8 @@
 	"oleandervane.example/fleet/exchange"
 	"oleandervane.example/fleet/peer"
 	"oleandervane.example/fleet/peer/peerconnect"
+	"oleandervane.example/responsehead"
 	"oleandervane.example/socket"
-	"oleandervane.example/statusline"
 )
 
 const (
@@ -77,7 +77,7 @@
 	transport := &http.Transport{
 		DialContext: socket.NewDialer().DialContext, IdleConnTimeout: clientIdleTimeout, MaxIdleConnsPerHost: 1,
 	}
-	return &Client{httpClient: &http.Client{Transport: statusline.NewTransport(transport)}, clients: map[netip.AddrPort]peerconnect.RelayServiceClient{}}
+	return &Client{httpClient: &http.Client{Transport: responsehead.NewTransport(transport)}, clients: map[netip.AddrPort]peerconnect.RelayServiceClient{}}
 }
 
 // Close closes idle connections.
--- a/statusline/conn.go
+++ b/responsehead/conn.go
@@ -1,4 +1,4 @@
-package statusline
+package responsehead
 
 import (
 	"context"
--- a/statusline/statusline.go
+++ b/responsehead/responsehead.go
@@ -1,6 +1,6 @@
-// Package statusline checks the status lines of HTTP/1 responses strictly. The reader of net/http accepts any version, several spaces
+// Package responsehead checks the status lines of HTTP/1 responses strictly. The reader of net/http accepts any version, several spaces
 // and all numbers of three digits.
-package statusline
+package responsehead
 
 import (
 	"errors"
--- a/statusline/statusline_test.go
+++ b/responsehead/responsehead_test.go
@@ -1,4 +1,4 @@
-package statusline_test
+package responsehead_test
 
 import (
 	"bufio"
@@ -12,7 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"oleandervane.example/statusline"
+	"oleandervane.example/responsehead"
 )
 
 const headerFields = "Content-Length: 2\r\n\r\nok"
@@ -41,7 +41,7 @@
 
 // check checks bytes that arrive in two pieces.
 func check(text string, first int) error {
-	checker := &statusline.Checker{}
+	checker := &responsehead.Checker{}
 	checker.Begin()
 	if err := checker.Check([]byte(text[:first])); err != nil {
 		return err
