Take no reset for the end of a response

What callers saw: a backend server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a whole response, as a 200 with its MAC (MIXED). The same happened with an empty body and with a 500.

Cause: a body without a length ends with its connection. Linux returns the error of a reset to the first call on the socket that meets it. While a VM writes an upload, that is often the write; the next read returns a plain end of file, which net/http takes for the end of the body. The write's error comes too late: the part is already whole.

Change: socket.Conn remembers the error of a write, and its Read returns that error in place of io.EOF. If the connection is not in the state in which the peer has ended its side only, both directions have ended; Read then waits for a write in progress, which returns at once. A regular end is passed on without a wait, and also when a reset follows it (EPIPE), because all that the peer sent has arrived then. All connections to backend servers and to relays use it, and those of every responsehead.Transport: the store, the VM list, load probes and delegates.

Whole bodies without a length arrive as before, also if they end while the upload is written.

A server that ends its connection regularly in the middle of such a body still cannot be told from one that is done.

--- a/cmd/oleandervane-hosted/main_test.go
+++ b/cmd/oleandervane-hosted/main_test.go
@@ -11,13 +11,19 @@
 	"gotest.tools/v3/assert"
 )
 
+// build returns the path of the program under test.
+func build(t *testing.T) string {
+	t.Helper()
+	daemon := filepath.Join(t.TempDir(), "oleandervane-hosted")
+	output, err := exec.Command("go", "build", "-o", daemon, ".").CombinedOutput()
+	assert.NilError(t, err, "build oleandervane-hosted: %s", output)
+	return daemon
+}
+
 // Guards against a daemon that ends when SIGHUP arrives before it has read its settings. The settings are a pipe, so that the
 // daemon is at that point until the test writes them.
 func TestHangUpDuringTheStartDoesNotEndTheDaemon(t *testing.T) {
-	folder := t.TempDir()
-	daemon, settings := filepath.Join(folder, "oleandervane-hosted"), filepath.Join(folder, "entry.toml")
-	output, err := exec.Command("go", "build", "-o", daemon, ".").CombinedOutput()
-	assert.NilError(t, err, "build oleandervane-hosted: %s", output)
+	daemon, settings := build(t), filepath.Join(t.TempDir(), "entry.toml")
 	assert.NilError(t, syscall.Mkfifo(settings, 0o600))
 	command := exec.Command(daemon, "--settings", settings, "--check")
 	assert.NilError(t, command.Start())
--- a/entry/forward/pool.go
+++ b/entry/forward/pool.go
@@ -107,6 +107,7 @@
 			if err != nil {
 				return nil, err
 			}
+			conn = socket.NewConn(conn)
 			gate := ctx.Value(gateKey{}).(*gate)
 			gate.Conn, gate.encrypted = conn, tlsConfig != nil
 			if tlsConfig == nil {
--- a/responsehead/conn.go
+++ b/responsehead/conn.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+
+	"oleandervane.example/socket"
 )
 
 // Conn checks the responses on a connection that carries one request at a time.
@@ -35,7 +37,8 @@
 	return count, err
 }
 
-// Transport is an http.RoundTripper for HTTP/1 without TLS that rejects responses with invalid status lines.
+// Transport is an http.RoundTripper for HTTP/1 without TLS that rejects responses with invalid status lines, and whose connections are
+// socket.Conns.
 type Transport struct {
 	transport *http.Transport
 }
@@ -51,7 +54,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &Conn{Conn: conn}, nil
+		return &Conn{Conn: socket.NewConn(conn)}, nil
 	}
 	return Transport{transport: transport}
 }
--- a/standin/flood/vm.go
+++ b/standin/flood/vm.go
@@ -1,6 +1,7 @@
 package flood
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -38,7 +39,10 @@
 {"resource_type":"services","metadata":{"name":"ledger"},"spec":{"health_path":"/healthz","max_connections":600}},
 {"resource_type":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15}}]}`
 
-// VM is a process of oleandervane-hosted with a store and two backend servers of its own.
+// defaultServers is the number of backend servers if the options name none.
+const defaultServers = 2
+
+// VM is a process of oleandervane-hosted with a store and backend servers of its own.
 type VM struct {
 	vmprocess.File
 	servers []*httptest.Server
@@ -54,6 +58,10 @@
 	Folder          string
 	MemoryMegabytes int
 	Descriptors     int
+	// Servers is the number of backend servers; 0 selects defaultServers.
+	Servers int
+	// Backend is the handler of the backend servers; nil selects one that serves all requests.
+	Backend http.Handler
 }
 
 // Start starts a process and waits until it serves.
@@ -61,8 +69,12 @@
 	vm := &VM{exited: make(chan struct{})}
 	store := storestandin.New(timer.System{})
 	writes := []oleandervane.StoreWrite{{Key: "op/config", Value: []byte(configuration)}}
-	for number := range 2 {
-		server := vm.serve(http.HandlerFunc(respond))
+	backend := options.Backend
+	if backend == nil {
+		backend = http.HandlerFunc(Respond)
+	}
+	for number := range cmp.Or(options.Servers, defaultServers) {
+		server := vm.serve(backend)
 		writes = append(writes, oleandervane.StoreWrite{Key: fmt.Sprint("servers/i-", number), Value: fmt.Appendf(nil,
 			`{"service":"ledger","address":%q,"zone":"kigali-a","concurrency_limit":200,"state":"ready"}`, server.Listener.Addr())})
 	}
@@ -100,8 +112,8 @@
 	return server
 }
 
-// respond is the handler of the backend servers.
-func respond(writer http.ResponseWriter, request *http.Request) {
+// Respond serves a request as a sound backend server does.
+func Respond(writer http.ResponseWriter, request *http.Request) {
 	if _, err := io.Copy(io.Discard, request.Body); err != nil {
 		return
 	}
