--- a/entry/forward/gate.go
+++ b/entry/forward/gate.go
@@ -34,7 +34,7 @@
 	// idleBreak is called when the peer closes or resets the connection while no attempt uses it.
 	idleBreak atomic.Pointer[func()]
 	// begins is set when the first byte of a request is about to be written. Only Read uses checker. invalid is set when the response
-	// has an invalid status line or came before the request.
+	// has an invalid head or came before the request.
 	begins  atomic.Bool
 	checker responsehead.Checker
 	invalid atomic.Bool
@@ -98,7 +98,7 @@
 }
 
 // Read fails when bytes arrive while no request has been written, such as the delayed rest of an earlier response, and at a response
-// with an invalid status line.
+// with an invalid head.
 func (gate *gate) Read(buffer []byte) (int, error) {
 	count, err := gate.Conn.Read(buffer)
 	// Reads of a connection that this VM closed fail with net.ErrClosed.
--- a/entry/forward/responsehead_test.go
+++ b/entry/forward/responsehead_test.go
@@ -16,9 +16,9 @@
 	"oleandervane.example/timer"
 )
 
-// Guards against a response with an invalid status line that is passed on, that counts as proof that the request has not run, or whose
+// Guards against a response with an invalid head that is passed on, that counts as proof that the request has not run, or whose
 // connection is used again.
-func TestInvalidStatusLinesReachNoCaller(t *testing.T) {
+func TestInvalidHeadsReachNoCaller(t *testing.T) {
 	cases, err := responsetable.Cases()
 	assert.NilError(t, err)
 	for _, tableCase := range cases {
--- a/fleet/relay/responsehead_test.go
+++ b/fleet/relay/responsehead_test.go
@@ -18,7 +18,7 @@
 )
 
 // Guards against an invalid response of another VM that is read as changes of the store.
-func TestInvalidStatusLines(t *testing.T) {
+func TestInvalidHeads(t *testing.T) {
 	body, err := proto.Marshal(&peer.ChangesResponse{Revision: 7})
 	assert.NilError(t, err)
 	cases, err := responsetable.Cases()
--- a/responsehead/conn.go
+++ b/responsehead/conn.go
@@ -23,7 +23,7 @@
 	conn.begins.Store(true)
 }
 
-// Read fails with ErrInvalid at an invalid status line.
+// Read fails with ErrInvalid at an invalid head.
 func (conn *Conn) Read(buffer []byte) (int, error) {
 	count, err := conn.Conn.Read(buffer)
 	if count > 0 {
@@ -37,7 +37,7 @@
 	return count, err
 }
 
-// Transport is an http.RoundTripper for HTTP/1 without TLS that rejects responses with invalid status lines, and whose connections are
+// Transport is an http.RoundTripper for HTTP/1 without TLS that rejects responses with invalid heads, and whose connections are
 // socket.Conns.
 type Transport struct {
 	transport *http.Transport
--- a/responsehead/responsehead_test.go
+++ b/responsehead/responsehead_test.go
@@ -50,7 +50,7 @@
 }
 
 // Guards against an invalid response that passes because of where its pieces end, and against a valid one that is rejected.
-func TestStatusLines(t *testing.T) {
+func TestHeads(t *testing.T) {
 	for _, response := range readTable(t) {
 		text := response.beginning + headerFields
 		for first := range len(text) {
@@ -60,7 +60,7 @@
 	}
 }
 
-// Guards against a panic, against a result that depends on the pieces in which bytes arrive, and against a status line outside the
+// Guards against a panic, against a result that depends on the pieces in which bytes arrive, and against a head outside the
 // rules that net/http would pass on.
 func FuzzChecker(f *testing.F) {
 	for _, response := range readTable(f) {
@@ -79,5 +79,8 @@
 		_, _ = io.Copy(io.Discard, parsed.Body)
 		assert.Assert(t, parsed.StatusCode <= 599 && (parsed.Proto == "HTTP/1.1" || parsed.Proto == "HTTP/1.0"), "%q", input)
 		assert.Assert(t, bytes.HasPrefix(input, []byte(parsed.Proto+" "+strconv.Itoa(parsed.StatusCode))), "%q", input)
+		for name := range parsed.Header {
+			assert.Assert(t, !strings.ContainsAny(name, " \t"), "%q", input)
+		}
 	})
 }
