Check the responses of entry VMs in the client library and in queries

What callers would see: the client library, outcome queries between entry VMs, status queries of operators and the look-up command took responses of entry VMs as net/http reads them: with status 000, with blanks in the names of fields, and in the client library a part of a response without a length as a whole one if the connection was reset while the request was still written.

Cause: the same two as at backend servers. These readers had plain HTTP clients, which docs/design/untrusted-callers.md stated as a gap.

Change: these readers use responsehead.Transport, which checks heads and has socket.Conns. Gossip of VMs is the only reader without it: it speaks HTTP/2 only, which has neither heads in text nor bodies that end with a connection.

--- a/cmd/oleandervane/caller.go
+++ b/cmd/oleandervane/caller.go
@@ -15,6 +15,7 @@
 
 	"oleandervane.example"
 	"oleandervane.example/entry/caller"
+	"oleandervane.example/responsehead"
 )
 
 type kindOption struct {
@@ -65,7 +66,8 @@
 const lookupTimeout = 5 * time.Second
 
 func get(location string) (json.RawMessage, error) {
-	client := &http.Client{Timeout: lookupTimeout}
+	transport := responsehead.NewTransport(&http.Transport{DisableKeepAlives: true})
+	client := &http.Client{Transport: transport, Timeout: lookupTimeout}
 	response, err := client.Get(location)
 	if err != nil {
 		return nil, err
--- a/entry/caller/client.go
+++ b/entry/caller/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"oleandervane.example"
+	"oleandervane.example/responsehead"
 )
 
 const (
@@ -96,14 +97,14 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: responsehead.NewTransport(&http.Transport{
 			Protocols:           protocols,
 			DisableCompression:  true,
 			DisableKeepAlives:   newConnections,
 			DialContext:         settings.dialer().DialContext,
 			MaxIdleConnsPerHost: maxIdleConnections,
 			IdleConnTimeout:     idleConnectionTimeout,
-		},
+		}),
 		// Following a redirect would send the request again, to an address that is not from the look-up.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/entryvm/outcomerelay.go
+++ b/entryvm/outcomerelay.go
@@ -12,6 +12,7 @@
 
 	"oleandervane.example"
 	"oleandervane.example/entry/gateway"
+	"oleandervane.example/responsehead"
 )
 
 const (
@@ -25,7 +26,8 @@
 }
 
 func newOutcomeRelay() outcomeRelay {
-	return outcomeRelay{client: &http.Client{Timeout: outcomeTimeout}}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	return outcomeRelay{client: &http.Client{Transport: responsehead.NewTransport(transport), Timeout: outcomeTimeout}}
 }
 
 // Outcome requests the outcome of a ticket from the VM that issued it.
--- a/operator/status/status.go
+++ b/operator/status/status.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"oleandervane.example"
+	"oleandervane.example/responsehead"
 )
 
 // FlowShares has the shares of one flow that are in force on an entry VM. It is immutable.
@@ -72,7 +73,8 @@
 	if err != nil {
 		return eris.Wrapf(err, "query entry VM %s", address)
 	}
-	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(request)
+	transport := responsehead.NewTransport(&http.Transport{DisableKeepAlives: true})
+	response, err := (&http.Client{Transport: transport}).Do(request)
 	if err != nil {
 		return eris.Wrapf(err, "query entry VM %s", address)
 	}
