Reject HTTP/1.0 responses with a transfer encoding

What callers would see: a body that is not the server's. A response of HTTP/1.0 with "Transfer-Encoding: chunked" arrived as a 200 with its MAC and the body "2\r\nok\r\n0\r\n\r\n". Found while looking for other heads that net/http takes in another way than the server meant.

Cause: net/http ignores the field in HTTP/1.0, so that the body lasts until the connection ends and has the marks of the chunks in it.

Change: Checker rejects the field in HTTP/1.0, as RFC 9112, section 6.1, asks: the framing is faulty.

--- a/responsehead/responsehead.go
+++ b/responsehead/responsehead.go
@@ -15,6 +15,8 @@
 	maxInterim = 5
 	// switchingProtocols is an interim status that no reader asks for.
 	switchingProtocols = 101
+	// transferEncoding is the name of the field that announces a body in chunks.
+	transferEncoding = "Transfer-Encoding"
 )
 
 // Errors of a Checker.
@@ -27,6 +29,9 @@
 	// errFieldName means that a line of the head does not begin with a token and a colon (RFC 9112, section 5). A line that continues
 	// the one before is rejected, as section 5.2 allows: its beginning may be the name of a field.
 	errFieldName = fmt.Errorf("%w: field name", ErrInvalid)
+	// errFraming means that an HTTP/1.0 response has a Transfer-Encoding, which net/http ignores: the marks of the chunks would be part
+	// of the body (RFC 9112, section 6.1).
+	errFraming = fmt.Errorf("%w: transfer encoding of HTTP/1.0", ErrInvalid)
 )
 
 // Checker checks the heads of one response and of the interim responses before it, in the bytes of a connection. The zero value checks
@@ -35,7 +40,9 @@
 	state state
 	// length is the number of bytes of the current status line or field name, line the first of them.
 	length int
-	line   [codeEnd + 1]byte
+	line   [len(transferEncoding)]byte
+	// http10 says that the version of the response is HTTP/1.0.
+	http10 bool
 	// interim is the number of interim responses so far. final says that the current head is that of the response.
 	interim int
 	final   bool
@@ -117,6 +124,7 @@
 		return nil
 	}
 	status := parse(string(checker.line[:codeEnd]))
+	checker.http10 = strings.HasPrefix(string(checker.line[:]), "HTTP/1.0 ")
 	checker.final = status >= 200 && status <= 599
 	valid := checker.final || status >= 100 && status <= 199 && status != switchingProtocols && checker.interim < maxInterim
 	if !valid || next != ' ' && next != '\r' && next != '\n' {
@@ -129,6 +137,8 @@
 // addToName adds a byte of a field name, or of the empty line that ends the head.
 func (checker *Checker) addToName(next byte) error {
 	switch {
+	case next == ':' && checker.http10 && checker.length == len(transferEncoding) && strings.EqualFold(string(checker.line[:]), transferEncoding):
+		return checker.invalid(errFraming, next)
 	case next == ':' && checker.length > 0:
 		checker.state = stateValue
 	case next == '\r' && checker.length == 0:
