--- a/entry/caller/responsehead_test.go
+++ b/entry/caller/responsehead_test.go
@@ -31,27 +31,20 @@
 
 // Guards against an invalid response of an entry VM that the caller gets as an answer, or as proof that its request has not run.
 func TestInvalidHeadsAreNoAnswers(t *testing.T) {
-	cases, err := responsetable.Cases()
-	assert.NilError(t, err)
-	for _, tableCase := range cases {
-		for _, outcome := range []oleandervane.Outcome{oleandervane.Answered, oleandervane.NotRun} {
-			t.Run(tableCase.Name+" "+string(outcome), func(t *testing.T) {
-				listener, err := net.Listen("tcp", "127.0.0.1:0")
-				assert.NilError(t, err)
-				defer listener.Close()
-				go tableCase.Serve(listener, func(*http.Request) string {
-					return fmt.Sprintf("%s: %s\r\nContent-Length: 2\r\n\r\nok", oleandervane.HeaderOutcome, outcome)
-				})
-				response, _ := newClientOf(t, listener.Addr().String()).Do(context.Background(), Request{
-					Service: "ledger", Kind: "filing", Idempotent: true, Path: "/x", Timeout: 5 * time.Second,
-				})
-				if tableCase.Valid {
-					assert.Equal(t, response.Outcome, outcome)
-					return
-				}
-				assert.Equal(t, response.Outcome, oleandervane.Unknown)
-			})
+	for _, outcome := range []oleandervane.Outcome{oleandervane.Answered, oleandervane.NotRun} {
+		rest := func(*http.Request) string {
+			return fmt.Sprintf("%s: %s\r\nContent-Length: 2\r\n\r\nok", oleandervane.HeaderOutcome, outcome)
 		}
+		responsetable.Run(t, rest, func(t *testing.T, tableCase responsetable.Case, address string) {
+			response, _ := newClientOf(t, address).Do(context.Background(), Request{
+				Service: "ledger", Kind: "filing", Idempotent: true, Path: "/x", Timeout: 5 * time.Second,
+			})
+			if tableCase.Valid {
+				assert.Equal(t, response.Outcome, outcome)
+				return
+			}
+			assert.Equal(t, response.Outcome, oleandervane.Unknown)
+		})
 	}
 }
 
--- a/fleet/relay/responsehead_test.go
+++ b/fleet/relay/responsehead_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -21,20 +20,13 @@
 func TestInvalidHeads(t *testing.T) {
 	body, err := proto.Marshal(&peer.ChangesResponse{Revision: 7})
 	assert.NilError(t, err)
-	cases, err := responsetable.Cases()
-	assert.NilError(t, err)
-	for _, tableCase := range cases {
-		t.Run(tableCase.Name, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			assert.NilError(t, err)
-			defer listener.Close()
-			go tableCase.Serve(listener, func(*http.Request) string {
-				return "Content-Type: application/proto\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + string(body)
-			})
-			client := relay.NewClient()
-			defer client.Close()
-			response, err := client.Changes(context.Background(), oleandervane.EntryVM{PeerAddress: netip.MustParseAddrPort(listener.Addr().String())}, oleandervane.StoreRevision{})
-			assert.Equal(t, err == nil && response.Revision.Number == 7, tableCase.Valid, "%v", err)
-		})
+	rest := func(*http.Request) string {
+		return "Content-Type: application/proto\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + string(body)
 	}
+	responsetable.Run(t, rest, func(t *testing.T, tableCase responsetable.Case, address string) {
+		client := relay.NewClient()
+		defer client.Close()
+		response, err := client.Changes(context.Background(), oleandervane.EntryVM{PeerAddress: netip.MustParseAddrPort(address)}, oleandervane.StoreRevision{})
+		assert.Equal(t, err == nil && response.Revision.Number == 7, tableCase.Valid, "%v", err)
+	})
 }
--- a/standin/responsetable/table.go
+++ b/standin/responsetable/table.go
@@ -1,4 +1,4 @@
-// Package responsetable has valid and invalid responses, for the tests of all readers of responses, and a server that sends them.
+// Package responsetable has valid and invalid responses, for the tests of all readers of responses, and servers that send them.
 package responsetable
 
 import (
@@ -10,6 +10,9 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
 )
 
 //go:embed responses.txt
@@ -38,6 +41,22 @@
 	return cases, nil
 }
 
+// Run runs a subtest for each case, with the address of a server that sends it as Serve does.
+func Run(t *testing.T, rest func(request *http.Request) string, test func(t *testing.T, tableCase Case, address string)) {
+	t.Helper()
+	cases, err := Cases()
+	assert.NilError(t, err)
+	for _, tableCase := range cases {
+		t.Run(tableCase.Name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer listener.Close()
+			go tableCase.Serve(listener, rest)
+			test(t, tableCase, listener.Addr().String())
+		})
+	}
+}
+
 // Serve sends the beginning of a case, and what rest returns for the request, to each request on the connections of a listener, until
 // it is closed.
 func (tableCase Case) Serve(listener net.Listener, rest func(request *http.Request) string) {
