--- a/responsehead/responsehead.go
+++ b/responsehead/responsehead.go
@@ -100,8 +100,8 @@
 	return nil
 }
 
-// append adds a byte to the current line.
-func (checker *Checker) append(next byte) {
+// record adds a byte to the current line.
+func (checker *Checker) record(next byte) {
 	if checker.length < len(checker.line) {
 		checker.line[checker.length] = next
 	}
@@ -110,7 +110,7 @@
 
 // invalid returns an error with the beginning of the current line, to its invalid byte if that is not too far.
 func (checker *Checker) invalid(err error, next byte) error {
-	checker.append(next)
+	checker.record(next)
 	return fmt.Errorf("%w: it begins with %q", err, checker.line[:min(checker.length, len(checker.line))])
 }
 
@@ -120,7 +120,7 @@
 		if next == '\n' {
 			return checker.invalid(errStatusLine, next)
 		}
-		checker.append(next)
+		checker.record(next)
 		return nil
 	}
 	status := parse(string(checker.line[:codeEnd]))
@@ -148,7 +148,7 @@
 	case !isTokenByte(next):
 		return checker.invalid(errFieldName, next)
 	default:
-		checker.append(next)
+		checker.record(next)
 	}
 	return nil
 }
