--- a/cmd/oleandervane/caller.go
+++ b/cmd/oleandervane/caller.go
@@ -66,8 +66,8 @@
 const lookupTimeout = 5 * time.Second
 
 func get(location string) (json.RawMessage, error) {
-	transport := responsehead.NewTransport(&http.Transport{DisableKeepAlives: true})
-	client := &http.Client{Transport: transport, Timeout: lookupTimeout}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	client := &http.Client{Transport: responsehead.NewTransport(transport), Timeout: lookupTimeout}
 	response, err := client.Get(location)
 	if err != nil {
 		return nil, err
