--- a/responsehead/responsehead.go
+++ b/responsehead/responsehead.go
@@ -137,7 +137,7 @@
 // addToName adds a byte of a field name, or of the empty line that ends the head.
 func (checker *Checker) addToName(next byte) error {
 	switch {
-	case next == ':' && checker.http10 && checker.length == len(transferEncoding) && strings.EqualFold(string(checker.line[:]), transferEncoding):
+	case next == ':' && checker.http10 && checker.isTransferEncoding():
 		return checker.invalid(errFraming, next)
 	case next == ':' && checker.length > 0:
 		checker.state = stateValue
@@ -153,6 +153,11 @@
 	return nil
 }
 
+// isTransferEncoding reports whether the current line is the name of that field.
+func (checker *Checker) isTransferEncoding() bool {
+	return checker.length == len(transferEncoding) && strings.EqualFold(string(checker.line[:]), transferEncoding)
+}
+
 // endHead ends a head. Another one follows that of an interim response.
 func (checker *Checker) endHead() {
 	if checker.final {
