Log the keys and versions of former entries that are ignored

The log had only the number of ignored entries, one, so that it could not tell two explanations apart: the VM never read the new evacuation (a list or watch from before it, or from another VM that lacked it), or it read the evacuation and took it for a former one. The line now has the keys and versions, ten at most, and the revision of the list.

--- a/entryvm/hosted/replica.go
+++ b/entryvm/hosted/replica.go
@@ -80,19 +80,17 @@
 		replica.afterOutage = false
 	}
 	replica.endDeferralAfterCut(entries)
-	ignored := 0
+	var ignored []oleandervane.StoreEntry
 	entries = slices.DeleteFunc(slices.Clone(entries), func(entry oleandervane.StoreEntry) bool {
 		former := replica.formerEntries.isFormer(entry, revision.Era)
 		if former {
 			delete(missing, entry.Key)
-			ignored++
+			ignored = append(ignored, entry)
 		}
 		return former
 	})
 	replica.mutex.Unlock()
-	if ignored > 0 {
-		replica.log.WithField("entries", ignored).Info("entries of the copy of the store that were replaced or removed before it was restored are ignored")
-	}
+	replica.logIgnored(ignored, revision)
 	changes := make([]oleandervane.StoreChange, 0, len(entries))
 	for _, entry := range entries {
 		delete(missing, entry.Key)
@@ -142,6 +140,20 @@
 	}).Info("entries are listed after an outage")
 }
 
+// logIgnored logs the keys and versions of entries that are ignored, and the revision of their list.
+func (replica *replica) logIgnored(ignored []oleandervane.StoreEntry, revision oleandervane.StoreRevision) {
+	if len(ignored) == 0 {
+		return
+	}
+	versions := map[string]uint64{}
+	for _, entry := range ignored[:min(len(ignored), maxLoggedEntries)] {
+		versions[entry.Key] = entry.Version
+	}
+	replica.log.WithFields(logrus.Fields{
+		"entries": len(ignored), "versions": versions, "store_era": revision.Era, "store_revision": revision.Number,
+	}).Info("entries of the copy of the store that were replaced or removed before it was restored are ignored")
+}
+
 // Apply applies changes in order.
 func (replica *replica) Apply(storeChanges oleandervane.StoreChanges) {
 	replica.mutex.Lock()
@@ -196,8 +208,8 @@
 	replica.logDifference(*former, registry)
 }
 
-// maxLoggedFaults bounds the invalid entries that one log line describes.
-const maxLoggedFaults = 10
+// maxLoggedEntries bounds the entries that one log line describes.
+const maxLoggedEntries = 10
 
 // reportInvalid counts entries that cannot be read, and logs them in one line.
 func (replica *replica) reportInvalid(err error) {
@@ -206,7 +218,7 @@
 		faults = joined.Unwrap()
 	}
 	replica.invalidEntries.Add(uint64(len(faults)))
-	replica.log.WithError(errors.Join(faults[:min(len(faults), maxLoggedFaults)]...)).WithField("invalid", len(faults)).
+	replica.log.WithError(errors.Join(faults[:min(len(faults), maxLoggedEntries)]...)).WithField("invalid", len(faults)).
 		Warn("entries in the store cannot be read and are ignored")
 }
 
