Obey evacuations of a restored store that have a former revision

What callers saw: all VMs went on sending requests to a failure domain whose evacuation the store had acknowledged, until the operator ended it.

Cause: a VM remembers entries that were replaced or removed by key, version and hash of the value, and ignores entries of a later era that match. A restored store issues its revisions again, and the value of an evacuation is always the same, so that a new evacuation can match one that had ended. It was ignored in each list of that era, which may come at any time after the restore, and the watch returns no further change of the key.

Evidence: the log names the ignored entry, op/evacuate/huye-a at version 11, in the first list of era 1 (revision 11) and in the later ones; the first evacuation had version 11 in era 0. So the VM had read it. The script of the new test holds on the code before if one more write comes before the second evacuation, so that it gets another revision, and fails without that write.

No comparison can tell a new evacuation from a former one of the copy. Only entries of backend servers are remembered as former ones now. Configurations are compared by their own versions, and entries of VMs were excepted before.

--- a/entryvm/hosted/formerentries.go
+++ b/entryvm/hosted/formerentries.go
@@ -3,11 +3,9 @@
 import (
 	"hash/maphash"
 	"slices"
-	"strings"
 	"time"
 
 	"oleandervane.example"
-	"oleandervane.example/fleet/roster"
 )
 
 const (
@@ -19,10 +17,12 @@
 	maxFormerKeys   = 4096
 )
 
-// formerEntries remembers which entries of the store were replaced or removed, so that a restored store, which has some of them again,
-// takes back no drain, end or evacuation that this VM knew. An entry that was written again after the restore is another one, because
-// its version differs, or its value.
+// formerEntries remembers which entries of backend servers were replaced or removed, so that a restored store, which has some of them
+// again, takes back no drain or end that this VM knew. An entry that was written after the restore may have the same version and value
+// as a former one. Therefore entries of other kinds are not remembered: an evacuation always has the same value, and to obey one that
+// had ended until the operator ends it again costs less than to ignore a new one.
 type formerEntries struct {
+	reader  oleandervane.RegistryReader
 	seed    maphash.Seed
 	current map[string]entryMark
 	former  map[string][]formerEntry
@@ -39,8 +39,8 @@
 	endAt time.Time
 }
 
-func newFormerEntries() *formerEntries {
-	return &formerEntries{seed: maphash.MakeSeed(), current: map[string]entryMark{}, former: map[string][]formerEntry{}}
+func newFormerEntries(reader oleandervane.RegistryReader) *formerEntries {
+	return &formerEntries{reader: reader, seed: maphash.MakeSeed(), current: map[string]entryMark{}, former: map[string][]formerEntry{}}
 }
 
 func (formerEntries *formerEntries) mark(entry oleandervane.StoreEntry) entryMark {
@@ -51,6 +51,9 @@
 func (formerEntries *formerEntries) record(changes []oleandervane.StoreChange, era oleandervane.StoreEra, now time.Time) {
 	for _, change := range changes {
 		key := change.Entry.Key
+		if !formerEntries.reader.IsBackendServer(key) {
+			continue
+		}
 		next := formerEntries.mark(change.Entry)
 		if replaced, found := formerEntries.current[key]; found && (change.Removed || replaced != next) {
 			formerEntries.add(key, formerEntry{entryMark: replaced, era: era, endAt: now.Add(formerLifetime)})
@@ -83,12 +86,8 @@
 	}
 }
 
-// isFormer reports whether an entry in a list of an era was replaced or removed in a former era. It is false for entries of VMs: each run
-// writes the same value again and may get a version that was issued before; a VM that is gone is dropped with its lease.
+// isFormer reports whether the entry of a backend server in a list of an era was replaced or removed in a former era.
 func (formerEntries *formerEntries) isFormer(entry oleandervane.StoreEntry, era oleandervane.StoreEra) bool {
-	if strings.HasPrefix(entry.Key, roster.KeyPrefix) {
-		return false
-	}
 	mark := formerEntries.mark(entry)
 	return slices.ContainsFunc(formerEntries.former[entry.Key], func(former formerEntry) bool {
 		return former.era < era && former.entryMark == mark
--- a/entryvm/hosted/replica.go
+++ b/entryvm/hosted/replica.go
@@ -42,7 +42,7 @@
 	versions map[string]uint64
 	// era is that of the store as it was last read.
 	era oleandervane.StoreEra
-	// formerEntries are entries that were replaced or removed.
+	// formerEntries are entries of backend servers that were replaced or removed.
 	formerEntries *formerEntries
 	// afterOutage is set from the end of an outage of the store until the entries are listed.
 	afterOutage bool
@@ -56,7 +56,7 @@
 func newReplica(reader oleandervane.RegistryReader, roster *roster.Roster, timerService oleandervane.TimerService, log *logrus.Entry, publish func(oleandervane.Registry)) *replica {
 	replica := &replica{
 		reader: reader, roster: roster, timerService: timerService, log: log, publish: publish,
-		versions: map[string]uint64{}, formerEntries: newFormerEntries(), deferredRemovals: map[string]oleandervane.StoreChange{},
+		versions: map[string]uint64{}, formerEntries: newFormerEntries(reader), deferredRemovals: map[string]oleandervane.StoreChange{},
 	}
 	replica.registry.Store(&oleandervane.Registry{})
 	return replica
@@ -71,8 +71,8 @@
 	return replica.timerService.Now().Sub(*readAt)
 }
 
-// Replace replaces all entries. Keys that are missing have been removed. After a restore of the store, removals are deferred, and an entry
-// that was replaced or removed before is ignored: the copy has it, and it is written again if it is still valid.
+// Replace replaces all entries. Keys that are missing have been removed. After a restore of the store, removals are deferred, and the entry
+// of a backend server that was replaced or removed before is ignored: the copy has it, and it is written again if it is still valid.
 func (replica *replica) Replace(entries []oleandervane.StoreEntry, revision oleandervane.StoreRevision) {
 	replica.mutex.Lock()
 	missing := maps.Clone(replica.versions)
--- a/registry.go
+++ b/registry.go
@@ -21,6 +21,8 @@
 	// joins one error for each; a configuration that cannot be read leaves the previous one in force, an entry of it that cannot be
 	// read loses only itself.
 	Apply(registry Registry, changes []StoreChange) (Registry, error)
+	// IsBackendServer reports whether a key holds the entry of a backend server.
+	IsBackendServer(key string) bool
 }
 
 // RegisteredServer is a backend server as it registered itself. It is immutable.
--- a/standin/soak/restore.go
+++ b/standin/soak/restore.go
@@ -62,6 +62,43 @@
 	})
 }
 
+// evacuateAgain evacuates a failure domain, ends that, and evacuates it again in a store that was restored from a copy made before. The
+// second evacuation gets the revision of the first one. It checks that it is obeyed. There must be no other fault meanwhile.
+func (soak *Soak) evacuateAgain() {
+	content, domain := soak.store.Content(), failureDomains[1]
+	key := "op/evacuate/" + domain
+	soak.logFault("%s is evacuated, and again at the same revision of the restored store", domain)
+	soak.write(key, "{}")
+	first, err := soak.store.Get(context.Background(), key)
+	if err != nil {
+		soak.check.fail("the soak could not read %s: %v", key, err)
+	}
+	time.Sleep(rewriteDelay)
+	soak.remove(key)
+	time.Sleep(rewriteDelay)
+	soak.expectEntry(key, string(first.Value))
+	restoredAt := soak.restore(content.WithEntry(key, first.Value, first.Version))
+	time.Sleep(rewriteDelay)
+	soak.writeAgain()
+	time.Sleep(evacuationLimit)
+	ended := time.Now()
+	soak.check.count(&soak.check.evacuations)
+	for _, backend := range soak.backends {
+		if backend.domain == domain {
+			soak.check.checkEvacuated(backend.id, soak.check.journal.runsBetween(backend.id, restoredAt.Add(evacuationLimit), ended))
+		}
+	}
+	soak.remove(key)
+	time.Sleep(coldDuration)
+}
+
+// expectEntry records that the operator or a backend server wrote a key last, without writing it.
+func (soak *Soak) expectEntry(key, value string) {
+	soak.mutex.Lock()
+	defer soak.mutex.Unlock()
+	soak.written[key] = &value
+}
+
 // restore makes the store unavailable for a moment and then restores the copy.
 func (soak *Soak) restore(content storestandin.Content) time.Time {
 	soak.mutex.Lock()
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -270,8 +270,8 @@
 }
 
 // checkWithoutFaults changes the configuration, drains a server and evacuates a failure domain, then has servers send signals while
-// others end and start again, and then sends a request that crashes servers, restores the store, and cuts VMs off from it, before the
-// first random fault, so that each run checks all of them.
+// others end and start again, and then sends a request that crashes servers, restores the store twice, and cuts VMs off from it, before
+// the first random fault, so that each run checks all of them.
 func (soak *Soak) checkWithoutFaults(ctx context.Context) {
 	soak.changeConfiguration(ctx)
 	soak.drain(soak.backends[0])
@@ -286,6 +286,7 @@
 	soak.pending.Wait()
 	soak.restoreStore(ctx, soak.backends[0])
 	soak.pending.Wait()
+	soak.evacuateAgain()
 	soak.refuseStore(ctx)
 }
 
--- a/standin/storestandin/store.go
+++ b/standin/storestandin/store.go
@@ -44,6 +44,14 @@
 	lastLeaseID uint64
 }
 
+// WithEntry returns a copy that also has an entry, which was written at a revision.
+func (content Content) WithEntry(key string, value []byte, revision uint64) Content {
+	content.entries = maps.Clone(content.entries)
+	content.entries[key] = entry{value: slices.Clone(value), revision: revision}
+	content.revision = max(content.revision, revision)
+	return content
+}
+
 // entry is the value of a key, the revision of its last change and the lease that it is bound to, 0 for none.
 type entry struct {
 	value    []byte
