Ignore former entries of servers for ten seconds only after a restore

What callers would see: after a restore of the store a backend server gets no requests, for good, although it is registered as ready, so that the others have to serve its part.

The entry of a server that is written after the restore can have the key, version and value of a former one, and then it is ignored in every list of each later era, until its server writes another one.

Evidence: three cases of TestOrdersOfARestoredStoreAreFollowed fail on the commit before: a server that registers again right after the restore at its former revision, one that does so ten minutes later, and one whose lost drain is never written again. The state there is absent, absent and leaving, whatever time passes.

For a server the other error is worse than for an evacuation: one that left or ended would get requests, which breaks its drain. So former entries stay ignored, but for 10 s from the first list of an era (formerLimit). A server that is alive writes its entry within two seconds of the return of the store, and that of one that is gone lapses after three intervals of 1.5 s; after that an entry that is still there is taken for a new one. Each restore begins the time again. The log says when ignored entries come into force.

TestOrdersOfARestoredStoreAreFollowed has 13 cases now and holds, among them an end of a server that two restores within 6 s lose.

--- a/entryvm/hosted/formerentries.go
+++ b/entryvm/hosted/formerentries.go
@@ -9,6 +9,9 @@
 )
 
 const (
+	// formerLimit is how long after a restore of the store former entries are ignored. A server that is alive writes its entry again
+	// within two seconds; that of one that is gone lapses after three of its intervals of 1.5 s.
+	formerLimit = 10 * time.Second
 	// formerLifetime is how long an entry that was replaced or removed is remembered for the case that the store is restored from a
 	// copy that has it. Copies are some seconds old.
 	formerLifetime = time.Minute
@@ -19,8 +22,8 @@
 
 // formerEntries remembers which entries of backend servers were replaced or removed, so that a restored store, which has some of them
 // again, takes back no drain or end that this VM knew. An entry that was written after the restore may have the same version and value
-// as a former one. Therefore entries of other kinds are not remembered: an evacuation always has the same value, and to obey one that
-// had ended until the operator ends it again costs less than to ignore a new one.
+// as a former one. Therefore former entries are ignored for formerLimit only, and those of other kinds are not remembered: an evacuation
+// always has the same value, and to obey one that had ended until the operator ends it again costs less than to ignore a new one.
 type formerEntries struct {
 	reader  oleandervane.RegistryReader
 	seed    maphash.Seed
--- a/entryvm/hosted/replica.go
+++ b/entryvm/hosted/replica.go
@@ -44,6 +44,9 @@
 	era oleandervane.StoreEra
 	// formerEntries are entries of backend servers that were replaced or removed.
 	formerEntries *formerEntries
+	// ignored has the former entries in the last list, by key. They come into force at the end of ignoreUntil unless they change before.
+	ignored     map[string]oleandervane.StoreEntry
+	ignoreUntil time.Time
 	// afterOutage is set from the end of an outage of the store until the entries are listed.
 	afterOutage bool
 	// deferredRemovals are removals that came after an outage of the store and wait until it is known whether their entries
@@ -57,6 +60,7 @@
 	replica := &replica{
 		reader: reader, roster: roster, timerService: timerService, log: log, publish: publish,
 		versions: map[string]uint64{}, formerEntries: newFormerEntries(reader), deferredRemovals: map[string]oleandervane.StoreChange{},
+		ignored: map[string]oleandervane.StoreEntry{},
 	}
 	replica.registry.Store(&oleandervane.Registry{})
 	return replica
@@ -72,7 +76,8 @@
 }
 
 // Replace replaces all entries. Keys that are missing have been removed. After a restore of the store, removals are deferred, and the entry
-// of a backend server that was replaced or removed before is ignored: the copy has it, and it is written again if it is still valid.
+// of a backend server that was replaced or removed before is ignored for formerLimit: the copy has it, and its server writes it again if
+// it is still valid.
 func (replica *replica) Replace(entries []oleandervane.StoreEntry, revision oleandervane.StoreRevision) {
 	replica.mutex.Lock()
 	missing := maps.Clone(replica.versions)
@@ -80,17 +85,18 @@
 		replica.afterOutage = false
 	}
 	replica.endDeferralAfterCut(entries)
-	var ignored []oleandervane.StoreEntry
+	clear(replica.ignored)
+	ignoring := replica.timerService.Now().Before(replica.ignoreUntil)
 	entries = slices.DeleteFunc(slices.Clone(entries), func(entry oleandervane.StoreEntry) bool {
-		former := replica.formerEntries.isFormer(entry, revision.Era)
+		former := ignoring && replica.formerEntries.isFormer(entry, revision.Era)
 		if former {
 			delete(missing, entry.Key)
-			ignored = append(ignored, entry)
+			replica.ignored[entry.Key] = entry
 		}
 		return former
 	})
+	replica.logIgnored(revision)
 	replica.mutex.Unlock()
-	replica.logIgnored(ignored, revision)
 	changes := make([]oleandervane.StoreChange, 0, len(entries))
 	for _, entry := range entries {
 		delete(missing, entry.Key)
@@ -112,9 +118,28 @@
 	}
 	replica.log.WithFields(logrus.Fields{"era": era, "former_era": former}).Warn("the store was restored from a copy; what is missing in it stays in force for a while")
 	replica.deferRemovalsFor(registrywatch.RemovalDelay)
+	replica.ignoreUntil = replica.timerService.Now().Add(formerLimit)
+	replica.timerService.After(formerLimit, func(time.Time) { replica.applyIgnored() })
 	return true
 }
 
+// applyIgnored applies the former entries that are still in the store, and that their servers have not written again.
+func (replica *replica) applyIgnored() {
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	if replica.timerService.Now().Before(replica.ignoreUntil) || len(replica.ignored) == 0 {
+		return
+	}
+	replica.log.WithFields(logrus.Fields{"entries": len(replica.ignored), "versions": replica.ignoredVersions()}).
+		Info("entries of the copy of the store that were replaced or removed before it was restored come into force, because they were not written again")
+	changes := make([]oleandervane.StoreChange, 0, len(replica.ignored))
+	for _, entry := range replica.ignored {
+		changes = append(changes, oleandervane.StoreChange{Entry: entry})
+	}
+	clear(replica.ignored)
+	replica.applyChanges(changes)
+}
+
 // deferRemovalsFor defers removals from now on. The caller holds the mutex.
 func (replica *replica) deferRemovalsFor(duration time.Duration) {
 	replica.deferUntil = replica.timerService.Now().Add(duration)
@@ -140,20 +165,28 @@
 	}).Info("entries are listed after an outage")
 }
 
-// logIgnored logs the keys and versions of entries that are ignored, and the revision of their list.
-func (replica *replica) logIgnored(ignored []oleandervane.StoreEntry, revision oleandervane.StoreRevision) {
-	if len(ignored) == 0 {
+// logIgnored logs the entries that are ignored, and the revision of their list. The caller holds the mutex.
+func (replica *replica) logIgnored(revision oleandervane.StoreRevision) {
+	if len(replica.ignored) == 0 {
 		return
 	}
-	versions := map[string]uint64{}
-	for _, entry := range ignored[:min(len(ignored), maxLoggedEntries)] {
-		versions[entry.Key] = entry.Version
-	}
 	replica.log.WithFields(logrus.Fields{
-		"entries": len(ignored), "versions": versions, "store_era": revision.Era, "store_revision": revision.Number,
+		"entries": len(replica.ignored), "versions": replica.ignoredVersions(), "store_era": revision.Era, "store_revision": revision.Number,
 	}).Info("entries of the copy of the store that were replaced or removed before it was restored are ignored")
 }
 
+// ignoredVersions returns the versions of at most maxLoggedEntries ignored entries, by key. The caller holds the mutex.
+func (replica *replica) ignoredVersions() map[string]uint64 {
+	versions := map[string]uint64{}
+	for key, entry := range replica.ignored {
+		if len(versions) == maxLoggedEntries {
+			break
+		}
+		versions[key] = entry.Version
+	}
+	return versions
+}
+
 // Apply applies changes in order.
 func (replica *replica) Apply(storeChanges oleandervane.StoreChanges) {
 	replica.mutex.Lock()
@@ -162,6 +195,9 @@
 	first := replica.readAt.Load() == nil
 	replica.beginEra(storeChanges.Revision.Era)
 	replica.readAt.Store(&now)
+	for _, change := range storeChanges.Changes {
+		delete(replica.ignored, change.Entry.Key)
+	}
 	replica.applyChanges(replica.deferRemovals(storeChanges.Changes, now))
 	replica.revision.Store(&storeChanges.Revision)
 	if first {
