Forget versions of former eras when the store was restored

What callers would see: if the store is away for a moment soon after it was restored, servers that lapsed meanwhile are dropped up to 2 s before they have written their entries again, and requests are refused or crowd at the others.

Cause: the first list after an outage is compared with the known versions. An entry of another VM with its known version shows that only this VM was cut off, and removals apply at once. Entries that the restored store lacked kept the versions of the era before, and a VM that registers again can get the same number.

Evidence: TestVersionOfAFormerEraShowsNoCut fails on the commit before: the server is gone 2.2 s after the restore, 0.2 s after the end of the outage, where removals wait for 2.2 s after its end.

With the first entries of an era all known versions become 0, which no entry has. Entries that the new era has get their versions there with the same list.

--- a/entryvm/hosted/replica.go
+++ b/entryvm/hosted/replica.go
@@ -38,7 +38,7 @@
 	catchUps atomic.Uint64
 
 	mutex sync.Mutex
-	// versions are the versions of the entries in force, by key.
+	// versions are the versions of the entries in force, by key; 0 for those that were read in a former era.
 	versions map[string]uint64
 	// era is that of the store as it was last read.
 	era oleandervane.StoreEra
@@ -117,6 +117,9 @@
 		return false
 	}
 	replica.log.WithFields(logrus.Fields{"era": era, "former_era": former}).Warn("the store was restored from a copy; what is missing in it stays in force for a while")
+	for key := range replica.versions {
+		replica.versions[key] = 0
+	}
 	replica.deferRemovalsFor(registrywatch.RemovalDelay)
 	replica.ignoreUntil = replica.timerService.Now().Add(formerLimit)
 	replica.timerService.After(formerLimit, func(time.Time) { replica.applyIgnored() })
--- a/entryvm/hosted/replica_test.go
+++ b/entryvm/hosted/replica_test.go
@@ -109,6 +109,23 @@
 	assert.Assert(t, !replica.hasServer("a"))
 }
 
+// The store is away, for all VMs, soon after it was restored, and servers lapse meanwhile. The other VM has written its entry again and got
+// the version that it had before the restore. Guards against a VM that takes this for a sign that only it was cut off, and loses the servers.
+func TestVersionOfAFormerEraShowsNoCut(t *testing.T) {
+	manual := timer.NewManual(time.Unix(1000, 0))
+	replica := newTestReplica(manual)
+	server, vm := listed("servers/a", serverEntry, 4), listed("vms/vm-2", vmEntry, 6)
+	replica.Replace([]oleandervane.StoreEntry{server, vm}, inEra(1, 7))
+	replica.Replace([]oleandervane.StoreEntry{server}, inEra(2, 5))
+	manual.Advance(2 * time.Second)
+	replica.StoreRecovered(1800 * time.Millisecond)
+	replica.Replace([]oleandervane.StoreEntry{vm}, inEra(2, 6))
+	manual.Advance(registrywatch.RemovalDelay - time.Millisecond)
+	assert.Assert(t, replica.hasServer("a"))
+	manual.Advance(time.Millisecond)
+	assert.Assert(t, !replica.hasServer("a"))
+}
+
 // contact is a relay.Contact that is always in contact.
 type contact struct{}
 
