--- a/entryvm/hosted/replica.go
+++ b/entryvm/hosted/replica.go
@@ -44,7 +44,7 @@
 	era oleandervane.StoreEra
 	// formerEntries are entries of backend servers that were replaced or removed.
 	formerEntries *formerEntries
-	// ignored has the former entries in the last list, by key. They come into force at the end of ignoreUntil unless they change before.
+	// ignored has the former entries in the last list, by key. They come into force at ignoreUntil unless they change before.
 	ignored     map[string]oleandervane.StoreEntry
 	ignoreUntil time.Time
 	// afterOutage is set from the end of an outage of the store until the entries are listed.
--- a/entryvm/hosted/restore_test.go
+++ b/entryvm/hosted/restore_test.go
@@ -109,7 +109,8 @@
 	return []oleandervane.StoreEntry{listed("servers/new", serverEntry, 11), listed(vmsKey, vmEntry, 12), listed("op/evacuate/begun", "{}", 13)}
 }
 
-// Guards against an order that a VM ignores or obeys for good because a restored store issues versions again.
+// Guards against an evacuation or a server that a VM ignores for good because the restored store has given its entry the version of a
+// former one, and against one that is undone, or that stays in force, because the store has lost the latest change.
 func TestOrdersOfARestoredStoreAreFollowed(t *testing.T) {
 	text, err := os.ReadFile("testdata/restored-store.toml")
 	assert.NilError(t, err)
