Show that a path with a vertical bar makes an unsafe request run twice

A path with a byte that net/url encodes itself is decoded and encoded again, so that %2F becomes a slash; the other path selects a safe route, and the filing is sent again when its answer is lost.

--- a/review/stage3/main.go
+++ b/review/stage3/main.go
@@ -27,7 +27,7 @@
 var scripts = map[string]script{
 	"heads":    {playHeads, jubilar},
 	"leaving":  {playLeaving, igihe},
-	"pipeline": {playPipeline, igihe},
+	"spelling": {playSpelling, igihe},
 	"reload":   {playReload, igihe},
 	"stray":    {playStray, igihe},
 }
--- a/review/stage3/reload.go
+++ b/review/stage3/reload.go
@@ -15,6 +15,9 @@
 	// reloadWork is shorter than the route's timeout of 6 s, and ends well before the last sixth of raisedGrace.
 	reloadWork     = 5900 * time.Millisecond
 	reloadRequests = 8
+	// routeTimeout, in seconds, and clientLimit are those of archive-query of the site.
+	routeTimeout = 6
+	clientLimit  = 12 * time.Second
 )
 
 // playReload raises grace_s in the settings file and then stops the VM as planned. Without trouble, the file has that value from the
